--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,1039 @@
+//! Every decision of a router: which build and host an invocation goes to, what follows a failed dispatch, and
+//! the vote on a build on trial. Invoked as `Router::start(terms, seed, now)`, then
+//! `handle(now, event, &mut effects)` for each event in its order; `src/interface.rs` has the interface, and
+//! `docs/design.md` the sources and reasons.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Beta, Distribution};
+
+use crate::interface::*;
+
+// The mechanism.
+const SWAP_EVERY: f64 = 0.2; // s; a few swaps a stage with every peer, at a small price in messages
+const HALF_LIFE: f64 = 5.0; // s; figures fade, about one stage long, so that late failures and old zeros show
+const VOTERS: u32 = 3; // routers; few enough to agree soon, more than one may be dead
+const HEARD_PEERS: usize = 10; // peers heard this stage before judging, or all that live
+const PEER_LIVES: f64 = 2.5; // s without word before a peer is taken for dead; a dozen swaps missed
+const ENOUGH: f64 = 20.0; // outcomes before a build is judged
+const ENOUGH_OF_ONE: f64 = 12.0; // outcomes of one operation before it is judged by itself
+const BACK_CHANCE: f64 = 0.95; // vote back above this chance of being worse by over the margin
+const ON_CHANCE: f64 = 0.2; // vote on below it
+const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.12]; // of SLO time kept, of plain errors, of usual pace
+const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
+const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
+const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
+const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
+const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
+const QUICK: f64 = 1.5; // times the usual time of an operation; a served dispatch within it is on pace
+// Hosts.
+const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
+const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
+const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
+const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
+const SILENT: f64 = 4.0; // times the usual time without an answer before a host is passed over
+const COLD_SPEND: f64 = 1.6; // times its fair share that a cold host may get; at most half the fall multiple
+const COLD_SPARE: f64 = 1.0; // dispatches in the fall time beside that, so that a small router reaches it
+const FAR: f64 = 0.3; // in-flight dispatches that another zone counts for; breaks ties towards the near
+// Invocations.
+const FIRST_WAIT: f64 = 0.5; // of the time left to the SLO, before a further dispatch
+const FIRST_PACE: f64 = 3.0; // times the usual time waited at least, before a further dispatch
+const FURTHER: f64 = 0.1; // further dispatches an invocation taken, so that retries never double a load
+const FURTHER_SAVED: f64 = 10.0; // further dispatches saved up at most
+const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
+const BOUND_ROOM: f64 = 0.6; // of the cap that keys bound to the trial build may take before new ones stop
+const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
+const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
+
+const MARKS: usize = 3; // kept the SLO time, had no plain error, kept the pace
+const SLOTS: usize = 4; // operations told apart in a message; more share a slot
+const EARLIER: usize = 0;
+const TRIAL: usize = 1;
+
+/// What an invocation's earlier dispatches may have done.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Trace {
+    Clean,
+    MayHaveRun,
+    Forgotten,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Idempotent,
+    Fingerprinted,
+    SideEffecting,
+}
+
+/// Kind of operation, trace of its dispatches: may it be dispatched again (in the group of the first that may
+/// have run), and may it be throttled. Guards rule 2.
+const AGAIN: [(Kind, Trace, bool, bool); 9] = [
+    (Kind::Idempotent, Trace::Clean, true, true),
+    (Kind::Idempotent, Trace::MayHaveRun, true, true),
+    (Kind::Idempotent, Trace::Forgotten, true, true),
+    (Kind::Fingerprinted, Trace::Clean, true, true),
+    (Kind::Fingerprinted, Trace::MayHaveRun, true, true),
+    (Kind::Fingerprinted, Trace::Forgotten, false, false),
+    (Kind::SideEffecting, Trace::Clean, true, true),
+    (Kind::SideEffecting, Trace::MayHaveRun, false, false),
+    (Kind::SideEffecting, Trace::Forgotten, false, false),
+];
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Look {
+    Worse,
+    Fine,
+    Unclear,
+    Starved,
+    Overdue,
+}
+
+/// Gate, what the merged figures say: the vote wished for.
+const WISHES: [(Gate, Look, Sense); 15] = [
+    (Gate::Any, Look::Worse, Sense::Back),
+    (Gate::Any, Look::Fine, Sense::On),
+    (Gate::Any, Look::Unclear, Sense::None),
+    (Gate::Any, Look::Starved, Sense::None),
+    (Gate::Any, Look::Overdue, Sense::On),
+    (Gate::Share, Look::Worse, Sense::Back),
+    (Gate::Share, Look::Fine, Sense::On),
+    (Gate::Share, Look::Unclear, Sense::None),
+    (Gate::Share, Look::Starved, Sense::None),
+    (Gate::Share, Look::Overdue, Sense::On),
+    (Gate::Clock, Look::Worse, Sense::Back),
+    (Gate::Clock, Look::Fine, Sense::None),
+    (Gate::Clock, Look::Unclear, Sense::Hold),
+    (Gate::Clock, Look::Starved, Sense::None),
+    (Gate::Clock, Look::Overdue, Sense::None),
+];
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ballot {
+    Silent,
+    Asked,
+    Stands,
+    Refused,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Push {
+    Wish,
+    Same,
+    Due,
+    Counted,
+    Moot,
+    Unsure,
+    News,
+}
+
+/// State of this router's ballot, input, next state, whether the wish is cast now.
+const BALLOTS: [(Ballot, Push, Ballot, bool); 14] = [
+    (Ballot::Silent, Push::Wish, Ballot::Asked, true),
+    (Ballot::Silent, Push::Due, Ballot::Asked, true),
+    (Ballot::Asked, Push::Counted, Ballot::Stands, false),
+    (Ballot::Asked, Push::Moot, Ballot::Refused, false),
+    (Ballot::Asked, Push::Unsure, Ballot::Silent, false),
+    (Ballot::Asked, Push::Due, Ballot::Asked, true),
+    (Ballot::Asked, Push::News, Ballot::Silent, false),
+    (Ballot::Stands, Push::Wish, Ballot::Asked, true),
+    (Ballot::Stands, Push::Due, Ballot::Asked, true),
+    (Ballot::Stands, Push::News, Ballot::Silent, false),
+    (Ballot::Refused, Push::Wish, Ballot::Asked, true),
+    (Ballot::Refused, Push::Due, Ballot::Asked, true),
+    (Ballot::Refused, Push::News, Ballot::Silent, false),
+    (Ballot::Silent, Push::News, Ballot::Silent, false),
+];
+
+struct Operation {
+    slo: f64,
+    late_is_worthless: bool,
+    kind: Kind,
+    group: RepeatGroup,
+    window: f64,
+}
+
+/// The one record of a host.
+struct Host {
+    entry: HostEntry,
+    usable: bool,
+    /// Send times of the dispatches that are out.
+    out: Vec<f64>,
+    /// Send times within the fall time.
+    sent: VecDeque<f64>,
+    faults: f64,
+    pace: f64,
+    aside_until: f64,
+    aside_for: f64,
+}
+
+struct Sent {
+    host: HostId,
+    build: BuildId,
+    at: f64,
+    out: bool,
+    may_have_run: bool,
+    scored: bool,
+}
+
+struct Inv {
+    operation: usize,
+    key: Option<KeyId>,
+    slo_at: f64,
+    limit: f64,
+    sent: Vec<Sent>,
+    over: bool,
+}
+
+enum Task {
+    Swap,
+    Follow,
+    Further(InvId),
+}
+
+/// One router's decisions.
+pub struct Router {
+    rng: ChaCha8Rng,
+    me: RouterId,
+    routers: u32,
+    zone: Option<ZoneId>,
+    operations: Vec<Operation>,
+    list_asked: bool,
+    follow_wait: f64,
+    gate: Gate,
+    voters: u32,
+    renew_every: f64,
+    caps_first: f64,
+    window: f64,
+    spare: f64,
+    by_operation: bool,
+    guarded_stages: u32,
+    keys_bound: bool,
+    keys_warm: bool,
+    dispute_weight: f64,
+    cold_share: f64,
+    cold_time: f64,
+    cold_spend: f64,
+    fall_time: f64,
+    may_tell: bool,
+    may_copy: bool,
+    advice: Option<f64>,
+    most_dispatches: usize,
+    tick: f64,
+
+    hosts: BTreeMap<HostId, Host>,
+    invs: BTreeMap<InvId, Inv>,
+    alarms: BTreeMap<u64, Task>,
+    next_alarm: u64,
+    fleet: f64,
+    rate: f64,
+    rate_at: f64,
+    usual: BTreeMap<(usize, KindId), f64>,
+    taken: VecDeque<(f64, usize, bool)>,
+    exposed: VecDeque<(f64, BuildId, usize)>,
+    bound: BTreeMap<KeyId, BuildId>,
+    further: f64,
+
+    news: Option<StageNews>,
+    stage_since: f64,
+    sums: Vec<f64>,
+    swaps: BTreeMap<RouterId, Vec<f64>>,
+    heard: BTreeMap<RouterId, f64>,
+    fresh: bool,
+    ballot: Ballot,
+    ballot_sense: Sense,
+    ballot_at: f64,
+    wish: Sense,
+    wish_since: f64,
+    held: f64,
+}
+
+impl Router {
+    pub fn start(terms: ServiceTerms, seed: u64, now: f64) -> Self {
+        let operations = terms.operations.iter().map(|o| {
+            let (kind, group, window) = match o.repeats {
+                Repeats::Idempotent => (Kind::Idempotent, RepeatGroup::All, f64::INFINITY),
+                Repeats::Fingerprinted { group, window } => (Kind::Fingerprinted, group, window),
+                Repeats::SideEffecting => (Kind::SideEffecting, RepeatGroup::All, 0.0),
+            };
+            Operation { slo: o.slo_time, late_is_worthless: o.late_share <= 0.0, kind, group, window }
+        });
+        let needed = match terms.gate {
+            Gate::Any => 1,
+            Gate::Share => terms.votes_on.max(terms.votes_back),
+            Gate::Clock => terms.votes_back.max(terms.votes_hold),
+        };
+        let slots = terms.operations.len().clamp(1, SLOTS);
+        let mut router = Router {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            me: terms.me,
+            routers: terms.routers.max(1),
+            zone: terms.zone,
+            operations: operations.collect(),
+            list_asked: terms.list_asked,
+            follow_wait: REFOLLOW[0],
+            gate: terms.gate,
+            voters: VOTERS.max(needed).min(terms.routers.max(1)),
+            renew_every: RENEW_EVERY.min(0.8 * terms.ballot_life),
+            caps_first: terms.stage_caps.first().copied().unwrap_or(0.0),
+            window: terms.exposure_window + terms.tick.max(GUARD),
+            spare: terms.exposure_spare,
+            by_operation: terms.exposure_by_operation,
+            guarded_stages: terms.guarded_stages,
+            keys_bound: terms.keys_bound,
+            keys_warm: terms.keys_warm,
+            dispute_weight: if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 },
+            cold_share: terms.cold_share,
+            cold_time: terms.cold_time,
+            cold_spend: COLD_SPEND.min(0.5 * terms.fall_multiple),
+            fall_time: terms.fall_time + terms.tick.max(GUARD),
+            may_tell: terms.may_tell,
+            may_copy: terms.may_copy,
+            advice: terms.may_advise.then_some(terms.longest_advice),
+            most_dispatches: terms.most_dispatches.max(1) as usize,
+            tick: terms.tick,
+            hosts: BTreeMap::new(),
+            invs: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            next_alarm: 0,
+            fleet: 0.0,
+            rate: 0.0,
+            rate_at: now,
+            usual: BTreeMap::new(),
+            taken: VecDeque::new(),
+            exposed: VecDeque::new(),
+            bound: BTreeMap::new(),
+            further: FURTHER_SAVED / 2.0,
+            news: None,
+            stage_since: now,
+            sums: vec![0.0; slots * MARKS * 4],
+            swaps: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            fresh: false,
+            ballot: Ballot::Silent,
+            ballot_sense: Sense::None,
+            ballot_at: now,
+            wish: Sense::None,
+            wish_since: now,
+            held: 0.0,
+        };
+        router.held = 0.0;
+        router
+    }
+
+    pub fn handle(&mut self, now: f64, event: Event, effects: &mut Vec<Effect>) {
+        if self.next_alarm == 0 {
+            let first = now + SWAP_EVERY * self.rng.random::<f64>();
+            self.set_alarm(first, Task::Swap, effects);
+            if self.list_asked {
+                effects.push(Effect::Follow { on: true });
+            }
+        }
+        match event {
+            Event::Hosts { scope, entries } => self.list(now, scope, &entries),
+            Event::ListFailed => self.list_failed(now, effects),
+            Event::Arrived(inv) => self.arrived(now, inv, effects),
+            Event::Ended { inv, dispatch, verdict, took, over, .. } => {
+                self.ended(now, inv, dispatch, verdict, took, over, effects)
+            }
+            Event::ClientLeft { inv } => self.close(&inv),
+            Event::Streaming { .. } => {}
+            Event::Alarm { key } => match self.alarms.remove(&key.0) {
+                Some(Task::Swap) => self.beat(now, effects),
+                Some(Task::Follow) => effects.push(Effect::Follow { on: true }),
+                Some(Task::Further(inv)) => self.further_copy(now, inv, effects),
+                None => {}
+            },
+            Event::Told { from, payload } => self.told(now, from, &payload, effects),
+            Event::Stage(news) => self.stage(now, news, effects),
+            Event::Disputed { host, operation, .. } => {
+                if let Some(build) = self.hosts.get(&host).map(|h| h.entry.build) {
+                    self.score(build, operation.0, 1, false, self.dispute_weight);
+                }
+            }
+            Event::Tally { .. } | Event::Probed { .. } => {}
+        }
+    }
+
+    fn set_alarm(&mut self, at: f64, task: Task, effects: &mut Vec<Effect>) {
+        self.next_alarm += 1;
+        self.alarms.insert(self.next_alarm, task);
+        effects.push(Effect::SetAlarm { at, key: AlarmKey(self.next_alarm) });
+    }
+
+    // ---- the host list
+
+    fn list(&mut self, now: f64, scope: ListScope, entries: &[HostEntry]) {
+        self.follow_wait = REFOLLOW[0];
+        if scope != ListScope::Changes {
+            self.hosts.values_mut().for_each(|h| h.usable = false);
+        }
+        for entry in entries {
+            let new = Host {
+                entry: *entry,
+                usable: false,
+                out: Vec::new(),
+                sent: VecDeque::new(),
+                faults: 0.0,
+                pace: 1.0,
+                aside_until: 0.0,
+                aside_for: ASIDE[0],
+            };
+            let host = self.hosts.entry(entry.host).or_insert(new);
+            if host.entry.started != entry.started || host.entry.build != entry.build {
+                // A restart, or a new machine under a used id, starts with a clean record.
+                (host.faults, host.pace, host.aside_until, host.aside_for) = (0.0, 1.0, 0.0, ASIDE[0]);
+            }
+            host.entry = *entry;
+            host.usable = entry.state == HostState::Running;
+        }
+        let size = self.hosts.values().filter(|h| h.usable).map(|h| h.entry.size).sum::<f64>();
+        self.fleet = self.fleet.max(size);
+        self.hosts
+            .retain(|_, h| h.usable || !h.out.is_empty() || h.sent.back().is_some_and(|s| now - s < 60.0));
+    }
+
+    fn list_failed(&mut self, now: f64, effects: &mut Vec<Effect>) {
+        if self.list_asked {
+            // A subscription that broke would count as told; ask again soon, spread and slower each time.
+            let wait = self.follow_wait * (0.5 + self.rng.random::<f64>());
+            self.follow_wait = (2.0 * self.follow_wait).min(REFOLLOW[1]);
+            self.set_alarm(now + wait, Task::Follow, effects);
+        }
+    }
+
+    fn warmth(&self, host: &Host, now: f64) -> f64 {
+        let age = host.entry.started.map_or(f64::INFINITY, |started| now - started);
+        self.cold_share + (1.0 - self.cold_share) * (age / self.cold_time.max(0.001)).clamp(0.0, 1.0)
+    }
+
+    /// Rule 4: all routers keep to a like share of what a cold host can do, so their sum stays under the fall.
+    fn cold_room(&self, host: &Host, now: f64) -> bool {
+        let warmth = self.warmth(host, now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let sent = host.sent.iter().filter(|at| now - **at < self.fall_time).count() as f64;
+        let fair = self.rate * self.fall_time * host.entry.size / self.fleet.max(0.001);
+        sent < COLD_SPARE + self.cold_spend * warmth * fair
+    }
+
+    // ---- exposure
+
+    fn phase(&self, build: BuildId) -> Phase {
+        match self.news {
+            Some(news) if build < news.build => Phase::Released,
+            Some(news) if build == news.build => news.phase,
+            Some(_) => Phase::OnTrial,
+            // Before any news, only the lowest listed build is known to be no later one.
+            None => {
+                let lowest = self.hosts.values().filter(|h| h.usable).map(|h| h.entry.build).min();
+                if lowest.is_none_or(|low| build <= low) { Phase::Released } else { Phase::Withdrawn }
+            }
+        }
+    }
+
+    /// Rule 5: whether one more dispatch at this build stays within its cap.
+    fn exposure_room(&self, now: f64, build: BuildId, operation: usize, fresh_key: bool) -> bool {
+        let phase = self.phase(build);
+        if phase == Phase::Released {
+            return true;
+        }
+        let news = self.news.filter(|news| news.build == build);
+        let (cap, stage) = news.map_or((self.caps_first, 0), |news| (news.cap, news.stage));
+        let guarded = stage < self.guarded_stages && self.operations[operation].kind != Kind::Idempotent;
+        if phase != Phase::OnTrial || cap <= 0.0 || guarded {
+            return false;
+        }
+        let counts = |o: usize| !self.by_operation || o == operation;
+        let kept = self.window - 2.0 * self.tick.max(GUARD);
+        let taken = self.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o)).count() as f64;
+        let sent = self.exposed.iter().filter(|(_, b, o)| *b == build && counts(*o)).count() as f64;
+        if fresh_key && self.keys_bound && cap < 1.0 {
+            // Bound keys must go to the trial build; new ones only where those leave room.
+            let bound =
+                self.taken.iter().filter(|(at, o, b)| now - at < kept && counts(*o) && *b).count() as f64;
+            if bound >= BOUND_ROOM * cap * taken || sent + 1.0 > 0.85 * cap * taken + self.spare / 2.0 {
+                return false;
+            }
+        }
+        sent + 1.0 <= self.spare + cap * taken
+    }
+
+    fn forget(&mut self, now: f64) {
+        while self.taken.front().is_some_and(|(at, ..)| now - at > self.window) {
+            self.taken.pop_front();
+        }
+        while self.exposed.front().is_some_and(|(at, ..)| now - at > self.window) {
+            self.exposed.pop_front();
+        }
+    }
+
+    fn bound_to(&self, key: &Option<KeyId>) -> Option<BuildId> {
+        key.as_ref().and_then(|key| self.bound.get(key)).copied()
+    }
+
+    // ---- invocations
+
+    fn arrived(&mut self, now: f64, inv: Invocation, effects: &mut Vec<Effect>) {
+        let Some(operation) = self.operations.get(inv.operation.0) else {
+            return effects.push(Effect::Throttle { inv: inv.id, stay_away: None });
+        };
+        let limit = now + inv.time_left;
+        let slo_at = now + operation.slo;
+        self.forget(now);
+        self.further = (self.further + FURTHER).min(FURTHER_SAVED);
+        let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
+        self.taken.push_back((now, inv.operation.0, bound));
+        let record =
+            Inv { operation: inv.operation.0, key: inv.key, slo_at, limit, sent: Vec::new(), over: false };
+        self.invs.insert(inv.id.clone(), record);
+        self.dispatch_or_end(now, &inv.id, false, effects);
+    }
+
+    /// Trace of an invocation's dispatches, and the first of them that may have run.
+    fn trace(&self, now: f64, inv: &Inv) -> (Trace, Option<(f64, HostId)>) {
+        let first = inv.sent.iter().find(|s| s.out || s.may_have_run).map(|s| (s.at, s.host));
+        let window = self.operations[inv.operation].window - 2.0 * self.tick.max(GUARD);
+        match first {
+            None => (Trace::Clean, None),
+            Some((at, _)) if now - at < window => (Trace::MayHaveRun, first),
+            Some(_) => (Trace::Forgotten, first),
+        }
+    }
+
+    /// Whether it may be dispatched again, and whether it may be throttled.
+    fn may(&self, now: f64, inv: &Inv) -> (bool, bool) {
+        let (kind, (trace, _)) = (self.operations[inv.operation].kind, self.trace(now, inv));
+        let row = AGAIN.iter().find(|row| row.0 == kind && row.1 == trace);
+        let group_all = self.operations[inv.operation].group == RepeatGroup::All;
+        row.map_or((false, false), |row| (row.2, row.3 && (trace == Trace::Clean || group_all)))
+    }
+
+    /// Sends the next dispatch; where there is none to send, the final answer goes out at once (rule 1).
+    fn dispatch_or_end(&mut self, now: f64, id: &InvId, copy: bool, effects: &mut Vec<Effect>) {
+        let Some(inv) = self.invs.get(id) else { return };
+        let operation = &self.operations[inv.operation];
+        let out = inv.sent.iter().any(|s| s.out);
+        let (again, throttle) = self.may(now, inv);
+        let end = if operation.late_is_worthless { inv.limit.min(inv.slo_at) } else { inv.limit };
+        let timely = end - now > 2.0 * self.tick;
+        let paid = inv.sent.iter().all(|s| !s.out && !s.may_have_run) || self.further >= 1.0;
+        let more = inv.sent.len() < self.most_dispatches && (!out || (copy && self.may_copy));
+        let free = !inv.sent.is_empty();
+        if again
+            && timely
+            && paid
+            && more
+            && let Some(host) = self.choose(now, id)
+        {
+            if free {
+                self.further -= 1.0;
+            }
+            self.send(now, id, host, end, effects);
+        } else if !out {
+            self.close(id);
+            if throttle {
+                let advice = self.advice;
+                let wait = ADVICE * (1.0 + self.rng.random::<f64>());
+                effects
+                    .push(Effect::Throttle { inv: id.clone(), stay_away: advice.map(|most| wait.min(most)) });
+            } else {
+                effects.push(Effect::Terminate { inv: id.clone() });
+            }
+        }
+    }
+
+    fn send(&mut self, now: f64, id: &InvId, host: HostId, end: f64, effects: &mut Vec<Effect>) {
+        let (Some(inv), Some(h)) = (self.invs.get_mut(id), self.hosts.get_mut(&host)) else { return };
+        let operation = &self.operations[inv.operation];
+        let usual = self.usual.get(&(inv.operation, h.entry.kind)).copied().unwrap_or(0.2 * operation.slo);
+        let wait = (FIRST_WAIT * (inv.slo_at - now)).max(FIRST_PACE * usual);
+        let repeatable = operation.kind != Kind::SideEffecting && inv.sent.len() + 1 < self.most_dispatches;
+        let mut time_out = end - now;
+        let mut look_again = None;
+        if repeatable && now + wait < end.min(inv.slo_at) - 0.5 * usual {
+            if self.may_copy {
+                look_again = Some(now + wait);
+            } else {
+                time_out = wait;
+            }
+        }
+        let build = h.entry.build;
+        let scored = h.aside_until <= now;
+        inv.sent.push(Sent { host, build, at: now, out: true, may_have_run: false, scored });
+        h.out.push(now);
+        h.sent.push_back(now);
+        while h.sent.front().is_some_and(|at| now - at > self.fall_time) {
+            h.sent.pop_front();
+        }
+        self.rate = self.rate_now(now) + 1.0 / self.fall_time;
+        self.rate_at = now;
+        if self.phase(build) != Phase::Released {
+            let operation = self.invs[id].operation;
+            self.exposed.push_back((now, build, operation));
+        }
+        effects.push(Effect::Dispatch { inv: id.clone(), host, time_out });
+        if let Some(at) = look_again {
+            self.set_alarm(at, Task::Further(id.clone()), effects);
+        }
+    }
+
+    fn rate_now(&self, now: f64) -> f64 {
+        self.rate * (-(now - self.rate_at) / self.fall_time).exp()
+    }
+
+    fn further_copy(&mut self, now: f64, id: InvId, effects: &mut Vec<Effect>) {
+        if self.invs.get(&id).is_some_and(|inv| !inv.over && inv.sent.iter().filter(|s| s.out).count() == 1) {
+            self.dispatch_or_end(now, &id, true, effects);
+        }
+    }
+
+    /// No answer is owed any more; the record stays while a dispatch is out.
+    fn close(&mut self, id: &InvId) {
+        if let Some(inv) = self.invs.get_mut(id) {
+            inv.over = true;
+            if inv.sent.iter().all(|s| !s.out) {
+                self.invs.remove(id);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: f64,
+        id: InvId,
+        number: DispatchNo,
+        verdict: Verdict,
+        took: f64,
+        over: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(sent) = inv.sent.get_mut(number.0 as usize).filter(|s| s.out) else { return };
+        let never_ran = matches!(verdict, Verdict::Full | Verdict::NoConnection | Verdict::Moot);
+        sent.out = false;
+        sent.may_have_run = !never_ran;
+        let (host, build, at, scored) = (sent.host, sent.build, sent.at, sent.scored);
+        let (operation, key) = (inv.operation, inv.key.clone());
+        self.learn(now, host, build, operation, at, verdict, took, scored);
+        if verdict == Verdict::Succeeded
+            && self.keys_bound
+            && matches!(self.phase(build), Phase::OnTrial | Phase::Released)
+            && let Some(key) = key
+        {
+            let known = self.bound.entry(key).or_insert(build);
+            *known = (*known).max(build);
+        }
+        if over || self.invs.get(&id).is_some_and(|inv| inv.over) {
+            return self.close(&id);
+        }
+        self.dispatch_or_end(now, &id, false, effects);
+    }
+
+    // ---- what outcomes teach
+
+    #[allow(clippy::too_many_arguments)]
+    fn learn(
+        &mut self,
+        now: f64,
+        id: HostId,
+        build: BuildId,
+        operation: usize,
+        at: f64,
+        verdict: Verdict,
+        took: f64,
+        scored: bool,
+    ) {
+        let slo = self.operations[operation].slo;
+        let Some(host) = self.hosts.get(&id) else { return };
+        let warmth = self.warmth(host, at);
+        let kind = host.entry.kind;
+        let usual = self.usual.get(&(operation, kind)).copied();
+        let nothing = match verdict {
+            Verdict::Recalled | Verdict::Moot => None,
+            Verdict::Succeeded => Some(0.0),
+            _ => Some(1.0),
+        };
+        let ratio = usual.map(|usual| (took / usual.max(0.001)).clamp(0.2, 5.0));
+        let others: Vec<f64> = self
+            .hosts
+            .iter()
+            .filter(|(other, h)| **other != id && h.usable && h.entry.build == build)
+            .map(|(_, h)| h.faults)
+            .collect();
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        if let Some(place) = host.out.iter().position(|sent| *sent == at) {
+            host.out.swap_remove(place);
+        }
+        let Some(nothing) = nothing else { return };
+        host.faults += HOST_WEIGHT * (nothing - host.faults);
+        if let Some(ratio) = ratio {
+            host.pace += HOST_WEIGHT * (ratio * warmth - host.pace);
+        }
+        // A sick host is set aside when it stands out among those of its build: a whole build that fails alike
+        // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
+        let alike = others.iter().sum::<f64>() / (others.len().max(1)) as f64;
+        if !others.is_empty() && host.faults > FAULTY + alike && host.aside_until <= now {
+            host.aside_until = now + host.aside_for;
+            host.aside_for = (2.0 * host.aside_for).min(ASIDE[1]);
+            host.faults = FAULTY + alike;
+        } else if nothing == 0.0 && host.faults < 0.1 {
+            host.aside_for = ASIDE[0];
+        }
+        let sick = host.aside_until > now;
+        if verdict == Verdict::Succeeded && warmth >= 1.0 && self.phase(build) == Phase::Released {
+            let usual = self.usual.entry((operation, kind)).or_insert(took);
+            *usual += USUAL_WEIGHT * (took - *usual);
+        }
+        if !scored || sick {
+            return;
+        }
+        let kept = verdict == Verdict::Succeeded && took <= slo;
+        let error = matches!(verdict, Verdict::Error | Verdict::Reset);
+        // A cold host is late by nature: its late answers are no evidence, its errors are.
+        if kept || error || warmth >= 1.0 {
+            self.score(build, operation, 0, kept, 1.0);
+        }
+        self.score(build, operation, 1, !error, 1.0);
+        if let (Verdict::Succeeded, Some(usual)) = (verdict, usual) {
+            self.score(build, operation, 2, took * warmth <= QUICK * usual, 1.0);
+        }
+    }
+
+    /// A score adds eta, the router count, to one of an arm's two figures.
+    fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
+        let Some(news) = self.news else { return };
+        let arm = if build >= news.build { TRIAL } else { EARLIER };
+        let slot = operation % (self.sums.len() / (MARKS * 4));
+        let place = (slot * MARKS + mark) * 4 + arm * 2 + usize::from(!good);
+        self.sums[place] += f64::from(self.routers) * weight;
+    }
+
+    /// One mark's figures of an arm, of one operation or of all.
+    fn figures(&self, slot: Option<usize>, mark: usize, arm: usize) -> (f64, f64) {
+        let slots = self.sums.len() / (MARKS * 4);
+        let places = (0..slots).filter(|s| slot.is_none_or(|only| only == *s));
+        places.fold((0.0, 0.0), |(a, b), s| {
+            let place = (s * MARKS + mark) * 4 + arm * 2;
+            (a + self.sums[place], b + self.sums[place + 1])
+        })
+    }
+
+    // ---- where to
+
+    fn load(&self, host: &Host, now: f64) -> f64 {
+        let far = if self.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
+        let oldest = host.out.iter().copied().fold(now, f64::min);
+        let usual = self.usual.values().copied().fold(0.05, f64::max);
+        // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
+        let silent = ((now - oldest) / (SILENT * usual)).max(1.0);
+        let speed = host.entry.size.max(0.01) * self.warmth(host, now);
+        (host.out.len() as f64 + 1.0 + far) * host.pace.max(0.5) * silent / speed
+    }
+
+    fn in_group(&self, group: RepeatGroup, first: Option<(f64, HostId)>, host: &Host) -> bool {
+        let Some(first) = first.and_then(|(_, id)| self.hosts.get(&id)) else {
+            return group == RepeatGroup::All || first.is_none();
+        };
+        match group {
+            RepeatGroup::All => true,
+            RepeatGroup::Zone => first.entry.zone == host.entry.zone,
+            RepeatGroup::Cell => first.entry.cell == host.entry.cell,
+        }
+    }
+
+    fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
+        self.rate = self.rate_now(now);
+        self.rate_at = now;
+        let inv = self.invs.get(id)?;
+        let (_, first) = self.trace(now, inv);
+        let group = self.operations[inv.operation].group;
+        let bound = self.bound_to(&inv.key);
+        let trial = self.news.filter(|news| news.phase == Phase::OnTrial).map(|news| news.build);
+        let mut arms: [(u8, Vec<HostId>); 2] = [(u8::MAX, Vec::new()), (u8::MAX, Vec::new())];
+        let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
+        for (host_id, host) in self.hosts.iter().filter(|(_, h)| h.usable) {
+            let build = host.entry.build;
+            let fresh_key = bound.is_none_or(|bound| bound < build);
+            let room = *rooms
+                .entry(build)
+                .or_insert_with(|| self.exposure_room(now, build, inv.operation, fresh_key));
+            let may_return = bound.is_none_or(|bound| build >= bound);
+            if !room || !may_return || !self.in_group(group, first, host) || !self.cold_room(host, now) {
+                continue;
+            }
+            let tried = inv.sent.iter().any(|s| s.host == *host_id);
+            let waiting = host.faults > FAULTY && !host.out.is_empty();
+            let tier = if tried { 2 } else { u8::from(host.aside_until > now || waiting) };
+            let arm = &mut arms[if self.phase(build) == Phase::OnTrial { TRIAL } else { EARLIER }];
+            if tier < arm.0 {
+                *arm = (tier, Vec::new());
+            }
+            if tier == arm.0 {
+                arm.1.push(*host_id);
+            }
+        }
+        let key = if self.keys_warm { inv.key.clone() } else { None };
+        let [earlier, trial_hosts] = &arms;
+        let picked_earlier = self.lesser(&earlier.1, &key, now);
+        let picked_trial = self.lesser(&trial_hosts.1, &key, now);
+        let (Some((e, e_load)), Some((t, t_load))) = (picked_earlier, picked_trial) else {
+            return picked_earlier.or(picked_trial).map(|(host, _)| host);
+        };
+        if earlier.0 != trial_hosts.0 {
+            return Some(if earlier.0 < trial_hosts.0 { e } else { t });
+        }
+        let weigh = |hosts: &[HostId]| -> f64 {
+            hosts.iter().filter_map(|id| self.hosts.get(id)).map(|h| h.entry.size * self.warmth(h, now)).sum()
+        };
+        let (we, wt) = (weigh(&earlier.1), weigh(&trial_hosts.1));
+        let floor = wt / (we + wt).max(0.001);
+        if self.rng.random::<f64>() < floor {
+            return Some(t);
+        }
+        // Above the floor a won draw sends it to the trial, as long as the host there is no busier: the cap
+        // lies above the machines' share, and a preferred build would be overloaded into looking bad.
+        let wins = trial.is_some() && self.draw(TRIAL) > self.draw(EARLIER) && t_load <= e_load;
+        Some(if wins { t } else { e })
+    }
+
+    fn draw(&mut self, arm: usize) -> f64 {
+        let (up, down) = self.figures(None, 0, arm);
+        Beta::new(1.0 + up.max(0.0), 1.0 + down.max(0.0)).map_or(0.5, |beta| beta.sample(&mut self.rng))
+    }
+
+    /// The lesser in-flight of two random hosts; where hosts work faster for keys met lately, the key's hash
+    /// names the two, so that every router brings a key to the same ones.
+    fn lesser(&mut self, hosts: &[HostId], key: &Option<KeyId>, now: f64) -> Option<(HostId, f64)> {
+        let mut two: Vec<HostId> = match key {
+            Some(key) => {
+                let mut ranked = hosts.to_vec();
+                let text = key.0.bytes().fold(0, |h, b| mix(h ^ u64::from(b)));
+                ranked.sort_by_key(|id| mix(text ^ u64::from(id.0)));
+                ranked
+            }
+            None => {
+                let first = self.rng.random_range(0..hosts.len().max(1));
+                let second =
+                    (first + 1 + self.rng.random_range(0..hosts.len().max(2) - 1)) % hosts.len().max(1);
+                [first, second].iter().filter_map(|place| hosts.get(*place)).copied().collect()
+            }
+        };
+        two.truncate(2);
+        let loads = two.iter().filter_map(|id| Some((*id, self.load(self.hosts.get(id)?, now))));
+        loads.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    // ---- swaps
+
+    fn beat(&mut self, now: f64, effects: &mut Vec<Effect>) {
+        self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
+        let fade = 0.5f64.powf(SWAP_EVERY / HALF_LIFE);
+        let earlier_lives = self.earlier_lives();
+        for (place, figure) in self.sums.iter_mut().enumerate() {
+            // With no earlier machine left, its figures stay: there is nothing newer to compare with.
+            if earlier_lives || (place / 2) % 2 == TRIAL {
+                *figure *= fade;
+            }
+        }
+        if self.may_tell && self.routers > 1 && self.news.is_some() {
+            let other = self.rng.random_range(0..self.routers - 1);
+            let peer = RouterId(if other >= self.me.0 { other + 1 } else { other });
+            self.swaps.insert(peer, self.sums.clone());
+            effects.push(Effect::Tell { to: Some(peer), payload: self.message(0) });
+        }
+        self.judge(now, effects);
+    }
+
+    fn earlier_lives(&self) -> bool {
+        let Some(news) = self.news else { return true };
+        self.hosts.values().any(|h| h.usable && h.entry.build < news.build)
+    }
+
+    fn message(&self, kind: u8) -> Vec<u8> {
+        let build = self.news.map_or(0, |news| news.build.0);
+        let mut bytes = vec![kind, u8::from(self.fresh)];
+        bytes.extend(build.to_le_bytes());
+        self.sums.iter().for_each(|figure| bytes.extend((*figure as f32).to_le_bytes()));
+        bytes
+    }
+
+    fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
+        self.heard.insert(from, now);
+        let (Some(news), Some((head, body))) = (self.news, payload.split_at_checked(4)) else { return };
+        let figures: Vec<f64> =
+            body.chunks_exact(4).map(|b| f64::from(f32::from_le_bytes([b[0], b[1], b[2], b[3]]))).collect();
+        let odd = figures.len() != self.sums.len() || figures.iter().any(|f| !f.is_finite() || *f < 0.0);
+        if odd || u16::from_le_bytes([head[2], head[3]]) != news.build.0 || from == self.me {
+            return;
+        }
+        let (reply, their_fresh) = (head[0] == 1, head[1] == 1);
+        let mine = if reply { self.swaps.remove(&from) } else { Some(self.sums.clone()) };
+        if !reply {
+            effects.push(Effect::Tell { to: Some(from), payload: self.message(1) });
+        }
+        if self.fresh && !their_fresh {
+            // A restarted router takes a partner's figures whole: at Beta(1, 1) it would halve them.
+            self.sums = figures;
+            self.fresh = false;
+        } else if self.fresh == their_fresh
+            && let Some(mine) = mine
+        {
+            for ((sum, sent), theirs) in self.sums.iter_mut().zip(mine).zip(figures) {
+                *sum = (*sum + (theirs - sent) / 2.0).max(0.0);
+            }
+        }
+    }
+
+    // ---- stages and votes
+
+    fn stage(&mut self, now: f64, news: StageNews, effects: &mut Vec<Effect>) {
+        if news.answers_vote {
+            let push = match news.verdict {
+                Verdict::Succeeded => Push::Counted,
+                Verdict::Moot => Push::Moot,
+                _ => Push::Unsure,
+            };
+            self.vote(now, push, effects);
+        }
+        if news.verdict != Verdict::Succeeded {
+            return;
+        }
+        let old = self.news.replace(news);
+        let same_build = old.is_some_and(|old| old.build == news.build);
+        if old.is_some_and(|old| old.build > news.build) {
+            self.news = old;
+            return;
+        }
+        if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
+            self.bound.retain(|_, build| *build != news.build);
+        }
+        if !same_build {
+            let released = old.is_some_and(|old| old.phase == Phase::Released);
+            for place in (0..self.sums.len()).step_by(4) {
+                if released {
+                    self.sums[place] = self.sums[place + 2];
+                    self.sums[place + 1] = self.sums[place + 3];
+                }
+                (self.sums[place + 2], self.sums[place + 3]) = (0.0, 0.0);
+            }
+            self.swaps.clear();
+            // Started into a trial already under way: the others know more than this router's prior.
+            self.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
+        }
+        if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
+            self.stage_since = now - news.age;
+            self.held = 0.0;
+            (self.wish, self.wish_since) = (Sense::None, now);
+            self.vote(now, Push::News, effects);
+        }
+    }
+
+    /// The chance that the trial build's mark lies lower by over its margin, by the normal curve's logistic
+    /// stand-in; None without enough outcomes.
+    fn chance(&self, slot: Option<usize>, mark: usize, enough: f64) -> Option<f64> {
+        let ((ea, eb), (ta, tb)) = (self.figures(slot, mark, EARLIER), self.figures(slot, mark, TRIAL));
+        if ta + tb < enough || ea + eb < enough {
+            return None;
+        }
+        let moments = |a: f64, b: f64| {
+            let (a, n) = (a + 1.0, a + b + 2.0);
+            (a / n, a * (n - a) / (n * n * (n + 1.0)))
+        };
+        let ((em, ev), (tm, tv)) = (moments(ea, eb), moments(ta, tb));
+        let z = (em - tm - MARGINS[mark]) / (ev + tv).sqrt();
+        Some(1.0 / (1.0 + (-1.702 * z).exp()))
+    }
+
+    fn look(&self, now: f64, news: &StageNews) -> Look {
+        let peers_due = self.heard.values().filter(|at| now - **at < PEER_LIVES).count().min(HEARD_PEERS);
+        let heard =
+            self.heard.values().filter(|at| **at >= self.stage_since && now - **at < PEER_LIVES).count();
+        let slots = self.sums.len() / (MARKS * 4);
+        let pace_counts = self.earlier_lives();
+        let marks = || (0..MARKS).filter(|mark| *mark < 2 || pace_counts);
+        let pooled: Vec<f64> = marks().filter_map(|mark| self.chance(None, mark, ENOUGH)).collect();
+        // One operation may fail alone; the pooled figures would hide it.
+        let each =
+            (0..slots).flat_map(|s| marks().filter_map(move |m| self.chance(Some(s), m, ENOUGH_OF_ONE)));
+        let worst = pooled.iter().copied().chain(each).fold(0.0, f64::max);
+        let started = self.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
+        let latest = started.filter_map(|h| h.entry.started).fold(self.stage_since, f64::max);
+        if heard < peers_due || pooled.is_empty() {
+            return if now - latest > STARVED_ON { Look::Overdue } else { Look::Starved };
+        }
+        match worst {
+            w if w > BACK_CHANCE => Look::Worse,
+            _ if pooled.iter().all(|chance| *chance < ON_CHANCE) => Look::Fine,
+            _ => Look::Unclear,
+        }
+    }
+
+    /// The place of this router in the order that the hash of the build gives.
+    fn rank(&self, build: BuildId) -> u32 {
+        let place = |router: u32| (mix(mix(u64::from(build.0)) ^ u64::from(router)), router);
+        (0..self.routers).filter(|other| place(*other) < place(self.me.0)).count() as u32
+    }
+
+    fn judge(&mut self, now: f64, effects: &mut Vec<Effect>) {
+        let Some(news) = self.news.filter(|news| news.phase == Phase::OnTrial) else { return };
+        let look = self.look(now, &news);
+        let row = WISHES.iter().find(|row| row.0 == self.gate && row.1 == look);
+        let mut wish = row.map_or(Sense::None, |row| row.2);
+        if wish == Sense::Hold {
+            self.held += SWAP_EVERY;
+            if self.held > HOLD_MOST {
+                wish = Sense::None;
+            }
+        }
+        if wish != self.wish {
+            (self.wish, self.wish_since) = (wish, now);
+        }
+        // The hash names the voters. Where a wish stays unmet, the next in its order stand in, one after the
+        // other: a named voter may be dead, cut off or without traffic.
+        let late = f64::from((self.rank(news.build) + 1).saturating_sub(self.voters)) * STAND_IN;
+        if wish == Sense::None && self.ballot_sense == Sense::None || now - self.wish_since < late {
+            return;
+        }
+        let wait = if self.ballot == Ballot::Silent { ASK_AGAIN } else { self.renew_every };
+        let push = match () {
+            () if self.ballot != Ballot::Silent && wish != self.ballot_sense => Push::Wish,
+            () if self.ballot == Ballot::Silent
+                && wish != Sense::None
+                && self.ballot_sense == Sense::None =>
+            {
+                Push::Wish
+            }
+            () if now - self.ballot_at >= wait => Push::Due,
+            () => Push::Same,
+        };
+        self.vote(now, push, effects);
+    }
+
+    fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
+        let Some(row) = BALLOTS.iter().find(|row| row.0 == self.ballot && row.1 == push) else { return };
+        self.ballot = row.2;
+        if push == Push::News {
+            self.ballot_sense = Sense::None;
+        }
+        if let (true, Some(news)) = (row.3, self.news) {
+            (self.ballot_sense, self.ballot_at) = (self.wish, now);
+            effects.push(Effect::Vote { build: news.build, stage: news.stage, sense: self.wish });
+            if push == Push::Wish {
+                let text = format!("vote {:?} build {} stage {}", self.wish, news.build.0, news.stage);
+                effects.push(Effect::Note { text });
+            }
+        }
+    }
+}
+
+/// A fixed hash, the same on every machine.
+fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,335 @@
+//! Plain types between the decisions and whatever carries them: ids, events in, effects out, and the terms
+//! read at start. All times are seconds with fractions. Nothing here decides, and nothing knows a protocol.
+
+use std::sync::Arc;
+
+/// An invocation, as its carrier names it; never used twice.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InvId(pub Arc<str>);
+
+/// What an invocation concerns; invocations that share a key belong together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyId(pub Arc<str>);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostId(pub u32);
+
+/// A build; a later one has a higher number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BuildId(pub u16);
+
+/// A router of this service, by its number among them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RouterId(pub u32);
+
+/// An operation, by its place in [`ServiceTerms::operations`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OperationId(pub usize);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+
+/// A kind of machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u32);
+
+/// The place of a dispatch among those of its invocation, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DispatchNo(pub u32);
+
+/// What a router gets back when an alarm that it set goes off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AlarmKey(pub u64);
+
+/// Hosts that drop the repeats of a fingerprinted invocation together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether an operation may run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeats {
+    Idempotent,
+    Fingerprinted { group: RepeatGroup, window: f64 },
+    SideEffecting,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OperationTerms {
+    pub slo_time: f64,
+    /// The SLO time grows by this many times the invocation's own work, never past the time limit.
+    pub slo_stretch: f64,
+    pub time_limit: f64,
+    pub repeats: Repeats,
+    pub billed_value: f64,
+    /// Share of the billed value that an answer after the SLO time still earns.
+    pub late_share: f64,
+    pub streamed: bool,
+}
+
+/// What moves a build from stage to stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gate {
+    Any,
+    Share,
+    Clock,
+}
+
+/// What the figures that the host list gives as sizes mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sizes {
+    Untold,
+    Registered,
+    Rough,
+    Live,
+}
+
+/// The terms that a service hands its routers at start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceTerms {
+    pub me: RouterId,
+    pub routers: u32,
+    pub zone: Option<ZoneId>,
+    pub operations: Vec<OperationTerms>,
+    /// The host list comes only when asked for.
+    pub list_asked: bool,
+    /// Without a subscription, a router counts as told after this time.
+    pub ask_every: f64,
+    pub sizes: Sizes,
+    pub gate: Gate,
+    pub votes_on: u32,
+    pub votes_back: u32,
+    pub votes_hold: u32,
+    pub bake: f64,
+    pub ballot_life: f64,
+    pub vote_wait: f64,
+    pub stage_shares: Vec<f64>,
+    pub stage_caps: Vec<f64>,
+    pub exposure_window: f64,
+    pub exposure_spare: f64,
+    pub exposure_by_operation: bool,
+    pub guarded_stages: u32,
+    /// A key that the trial build has answered goes to no earlier one.
+    pub keys_bound: bool,
+    /// Hosts work faster for keys met lately.
+    pub keys_warm: bool,
+    /// Earlier machines drain as soon as their successor runs.
+    pub in_place: bool,
+    pub dispute_share: f64,
+    pub drain_grace: f64,
+    pub cold_share: f64,
+    pub cold_time: f64,
+    pub fall_multiple: f64,
+    pub fall_time: f64,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    pub may_recall: bool,
+    pub may_copy: bool,
+    pub may_advise: bool,
+    pub longest_advice: f64,
+    pub most_dispatches: u32,
+    /// The shortest time between two events that differ in time.
+    pub tick: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    Running,
+    Stopping,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostEntry {
+    pub host: HostId,
+    pub build: BuildId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub kind: KindId,
+    pub size: f64,
+    /// When it last started; `None` is long ago.
+    pub started: Option<f64>,
+    pub state: HostState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// Only the changed entries.
+    Changes,
+    /// The whole list.
+    Whole,
+    /// The whole list as this router had it last; it may be old.
+    Remembered,
+}
+
+/// How a dispatch, a probe or a vote ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Succeeded,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Recalled,
+    Moot,
+}
+
+/// A host's report on itself, as far as it was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    pub held: Option<f64>,
+    pub queued: Option<f64>,
+    pub busy: Option<f64>,
+    pub service_time: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    OnTrial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StageNews {
+    /// Other than `Succeeded`: the answer to a vote that did not count, or (timed out) may have.
+    pub verdict: Verdict,
+    pub build: BuildId,
+    pub stage: u32,
+    pub phase: Phase,
+    pub cap: f64,
+    /// Time since this state began.
+    pub age: f64,
+    pub answers_vote: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sense {
+    None,
+    On,
+    Hold,
+    Back,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Invocation {
+    pub id: InvId,
+    pub operation: OperationId,
+    pub key: Option<KeyId>,
+    /// Time before the client stops waiting for this try.
+    pub time_left: f64,
+    /// Expected work, rough, in seconds of a standard core.
+    pub work: Option<f64>,
+    pub again: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Hosts {
+        scope: ListScope,
+        entries: Arc<[HostEntry]>,
+    },
+    ListFailed,
+    Arrived(Invocation),
+    Streaming {
+        inv: InvId,
+        dispatch: DispatchNo,
+        host: HostId,
+    },
+    Ended {
+        inv: InvId,
+        dispatch: DispatchNo,
+        host: HostId,
+        verdict: Verdict,
+        over: bool,
+        took: f64,
+        load: LoadReport,
+    },
+    ClientLeft {
+        inv: InvId,
+    },
+    Alarm {
+        key: AlarmKey,
+    },
+    Probed {
+        host: HostId,
+        verdict: Verdict,
+        took: f64,
+        load: LoadReport,
+    },
+    Told {
+        from: RouterId,
+        payload: Vec<u8>,
+    },
+    Stage(StageNews),
+    Tally {
+        build: BuildId,
+        operation: OperationId,
+        dispatches: f64,
+        failed: f64,
+        mean_time: f64,
+        age: f64,
+    },
+    Disputed {
+        host: HostId,
+        operation: OperationId,
+        age: f64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Dispatch {
+        inv: InvId,
+        host: HostId,
+        time_out: f64,
+    },
+    Recall {
+        inv: InvId,
+        dispatch: DispatchNo,
+    },
+    /// A final answer: trying again is harmless, if wished not before `stay_away`.
+    Throttle {
+        inv: InvId,
+        stay_away: Option<f64>,
+    },
+    /// A final answer that promises nothing.
+    Terminate {
+        inv: InvId,
+    },
+    SetAlarm {
+        at: f64,
+        key: AlarmKey,
+    },
+    Probe {
+        host: HostId,
+    },
+    CloseIdle {
+        host: HostId,
+    },
+    /// To one router, or to all.
+    Tell {
+        to: Option<RouterId>,
+        payload: Vec<u8>,
+    },
+    Vote {
+        build: BuildId,
+        stage: u32,
+        sense: Sense,
+    },
+    Follow {
+        on: bool,
+    },
+    FetchList,
+    Note {
+        text: String,
+    },
+}
