--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,7 @@
 const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
 const SILENT: f64 = 4.0; // times the usual time without an answer before a host is passed over
 const COLD_SPEND: f64 = 1.6; // times its fair share that a cold host may get; at most half the fall multiple
+const PACE_TIME: f64 = 4.0; // s over which the rate of succeeded dispatches is taken; longer than a short jam
 const COLD_SPARE: f64 = 1.0; // dispatches in the fall time beside that, so that a small router reaches it
 const FAR: f64 = 0.3; // in-flight dispatches that another zone counts for; breaks ties towards the near
 // Invocations.
@@ -42,6 +43,10 @@
 const FIRST_PACE: f64 = 3.0; // times the usual time waited at least, before a further dispatch
 const FURTHER: f64 = 0.1; // further dispatches an invocation taken, so that retries never double a load
 const FURTHER_SAVED: f64 = 10.0; // further dispatches saved up at most
+const OPEN_FIRST: f64 = 200.0; // dispatches open at once at first and at most
+const OPEN_LEAST: f64 = 3.0; // dispatches open at the least, so that a recovery is seen
+const OPEN_LESS: f64 = 0.5; // fewer for each late answer
+const OPEN_MORE: f64 = 0.1; // more for each timely one: settles where one answer in six is late
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
 const BOUND_ROOM: f64 = 0.6; // of the cap that keys bound to the trial build may take before new ones stop
 const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
@@ -90,60 +95,45 @@
     Overdue,
 }
 
-/// Gate, what the merged figures say: the vote wished for.
-const WISHES: [(Gate, Look, Sense); 15] = [
-    (Gate::Any, Look::Worse, Sense::Back),
-    (Gate::Any, Look::Fine, Sense::On),
-    (Gate::Any, Look::Unclear, Sense::None),
-    (Gate::Any, Look::Starved, Sense::None),
-    (Gate::Any, Look::Overdue, Sense::On),
-    (Gate::Share, Look::Worse, Sense::Back),
-    (Gate::Share, Look::Fine, Sense::On),
-    (Gate::Share, Look::Unclear, Sense::None),
-    (Gate::Share, Look::Starved, Sense::None),
-    (Gate::Share, Look::Overdue, Sense::On),
-    (Gate::Clock, Look::Worse, Sense::Back),
-    (Gate::Clock, Look::Fine, Sense::None),
-    (Gate::Clock, Look::Unclear, Sense::Hold),
-    (Gate::Clock, Look::Starved, Sense::None),
-    (Gate::Clock, Look::Overdue, Sense::None),
+/// Whether a clock moves the build, what the merged figures say: the vote wished for; None keeps the last wish.
+const WISHES: [(bool, Look, Option<Sense>); 10] = [
+    (false, Look::Worse, Some(Sense::Back)),
+    (false, Look::Fine, Some(Sense::On)),
+    (false, Look::Overdue, Some(Sense::On)),
+    (false, Look::Unclear, None),
+    (false, Look::Starved, None),
+    (true, Look::Worse, Some(Sense::Back)),
+    (true, Look::Fine, Some(Sense::None)),
+    (true, Look::Overdue, Some(Sense::None)),
+    (true, Look::Unclear, Some(Sense::Hold)),
+    (true, Look::Starved, Some(Sense::None)),
 ];
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Ballot {
+    #[default]
     Silent,
     Asked,
     Stands,
-    Refused,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Push {
-    Wish,
-    Same,
     Due,
     Counted,
-    Moot,
     Unsure,
     News,
 }
 
 /// State of this router's ballot, input, next state, whether the wish is cast now.
-const BALLOTS: [(Ballot, Push, Ballot, bool); 14] = [
-    (Ballot::Silent, Push::Wish, Ballot::Asked, true),
+const BALLOTS: [(Ballot, Push, Ballot, bool); 7] = [
     (Ballot::Silent, Push::Due, Ballot::Asked, true),
+    (Ballot::Asked, Push::Due, Ballot::Asked, true),
+    (Ballot::Stands, Push::Due, Ballot::Asked, true),
     (Ballot::Asked, Push::Counted, Ballot::Stands, false),
-    (Ballot::Asked, Push::Moot, Ballot::Refused, false),
     (Ballot::Asked, Push::Unsure, Ballot::Silent, false),
-    (Ballot::Asked, Push::Due, Ballot::Asked, true),
     (Ballot::Asked, Push::News, Ballot::Silent, false),
-    (Ballot::Stands, Push::Wish, Ballot::Asked, true),
-    (Ballot::Stands, Push::Due, Ballot::Asked, true),
     (Ballot::Stands, Push::News, Ballot::Silent, false),
-    (Ballot::Refused, Push::Wish, Ballot::Asked, true),
-    (Ballot::Refused, Push::Due, Ballot::Asked, true),
-    (Ballot::Refused, Push::News, Ballot::Silent, false),
-    (Ballot::Silent, Push::News, Ballot::Silent, false),
 ];
 
 struct Operation {
@@ -168,6 +158,7 @@
     aside_for: f64,
 }
 
+#[derive(Clone, Copy)]
 struct Sent {
     host: HostId,
     build: BuildId,
@@ -192,19 +183,17 @@
     Further(InvId),
 }
 
-/// One router's decisions.
-pub struct Router {
-    rng: ChaCha8Rng,
+/// The terms as decisions use them.
+struct Derived {
     me: RouterId,
     routers: u32,
     zone: Option<ZoneId>,
     operations: Vec<Operation>,
     list_asked: bool,
-    follow_wait: f64,
-    gate: Gate,
+    by_clock: bool,
     voters: u32,
     renew_every: f64,
-    caps_first: f64,
+    first_cap: f64,
     window: f64,
     spare: f64,
     by_operation: bool,
@@ -220,24 +209,34 @@
     may_copy: bool,
     advice: Option<f64>,
     most_dispatches: usize,
+    slots: usize,
     tick: f64,
+}
 
+#[derive(Default)]
+struct State {
     hosts: BTreeMap<HostId, Host>,
     invs: BTreeMap<InvId, Inv>,
     alarms: BTreeMap<u64, Task>,
     next_alarm: u64,
+    follow_wait: f64,
+    /// The largest size that was ever listed at once.
     fleet: f64,
-    rate: f64,
-    rate_at: f64,
+    /// Succeeded dispatches a second, fading, as of a time.
+    pace: (f64, f64),
+    open: usize,
+    open_most: f64,
     usual: BTreeMap<(usize, KindId), f64>,
+    /// Invocations taken and dispatches at trial builds, within the exposure window.
     taken: VecDeque<(f64, usize, bool)>,
     exposed: VecDeque<(f64, BuildId, usize)>,
     bound: BTreeMap<KeyId, BuildId>,
     further: f64,
-
     news: Option<StageNews>,
     stage_since: f64,
+    /// For each slot, mark, arm: what alpha and beta have above Beta(1, 1).
     sums: Vec<f64>,
+    /// The figures as last sent to a peer, and when one was last heard.
     swaps: BTreeMap<RouterId, Vec<f64>>,
     heard: BTreeMap<RouterId, f64>,
     fresh: bool,
@@ -249,6 +248,13 @@
     held: f64,
 }
 
+/// One router's decisions.
+pub struct Router {
+    t: Derived,
+    s: State,
+    rng: ChaCha8Rng,
+}
+
 impl Router {
     pub fn start(terms: ServiceTerms, seed: u64, now: f64) -> Self {
         let operations = terms.operations.iter().map(|o| {
@@ -265,18 +271,16 @@
             Gate::Clock => terms.votes_back.max(terms.votes_hold),
         };
         let slots = terms.operations.len().clamp(1, SLOTS);
-        let mut router = Router {
-            rng: ChaCha8Rng::seed_from_u64(seed),
+        let t = Derived {
             me: terms.me,
             routers: terms.routers.max(1),
             zone: terms.zone,
             operations: operations.collect(),
             list_asked: terms.list_asked,
-            follow_wait: REFOLLOW[0],
-            gate: terms.gate,
-            voters: VOTERS.max(needed).min(terms.routers.max(1)),
+            by_clock: terms.gate == Gate::Clock,
+            voters: VOTERS.max(needed),
             renew_every: RENEW_EVERY.min(0.8 * terms.ballot_life),
-            caps_first: terms.stage_caps.first().copied().unwrap_or(0.0),
+            first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
             window: terms.exposure_window + terms.tick.max(GUARD),
             spare: terms.exposure_spare,
             by_operation: terms.exposure_by_operation,
@@ -285,48 +289,33 @@
             keys_warm: terms.keys_warm,
             dispute_weight: if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 },
             cold_share: terms.cold_share,
-            cold_time: terms.cold_time,
+            cold_time: terms.cold_time.max(GUARD),
             cold_spend: COLD_SPEND.min(0.5 * terms.fall_multiple),
             fall_time: terms.fall_time + terms.tick.max(GUARD),
             may_tell: terms.may_tell,
             may_copy: terms.may_copy,
             advice: terms.may_advise.then_some(terms.longest_advice),
             most_dispatches: terms.most_dispatches.max(1) as usize,
-            tick: terms.tick,
-            hosts: BTreeMap::new(),
-            invs: BTreeMap::new(),
-            alarms: BTreeMap::new(),
-            next_alarm: 0,
-            fleet: 0.0,
-            rate: 0.0,
-            rate_at: now,
-            usual: BTreeMap::new(),
-            taken: VecDeque::new(),
-            exposed: VecDeque::new(),
-            bound: BTreeMap::new(),
+            slots,
+            tick: terms.tick.max(GUARD),
+        };
+        let s = State {
+            follow_wait: REFOLLOW[0],
+            pace: (0.0, now),
+            open_most: OPEN_FIRST,
             further: FURTHER_SAVED / 2.0,
-            news: None,
             stage_since: now,
             sums: vec![0.0; slots * MARKS * 4],
-            swaps: BTreeMap::new(),
-            heard: BTreeMap::new(),
-            fresh: false,
-            ballot: Ballot::Silent,
-            ballot_sense: Sense::None,
-            ballot_at: now,
-            wish: Sense::None,
-            wish_since: now,
-            held: 0.0,
+            ..State::default()
         };
-        router.held = 0.0;
-        router
+        Router { t, s, rng: ChaCha8Rng::seed_from_u64(seed) }
     }
 
     pub fn handle(&mut self, now: f64, event: Event, effects: &mut Vec<Effect>) {
-        if self.next_alarm == 0 {
+        if self.s.next_alarm == 0 {
             let first = now + SWAP_EVERY * self.rng.random::<f64>();
             self.set_alarm(first, Task::Swap, effects);
-            if self.list_asked {
+            if self.t.list_asked {
                 effects.push(Effect::Follow { on: true });
             }
         }
@@ -339,7 +328,7 @@
             }
             Event::ClientLeft { inv } => self.close(&inv),
             Event::Streaming { .. } => {}
-            Event::Alarm { key } => match self.alarms.remove(&key.0) {
+            Event::Alarm { key } => match self.s.alarms.remove(&key.0) {
                 Some(Task::Swap) => self.beat(now, effects),
                 Some(Task::Follow) => effects.push(Effect::Follow { on: true }),
                 Some(Task::Further(inv)) => self.further_copy(now, inv, effects),
@@ -348,8 +337,8 @@
             Event::Told { from, payload } => self.told(now, from, &payload, effects),
             Event::Stage(news) => self.stage(now, news, effects),
             Event::Disputed { host, operation, .. } => {
-                if let Some(build) = self.hosts.get(&host).map(|h| h.entry.build) {
-                    self.score(build, operation.0, 1, false, self.dispute_weight);
+                if let Some(build) = self.s.hosts.get(&host).map(|h| h.entry.build) {
+                    self.score(build, operation.0, 1, false, self.t.dispute_weight);
                 }
             }
             Event::Tally { .. } | Event::Probed { .. } => {}
@@ -357,17 +346,17 @@
     }
 
     fn set_alarm(&mut self, at: f64, task: Task, effects: &mut Vec<Effect>) {
-        self.next_alarm += 1;
-        self.alarms.insert(self.next_alarm, task);
-        effects.push(Effect::SetAlarm { at, key: AlarmKey(self.next_alarm) });
+        self.s.next_alarm += 1;
+        self.s.alarms.insert(self.s.next_alarm, task);
+        effects.push(Effect::SetAlarm { at, key: AlarmKey(self.s.next_alarm) });
     }
 
     // ---- the host list
 
     fn list(&mut self, now: f64, scope: ListScope, entries: &[HostEntry]) {
-        self.follow_wait = REFOLLOW[0];
+        self.s.follow_wait = REFOLLOW[0];
         if scope != ListScope::Changes {
-            self.hosts.values_mut().for_each(|h| h.usable = false);
+            self.s.hosts.values_mut().for_each(|h| h.usable = false);
         }
         for entry in entries {
             let new = Host {
@@ -380,7 +369,7 @@
                 aside_until: 0.0,
                 aside_for: ASIDE[0],
             };
-            let host = self.hosts.entry(entry.host).or_insert(new);
+            let host = self.s.hosts.entry(entry.host).or_insert(new);
             if host.entry.started != entry.started || host.entry.build != entry.build {
                 // A restart, or a new machine under a used id, starts with a clean record.
                 (host.faults, host.pace, host.aside_until, host.aside_for) = (0.0, 1.0, 0.0, ASIDE[0]);
@@ -388,24 +377,25 @@
             host.entry = *entry;
             host.usable = entry.state == HostState::Running;
         }
-        let size = self.hosts.values().filter(|h| h.usable).map(|h| h.entry.size).sum::<f64>();
-        self.fleet = self.fleet.max(size);
-        self.hosts
+        let size = self.s.hosts.values().filter(|h| h.usable).map(|h| h.entry.size).sum::<f64>();
+        self.s.fleet = self.s.fleet.max(size);
+        self.s
+            .hosts
             .retain(|_, h| h.usable || !h.out.is_empty() || h.sent.back().is_some_and(|s| now - s < 60.0));
     }
 
     fn list_failed(&mut self, now: f64, effects: &mut Vec<Effect>) {
-        if self.list_asked {
+        if self.t.list_asked {
             // A subscription that broke would count as told; ask again soon, spread and slower each time.
-            let wait = self.follow_wait * (0.5 + self.rng.random::<f64>());
-            self.follow_wait = (2.0 * self.follow_wait).min(REFOLLOW[1]);
+            let wait = self.s.follow_wait * (0.5 + self.rng.random::<f64>());
+            self.s.follow_wait = (2.0 * self.s.follow_wait).min(REFOLLOW[1]);
             self.set_alarm(now + wait, Task::Follow, effects);
         }
     }
 
     fn warmth(&self, host: &Host, now: f64) -> f64 {
         let age = host.entry.started.map_or(f64::INFINITY, |started| now - started);
-        self.cold_share + (1.0 - self.cold_share) * (age / self.cold_time.max(0.001)).clamp(0.0, 1.0)
+        self.t.cold_share + (1.0 - self.t.cold_share) * (age / self.t.cold_time.max(0.001)).clamp(0.0, 1.0)
     }
 
     /// Rule 4: all routers keep to a like share of what a cold host can do, so their sum stays under the fall.
@@ -414,21 +404,21 @@
         if warmth >= 1.0 {
             return true;
         }
-        let sent = host.sent.iter().filter(|at| now - **at < self.fall_time).count() as f64;
-        let fair = self.rate * self.fall_time * host.entry.size / self.fleet.max(0.001);
-        sent < COLD_SPARE + self.cold_spend * warmth * fair
+        let sent = host.sent.iter().filter(|at| now - **at < self.t.fall_time).count() as f64;
+        let fair = self.pace_now(now) * self.t.fall_time * host.entry.size / self.s.fleet.max(0.001);
+        sent < COLD_SPARE + self.t.cold_spend * warmth * fair
     }
 
     // ---- exposure
 
     fn phase(&self, build: BuildId) -> Phase {
-        match self.news {
+        match self.s.news {
             Some(news) if build < news.build => Phase::Released,
             Some(news) if build == news.build => news.phase,
             Some(_) => Phase::OnTrial,
             // Before any news, only the lowest listed build is known to be no later one.
             None => {
-                let lowest = self.hosts.values().filter(|h| h.usable).map(|h| h.entry.build).min();
+                let lowest = self.s.hosts.values().filter(|h| h.usable).map(|h| h.entry.build).min();
                 if lowest.is_none_or(|low| build <= low) { Phase::Released } else { Phase::Withdrawn }
             }
         }
@@ -440,62 +430,62 @@
         if phase == Phase::Released {
             return true;
         }
-        let news = self.news.filter(|news| news.build == build);
-        let (cap, stage) = news.map_or((self.caps_first, 0), |news| (news.cap, news.stage));
-        let guarded = stage < self.guarded_stages && self.operations[operation].kind != Kind::Idempotent;
+        let news = self.s.news.filter(|news| news.build == build);
+        let (cap, stage) = news.map_or((self.t.first_cap, 0), |news| (news.cap, news.stage));
+        let guarded = stage < self.t.guarded_stages && self.t.operations[operation].kind != Kind::Idempotent;
         if phase != Phase::OnTrial || cap <= 0.0 || guarded {
             return false;
         }
-        let counts = |o: usize| !self.by_operation || o == operation;
-        let kept = self.window - 2.0 * self.tick.max(GUARD);
-        let taken = self.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o)).count() as f64;
-        let sent = self.exposed.iter().filter(|(_, b, o)| *b == build && counts(*o)).count() as f64;
-        if fresh_key && self.keys_bound && cap < 1.0 {
+        let counts = |o: usize| !self.t.by_operation || o == operation;
+        let kept = self.t.window - 2.0 * self.t.tick;
+        let taken = self.s.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o)).count() as f64;
+        let sent = self.s.exposed.iter().filter(|(_, b, o)| *b == build && counts(*o)).count() as f64;
+        if fresh_key && self.t.keys_bound && cap < 1.0 {
             // Bound keys must go to the trial build; new ones only where those leave room.
             let bound =
-                self.taken.iter().filter(|(at, o, b)| now - at < kept && counts(*o) && *b).count() as f64;
-            if bound >= BOUND_ROOM * cap * taken || sent + 1.0 > 0.85 * cap * taken + self.spare / 2.0 {
+                self.s.taken.iter().filter(|(at, o, b)| now - at < kept && counts(*o) && *b).count() as f64;
+            if bound >= BOUND_ROOM * cap * taken || sent + 1.0 > 0.85 * cap * taken + self.t.spare / 2.0 {
                 return false;
             }
         }
-        sent + 1.0 <= self.spare + cap * taken
+        sent + 1.0 <= self.t.spare + cap * taken
     }
 
     fn forget(&mut self, now: f64) {
-        while self.taken.front().is_some_and(|(at, ..)| now - at > self.window) {
-            self.taken.pop_front();
+        while self.s.taken.front().is_some_and(|(at, ..)| now - at > self.t.window) {
+            self.s.taken.pop_front();
         }
-        while self.exposed.front().is_some_and(|(at, ..)| now - at > self.window) {
-            self.exposed.pop_front();
+        while self.s.exposed.front().is_some_and(|(at, ..)| now - at > self.t.window) {
+            self.s.exposed.pop_front();
         }
     }
 
     fn bound_to(&self, key: &Option<KeyId>) -> Option<BuildId> {
-        key.as_ref().and_then(|key| self.bound.get(key)).copied()
+        key.as_ref().and_then(|key| self.s.bound.get(key)).copied()
     }
 
     // ---- invocations
 
     fn arrived(&mut self, now: f64, inv: Invocation, effects: &mut Vec<Effect>) {
-        let Some(operation) = self.operations.get(inv.operation.0) else {
+        let Some(operation) = self.t.operations.get(inv.operation.0) else {
             return effects.push(Effect::Throttle { inv: inv.id, stay_away: None });
         };
         let limit = now + inv.time_left;
         let slo_at = now + operation.slo;
         self.forget(now);
-        self.further = (self.further + FURTHER).min(FURTHER_SAVED);
+        self.s.further = (self.s.further + FURTHER).min(FURTHER_SAVED);
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
-        self.taken.push_back((now, inv.operation.0, bound));
+        self.s.taken.push_back((now, inv.operation.0, bound));
         let record =
             Inv { operation: inv.operation.0, key: inv.key, slo_at, limit, sent: Vec::new(), over: false };
-        self.invs.insert(inv.id.clone(), record);
+        self.s.invs.insert(inv.id.clone(), record);
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
 
     /// Trace of an invocation's dispatches, and the first of them that may have run.
     fn trace(&self, now: f64, inv: &Inv) -> (Trace, Option<(f64, HostId)>) {
         let first = inv.sent.iter().find(|s| s.out || s.may_have_run).map(|s| (s.at, s.host));
-        let window = self.operations[inv.operation].window - 2.0 * self.tick.max(GUARD);
+        let window = self.t.operations[inv.operation].window - 2.0 * self.t.tick;
         match first {
             None => (Trace::Clean, None),
             Some((at, _)) if now - at < window => (Trace::MayHaveRun, first),
@@ -505,37 +495,39 @@
 
     /// Whether it may be dispatched again, and whether it may be throttled.
     fn may(&self, now: f64, inv: &Inv) -> (bool, bool) {
-        let (kind, (trace, _)) = (self.operations[inv.operation].kind, self.trace(now, inv));
+        let (kind, (trace, _)) = (self.t.operations[inv.operation].kind, self.trace(now, inv));
         let row = AGAIN.iter().find(|row| row.0 == kind && row.1 == trace);
-        let group_all = self.operations[inv.operation].group == RepeatGroup::All;
+        let group_all = self.t.operations[inv.operation].group == RepeatGroup::All;
         row.map_or((false, false), |row| (row.2, row.3 && (trace == Trace::Clean || group_all)))
     }
 
     /// Sends the next dispatch; where there is none to send, the final answer goes out at once (rule 1).
     fn dispatch_or_end(&mut self, now: f64, id: &InvId, copy: bool, effects: &mut Vec<Effect>) {
-        let Some(inv) = self.invs.get(id) else { return };
-        let operation = &self.operations[inv.operation];
+        let Some(inv) = self.s.invs.get(id) else { return };
+        let operation = &self.t.operations[inv.operation];
         let out = inv.sent.iter().any(|s| s.out);
         let (again, throttle) = self.may(now, inv);
         let end = if operation.late_is_worthless { inv.limit.min(inv.slo_at) } else { inv.limit };
-        let timely = end - now > 2.0 * self.tick;
-        let paid = inv.sent.iter().all(|s| !s.out && !s.may_have_run) || self.further >= 1.0;
-        let more = inv.sent.len() < self.most_dispatches && (!out || (copy && self.may_copy));
+        let timely = end - now > 2.0 * self.t.tick;
+        let paid = inv.sent.iter().all(|s| !s.out && !s.may_have_run) || self.s.further >= 1.0;
+        let more = inv.sent.len() < self.t.most_dispatches && (!out || (copy && self.t.may_copy));
         let free = !inv.sent.is_empty();
+        let admitted = self.s.open as f64 <= self.s.open_most;
         if again
             && timely
             && paid
             && more
+            && admitted
             && let Some(host) = self.choose(now, id)
         {
             if free {
-                self.further -= 1.0;
+                self.s.further -= 1.0;
             }
             self.send(now, id, host, end, effects);
         } else if !out {
             self.close(id);
             if throttle {
-                let advice = self.advice;
+                let advice = self.t.advice;
                 let wait = ADVICE * (1.0 + self.rng.random::<f64>());
                 effects
                     .push(Effect::Throttle { inv: id.clone(), stay_away: advice.map(|most| wait.min(most)) });
@@ -546,15 +538,15 @@
     }
 
     fn send(&mut self, now: f64, id: &InvId, host: HostId, end: f64, effects: &mut Vec<Effect>) {
-        let (Some(inv), Some(h)) = (self.invs.get_mut(id), self.hosts.get_mut(&host)) else { return };
-        let operation = &self.operations[inv.operation];
-        let usual = self.usual.get(&(inv.operation, h.entry.kind)).copied().unwrap_or(0.2 * operation.slo);
+        let (Some(inv), Some(h)) = (self.s.invs.get_mut(id), self.s.hosts.get_mut(&host)) else { return };
+        let operation = &self.t.operations[inv.operation];
+        let usual = self.s.usual.get(&(inv.operation, h.entry.kind)).copied().unwrap_or(0.2 * operation.slo);
         let wait = (FIRST_WAIT * (inv.slo_at - now)).max(FIRST_PACE * usual);
-        let repeatable = operation.kind != Kind::SideEffecting && inv.sent.len() + 1 < self.most_dispatches;
+        let repeatable = operation.kind != Kind::SideEffecting && inv.sent.len() + 1 < self.t.most_dispatches;
         let mut time_out = end - now;
         let mut look_again = None;
         if repeatable && now + wait < end.min(inv.slo_at) - 0.5 * usual {
-            if self.may_copy {
+            if self.t.may_copy {
                 look_again = Some(now + wait);
             } else {
                 time_out = wait;
@@ -562,17 +554,16 @@
         }
         let build = h.entry.build;
         let scored = h.aside_until <= now;
+        self.s.open += 1;
         inv.sent.push(Sent { host, build, at: now, out: true, may_have_run: false, scored });
         h.out.push(now);
         h.sent.push_back(now);
-        while h.sent.front().is_some_and(|at| now - at > self.fall_time) {
+        while h.sent.front().is_some_and(|at| now - at > self.t.fall_time) {
             h.sent.pop_front();
         }
-        self.rate = self.rate_now(now) + 1.0 / self.fall_time;
-        self.rate_at = now;
         if self.phase(build) != Phase::Released {
-            let operation = self.invs[id].operation;
-            self.exposed.push_back((now, build, operation));
+            let operation = self.s.invs[id].operation;
+            self.s.exposed.push_back((now, build, operation));
         }
         effects.push(Effect::Dispatch { inv: id.clone(), host, time_out });
         if let Some(at) = look_again {
@@ -580,22 +571,24 @@
         }
     }
 
-    fn rate_now(&self, now: f64) -> f64 {
-        self.rate * (-(now - self.rate_at) / self.fall_time).exp()
+    /// Succeeded dispatches a second: what hosts take, where dispatches sent would count an overload too.
+    fn pace_now(&self, now: f64) -> f64 {
+        self.s.pace.0 * (-(now - self.s.pace.1) / PACE_TIME).exp()
     }
 
     fn further_copy(&mut self, now: f64, id: InvId, effects: &mut Vec<Effect>) {
-        if self.invs.get(&id).is_some_and(|inv| !inv.over && inv.sent.iter().filter(|s| s.out).count() == 1) {
+        if self.s.invs.get(&id).is_some_and(|inv| !inv.over && inv.sent.iter().filter(|s| s.out).count() == 1)
+        {
             self.dispatch_or_end(now, &id, true, effects);
         }
     }
 
     /// No answer is owed any more; the record stays while a dispatch is out.
     fn close(&mut self, id: &InvId) {
-        if let Some(inv) = self.invs.get_mut(id) {
+        if let Some(inv) = self.s.invs.get_mut(id) {
             inv.over = true;
             if inv.sent.iter().all(|s| !s.out) {
-                self.invs.remove(id);
+                self.s.invs.remove(id);
             }
         }
     }
@@ -611,23 +604,24 @@
         over: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(inv) = self.s.invs.get_mut(&id) else { return };
         let Some(sent) = inv.sent.get_mut(number.0 as usize).filter(|s| s.out) else { return };
         let never_ran = matches!(verdict, Verdict::Full | Verdict::NoConnection | Verdict::Moot);
         sent.out = false;
+        self.s.open -= 1;
         sent.may_have_run = !never_ran;
-        let (host, build, at, scored) = (sent.host, sent.build, sent.at, sent.scored);
+        let (sent, build) = (*sent, sent.build);
         let (operation, key) = (inv.operation, inv.key.clone());
-        self.learn(now, host, build, operation, at, verdict, took, scored);
+        self.learn(now, operation, sent, verdict, took);
         if verdict == Verdict::Succeeded
-            && self.keys_bound
+            && self.t.keys_bound
             && matches!(self.phase(build), Phase::OnTrial | Phase::Released)
             && let Some(key) = key
         {
-            let known = self.bound.entry(key).or_insert(build);
+            let known = self.s.bound.entry(key).or_insert(build);
             *known = (*known).max(build);
         }
-        if over || self.invs.get(&id).is_some_and(|inv| inv.over) {
+        if over || self.s.invs.get(&id).is_some_and(|inv| inv.over) {
             return self.close(&id);
         }
         self.dispatch_or_end(now, &id, false, effects);
@@ -635,23 +629,13 @@
 
     // ---- what outcomes teach
 
-    #[allow(clippy::too_many_arguments)]
-    fn learn(
-        &mut self,
-        now: f64,
-        id: HostId,
-        build: BuildId,
-        operation: usize,
-        at: f64,
-        verdict: Verdict,
-        took: f64,
-        scored: bool,
-    ) {
-        let slo = self.operations[operation].slo;
-        let Some(host) = self.hosts.get(&id) else { return };
+    fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64) {
+        let Sent { host: id, build, at, scored, .. } = sent;
+        let slo = self.t.operations[operation].slo;
+        let Some(host) = self.s.hosts.get(&id) else { return };
         let warmth = self.warmth(host, at);
         let kind = host.entry.kind;
-        let usual = self.usual.get(&(operation, kind)).copied();
+        let usual = self.s.usual.get(&(operation, kind)).copied();
         let nothing = match verdict {
             Verdict::Recalled | Verdict::Moot => None,
             Verdict::Succeeded => Some(0.0),
@@ -659,12 +643,13 @@
         };
         let ratio = usual.map(|usual| (took / usual.max(0.001)).clamp(0.2, 5.0));
         let others: Vec<f64> = self
+            .s
             .hosts
             .iter()
             .filter(|(other, h)| **other != id && h.usable && h.entry.build == build)
             .map(|(_, h)| h.faults)
             .collect();
-        let Some(host) = self.hosts.get_mut(&id) else { return };
+        let Some(host) = self.s.hosts.get_mut(&id) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
             host.out.swap_remove(place);
         }
@@ -684,8 +669,17 @@
             host.aside_for = ASIDE[0];
         }
         let sick = host.aside_until > now;
+        let late = nothing > 0.0 || took > slo;
+        if !late {
+            self.s.pace = (self.pace_now(now) + 1.0 / PACE_TIME, now);
+        }
+        // Answers that come too late shrink what this router keeps open, timely ones widen it while it is used.
+        if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
+            let step = if late { -OPEN_LESS } else { OPEN_MORE };
+            self.s.open_most = (self.s.open_most + step).clamp(OPEN_LEAST, OPEN_FIRST);
+        }
         if verdict == Verdict::Succeeded && warmth >= 1.0 && self.phase(build) == Phase::Released {
-            let usual = self.usual.entry((operation, kind)).or_insert(took);
+            let usual = self.s.usual.entry((operation, kind)).or_insert(took);
             *usual += USUAL_WEIGHT * (took - *usual);
         }
         if !scored || sick {
@@ -705,29 +699,29 @@
 
     /// A score adds eta, the router count, to one of an arm's two figures.
     fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
-        let Some(news) = self.news else { return };
+        let Some(news) = self.s.news else { return };
         let arm = if build >= news.build { TRIAL } else { EARLIER };
-        let slot = operation % (self.sums.len() / (MARKS * 4));
+        let slot = operation % (self.t.slots);
         let place = (slot * MARKS + mark) * 4 + arm * 2 + usize::from(!good);
-        self.sums[place] += f64::from(self.routers) * weight;
+        self.s.sums[place] += f64::from(self.t.routers) * weight;
     }
 
     /// One mark's figures of an arm, of one operation or of all.
     fn figures(&self, slot: Option<usize>, mark: usize, arm: usize) -> (f64, f64) {
-        let slots = self.sums.len() / (MARKS * 4);
+        let slots = self.t.slots;
         let places = (0..slots).filter(|s| slot.is_none_or(|only| only == *s));
         places.fold((0.0, 0.0), |(a, b), s| {
             let place = (s * MARKS + mark) * 4 + arm * 2;
-            (a + self.sums[place], b + self.sums[place + 1])
+            (a + self.s.sums[place], b + self.s.sums[place + 1])
         })
     }
 
     // ---- where to
 
     fn load(&self, host: &Host, now: f64) -> f64 {
-        let far = if self.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
+        let far = if self.t.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
         let oldest = host.out.iter().copied().fold(now, f64::min);
-        let usual = self.usual.values().copied().fold(0.05, f64::max);
+        let usual = self.s.usual.values().copied().fold(0.05, f64::max);
         // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
         let silent = ((now - oldest) / (SILENT * usual)).max(1.0);
         let speed = host.entry.size.max(0.01) * self.warmth(host, now);
@@ -735,7 +729,7 @@
     }
 
     fn in_group(&self, group: RepeatGroup, first: Option<(f64, HostId)>, host: &Host) -> bool {
-        let Some(first) = first.and_then(|(_, id)| self.hosts.get(&id)) else {
+        let Some(first) = first.and_then(|(_, id)| self.s.hosts.get(&id)) else {
             return group == RepeatGroup::All || first.is_none();
         };
         match group {
@@ -746,16 +740,14 @@
     }
 
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
-        self.rate = self.rate_now(now);
-        self.rate_at = now;
-        let inv = self.invs.get(id)?;
+        let inv = self.s.invs.get(id)?;
         let (_, first) = self.trace(now, inv);
-        let group = self.operations[inv.operation].group;
+        let group = self.t.operations[inv.operation].group;
         let bound = self.bound_to(&inv.key);
-        let trial = self.news.filter(|news| news.phase == Phase::OnTrial).map(|news| news.build);
+        let trial = self.s.news.filter(|news| news.phase == Phase::OnTrial).map(|news| news.build);
         let mut arms: [(u8, Vec<HostId>); 2] = [(u8::MAX, Vec::new()), (u8::MAX, Vec::new())];
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
-        for (host_id, host) in self.hosts.iter().filter(|(_, h)| h.usable) {
+        for (host_id, host) in self.s.hosts.iter().filter(|(_, h)| h.usable) {
             let build = host.entry.build;
             let fresh_key = bound.is_none_or(|bound| bound < build);
             let room = *rooms
@@ -776,7 +768,7 @@
                 arm.1.push(*host_id);
             }
         }
-        let key = if self.keys_warm { inv.key.clone() } else { None };
+        let key = if self.t.keys_warm { inv.key.clone() } else { None };
         let [earlier, trial_hosts] = &arms;
         let picked_earlier = self.lesser(&earlier.1, &key, now);
         let picked_trial = self.lesser(&trial_hosts.1, &key, now);
@@ -787,7 +779,11 @@
             return Some(if earlier.0 < trial_hosts.0 { e } else { t });
         }
         let weigh = |hosts: &[HostId]| -> f64 {
-            hosts.iter().filter_map(|id| self.hosts.get(id)).map(|h| h.entry.size * self.warmth(h, now)).sum()
+            hosts
+                .iter()
+                .filter_map(|id| self.s.hosts.get(id))
+                .map(|h| h.entry.size * self.warmth(h, now))
+                .sum()
         };
         let (we, wt) = (weigh(&earlier.1), weigh(&trial_hosts.1));
         let floor = wt / (we + wt).max(0.001);
@@ -823,7 +819,7 @@
             }
         };
         two.truncate(2);
-        let loads = two.iter().filter_map(|id| Some((*id, self.load(self.hosts.get(id)?, now))));
+        let loads = two.iter().filter_map(|id| Some((*id, self.load(self.s.hosts.get(id)?, now))));
         loads.min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
@@ -833,56 +829,56 @@
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
         let fade = 0.5f64.powf(SWAP_EVERY / HALF_LIFE);
         let earlier_lives = self.earlier_lives();
-        for (place, figure) in self.sums.iter_mut().enumerate() {
+        for (place, figure) in self.s.sums.iter_mut().enumerate() {
             // With no earlier machine left, its figures stay: there is nothing newer to compare with.
             if earlier_lives || (place / 2) % 2 == TRIAL {
                 *figure *= fade;
             }
         }
-        if self.may_tell && self.routers > 1 && self.news.is_some() {
-            let other = self.rng.random_range(0..self.routers - 1);
-            let peer = RouterId(if other >= self.me.0 { other + 1 } else { other });
-            self.swaps.insert(peer, self.sums.clone());
+        if self.t.may_tell && self.t.routers > 1 && self.s.news.is_some() {
+            let other = self.rng.random_range(0..self.t.routers - 1);
+            let peer = RouterId(if other >= self.t.me.0 { other + 1 } else { other });
+            self.s.swaps.insert(peer, self.s.sums.clone());
             effects.push(Effect::Tell { to: Some(peer), payload: self.message(0) });
         }
         self.judge(now, effects);
     }
 
     fn earlier_lives(&self) -> bool {
-        let Some(news) = self.news else { return true };
-        self.hosts.values().any(|h| h.usable && h.entry.build < news.build)
+        let Some(news) = self.s.news else { return true };
+        self.s.hosts.values().any(|h| h.usable && h.entry.build < news.build)
     }
 
     fn message(&self, kind: u8) -> Vec<u8> {
-        let build = self.news.map_or(0, |news| news.build.0);
-        let mut bytes = vec![kind, u8::from(self.fresh)];
+        let build = self.s.news.map_or(0, |news| news.build.0);
+        let mut bytes = vec![kind, u8::from(self.s.fresh)];
         bytes.extend(build.to_le_bytes());
-        self.sums.iter().for_each(|figure| bytes.extend((*figure as f32).to_le_bytes()));
+        self.s.sums.iter().for_each(|figure| bytes.extend((*figure as f32).to_le_bytes()));
         bytes
     }
 
     fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
-        self.heard.insert(from, now);
-        let (Some(news), Some((head, body))) = (self.news, payload.split_at_checked(4)) else { return };
+        self.s.heard.insert(from, now);
+        let (Some(news), Some((head, body))) = (self.s.news, payload.split_at_checked(4)) else { return };
         let figures: Vec<f64> =
             body.chunks_exact(4).map(|b| f64::from(f32::from_le_bytes([b[0], b[1], b[2], b[3]]))).collect();
-        let odd = figures.len() != self.sums.len() || figures.iter().any(|f| !f.is_finite() || *f < 0.0);
-        if odd || u16::from_le_bytes([head[2], head[3]]) != news.build.0 || from == self.me {
+        let odd = figures.len() != self.s.sums.len() || figures.iter().any(|f| !f.is_finite() || *f < 0.0);
+        if odd || u16::from_le_bytes([head[2], head[3]]) != news.build.0 || from == self.t.me {
             return;
         }
         let (reply, their_fresh) = (head[0] == 1, head[1] == 1);
-        let mine = if reply { self.swaps.remove(&from) } else { Some(self.sums.clone()) };
+        let mine = if reply { self.s.swaps.remove(&from) } else { Some(self.s.sums.clone()) };
         if !reply {
             effects.push(Effect::Tell { to: Some(from), payload: self.message(1) });
         }
-        if self.fresh && !their_fresh {
+        if self.s.fresh && !their_fresh {
             // A restarted router takes a partner's figures whole: at Beta(1, 1) it would halve them.
-            self.sums = figures;
-            self.fresh = false;
-        } else if self.fresh == their_fresh
+            self.s.sums = figures;
+            self.s.fresh = false;
+        } else if self.s.fresh == their_fresh
             && let Some(mine) = mine
         {
-            for ((sum, sent), theirs) in self.sums.iter_mut().zip(mine).zip(figures) {
+            for ((sum, sent), theirs) in self.s.sums.iter_mut().zip(mine).zip(figures) {
                 *sum = (*sum + (theirs - sent) / 2.0).max(0.0);
             }
         }
@@ -893,8 +889,8 @@
     fn stage(&mut self, now: f64, news: StageNews, effects: &mut Vec<Effect>) {
         if news.answers_vote {
             let push = match news.verdict {
-                Verdict::Succeeded => Push::Counted,
-                Verdict::Moot => Push::Moot,
+                // A moot one is asked again when it would be renewed, or after news.
+                Verdict::Succeeded | Verdict::Moot => Push::Counted,
                 _ => Push::Unsure,
             };
             self.vote(now, push, effects);
@@ -902,32 +898,32 @@
         if news.verdict != Verdict::Succeeded {
             return;
         }
-        let old = self.news.replace(news);
+        let old = self.s.news.replace(news);
         let same_build = old.is_some_and(|old| old.build == news.build);
         if old.is_some_and(|old| old.build > news.build) {
-            self.news = old;
+            self.s.news = old;
             return;
         }
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
-            self.bound.retain(|_, build| *build != news.build);
+            self.s.bound.retain(|_, build| *build != news.build);
         }
         if !same_build {
             let released = old.is_some_and(|old| old.phase == Phase::Released);
-            for place in (0..self.sums.len()).step_by(4) {
+            for place in (0..self.s.sums.len()).step_by(4) {
                 if released {
-                    self.sums[place] = self.sums[place + 2];
-                    self.sums[place + 1] = self.sums[place + 3];
+                    self.s.sums[place] = self.s.sums[place + 2];
+                    self.s.sums[place + 1] = self.s.sums[place + 3];
                 }
-                (self.sums[place + 2], self.sums[place + 3]) = (0.0, 0.0);
+                (self.s.sums[place + 2], self.s.sums[place + 3]) = (0.0, 0.0);
             }
-            self.swaps.clear();
+            self.s.swaps.clear();
             // Started into a trial already under way: the others know more than this router's prior.
-            self.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
+            self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
-            self.stage_since = now - news.age;
-            self.held = 0.0;
-            (self.wish, self.wish_since) = (Sense::None, now);
+            self.s.stage_since = now - news.age;
+            self.s.held = 0.0;
+            (self.s.wish, self.s.wish_since) = (Sense::None, now);
             self.vote(now, Push::News, effects);
         }
     }
@@ -949,25 +945,26 @@
     }
 
     fn look(&self, now: f64, news: &StageNews) -> Look {
-        let peers_due = self.heard.values().filter(|at| now - **at < PEER_LIVES).count().min(HEARD_PEERS);
+        let peers_due = self.s.heard.values().filter(|at| now - **at < PEER_LIVES).count().min(HEARD_PEERS);
         let heard =
-            self.heard.values().filter(|at| **at >= self.stage_since && now - **at < PEER_LIVES).count();
-        let slots = self.sums.len() / (MARKS * 4);
-        let pace_counts = self.earlier_lives();
-        let marks = || (0..MARKS).filter(|mark| *mark < 2 || pace_counts);
+            self.s.heard.values().filter(|at| **at >= self.s.stage_since && now - **at < PEER_LIVES).count();
+        let slots = self.t.slots;
+        // With no earlier machine left, times have nothing of today to be compared with; errors have.
+        let lives = self.earlier_lives();
+        let marks = || (0..MARKS).filter(|mark| *mark == 1 || lives);
         let pooled: Vec<f64> = marks().filter_map(|mark| self.chance(None, mark, ENOUGH)).collect();
         // One operation may fail alone; the pooled figures would hide it.
         let each =
             (0..slots).flat_map(|s| marks().filter_map(move |m| self.chance(Some(s), m, ENOUGH_OF_ONE)));
         let worst = pooled.iter().copied().chain(each).fold(0.0, f64::max);
-        let started = self.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
-        let latest = started.filter_map(|h| h.entry.started).fold(self.stage_since, f64::max);
+        let started = self.s.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
+        let latest = started.filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
         if heard < peers_due || pooled.is_empty() {
             return if now - latest > STARVED_ON { Look::Overdue } else { Look::Starved };
         }
         match worst {
             w if w > BACK_CHANCE => Look::Worse,
-            _ if pooled.iter().all(|chance| *chance < ON_CHANCE) => Look::Fine,
+            _ if pooled[0] < ON_CHANCE || !lives => Look::Fine,
             _ => Look::Unclear,
         }
     }
@@ -975,55 +972,46 @@
     /// The place of this router in the order that the hash of the build gives.
     fn rank(&self, build: BuildId) -> u32 {
         let place = |router: u32| (mix(mix(u64::from(build.0)) ^ u64::from(router)), router);
-        (0..self.routers).filter(|other| place(*other) < place(self.me.0)).count() as u32
+        (0..self.t.routers).filter(|other| place(*other) < place(self.t.me.0)).count() as u32
     }
 
     fn judge(&mut self, now: f64, effects: &mut Vec<Effect>) {
-        let Some(news) = self.news.filter(|news| news.phase == Phase::OnTrial) else { return };
+        let Some(news) = self.s.news.filter(|news| news.phase == Phase::OnTrial) else { return };
         let look = self.look(now, &news);
-        let row = WISHES.iter().find(|row| row.0 == self.gate && row.1 == look);
-        let mut wish = row.map_or(Sense::None, |row| row.2);
+        let row = WISHES.iter().find(|row| row.0 == self.t.by_clock && row.1 == look);
+        let mut wish = row.and_then(|row| row.2).unwrap_or(self.s.wish);
         if wish == Sense::Hold {
-            self.held += SWAP_EVERY;
-            if self.held > HOLD_MOST {
+            self.s.held += SWAP_EVERY;
+            if self.s.held > HOLD_MOST {
                 wish = Sense::None;
             }
         }
-        if wish != self.wish {
-            (self.wish, self.wish_since) = (wish, now);
+        if wish != self.s.wish {
+            (self.s.wish, self.s.wish_since) = (wish, now);
         }
         // The hash names the voters. Where a wish stays unmet, the next in its order stand in, one after the
         // other: a named voter may be dead, cut off or without traffic.
-        let late = f64::from((self.rank(news.build) + 1).saturating_sub(self.voters)) * STAND_IN;
-        if wish == Sense::None && self.ballot_sense == Sense::None || now - self.wish_since < late {
-            return;
+        let late = f64::from((self.rank(news.build) + 1).saturating_sub(self.t.voters)) * STAND_IN;
+        let nothing = wish == Sense::None && self.s.ballot_sense == Sense::None;
+        let wait = if self.s.ballot == Ballot::Silent { ASK_AGAIN } else { self.t.renew_every };
+        let due = wish != self.s.ballot_sense || now - self.s.ballot_at >= wait;
+        if !nothing && due && now - self.s.wish_since >= late {
+            self.vote(now, Push::Due, effects);
         }
-        let wait = if self.ballot == Ballot::Silent { ASK_AGAIN } else { self.renew_every };
-        let push = match () {
-            () if self.ballot != Ballot::Silent && wish != self.ballot_sense => Push::Wish,
-            () if self.ballot == Ballot::Silent
-                && wish != Sense::None
-                && self.ballot_sense == Sense::None =>
-            {
-                Push::Wish
-            }
-            () if now - self.ballot_at >= wait => Push::Due,
-            () => Push::Same,
-        };
-        self.vote(now, push, effects);
     }
 
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
-        let Some(row) = BALLOTS.iter().find(|row| row.0 == self.ballot && row.1 == push) else { return };
-        self.ballot = row.2;
+        let Some(row) = BALLOTS.iter().find(|row| row.0 == self.s.ballot && row.1 == push) else { return };
+        self.s.ballot = row.2;
         if push == Push::News {
-            self.ballot_sense = Sense::None;
+            self.s.ballot_sense = Sense::None;
         }
-        if let (true, Some(news)) = (row.3, self.news) {
-            (self.ballot_sense, self.ballot_at) = (self.wish, now);
-            effects.push(Effect::Vote { build: news.build, stage: news.stage, sense: self.wish });
-            if push == Push::Wish {
-                let text = format!("vote {:?} build {} stage {}", self.wish, news.build.0, news.stage);
+        if let (true, Some(news)) = (row.3, self.s.news) {
+            let renewal = self.s.ballot_sense == self.s.wish;
+            (self.s.ballot_sense, self.s.ballot_at) = (self.s.wish, now);
+            effects.push(Effect::Vote { build: news.build, stage: news.stage, sense: self.s.wish });
+            if !renewal {
+                let text = format!("vote {:?} build {} stage {}", self.s.wish, news.build.0, news.stage);
                 effects.push(Effect::Note { text });
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,8 +211,9 @@
     pub answers_vote: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Sense {
+    #[default]
     None,
     On,
     Hold,
