Trial gets at most 1.25 of its machines' share; back only after 0.7 s of looking worse

Cause: trial machines were loaded up to 1.6 times the others (the cap lies above the machines that run yet), looked slow, and one router's early figures voted them back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,12 +21,15 @@
 const ENOUGH_OF_ONE: f64 = 12.0; // outcomes of one operation before it is judged by itself
 const BACK_CHANCE: f64 = 0.95; // vote back above this chance of being worse by over the margin
 const ON_CHANCE: f64 = 0.2; // vote on below it
-const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.12]; // of SLO time kept, of plain errors, of usual pace
+const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.15]; // of SLO time kept, of plain errors, of usual pace
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
+const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
+const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote: some swaps, so that figures mix
+const SURE: f64 = 0.98; // the back chance where one operation, or the pace, speaks alone
 const QUICK: f64 = 1.5; // times the usual time of an operation; a served dispatch within it is on pace
 // Hosts.
 const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
@@ -245,6 +248,7 @@
     ballot_at: f64,
     wish: Sense,
     wish_since: f64,
+    worse_since: f64,
     held: f64,
 }
 
@@ -772,8 +776,8 @@
         let [earlier, trial_hosts] = &arms;
         let picked_earlier = self.lesser(&earlier.1, &key, now);
         let picked_trial = self.lesser(&trial_hosts.1, &key, now);
-        let (Some((e, e_load)), Some((t, t_load))) = (picked_earlier, picked_trial) else {
-            return picked_earlier.or(picked_trial).map(|(host, _)| host);
+        let (Some(e), Some(t)) = (picked_earlier, picked_trial) else {
+            return picked_earlier.or(picked_trial);
         };
         if earlier.0 != trial_hosts.0 {
             return Some(if earlier.0 < trial_hosts.0 { e } else { t });
@@ -787,13 +791,11 @@
         };
         let (we, wt) = (weigh(&earlier.1), weigh(&trial_hosts.1));
         let floor = wt / (we + wt).max(0.001);
-        if self.rng.random::<f64>() < floor {
-            return Some(t);
-        }
-        // Above the floor a won draw sends it to the trial, as long as the host there is no busier: the cap
-        // lies above the machines' share, and a preferred build would be overloaded into looking bad.
-        let wins = trial.is_some() && self.draw(TRIAL) > self.draw(EARLIER) && t_load <= e_load;
-        Some(if wins { t } else { e })
+        // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap lies
+        // well above that while machines still start, and a preferred build would be loaded into looking bad.
+        let place = self.rng.random::<f64>();
+        let lean = place < LEAN * floor && trial.is_some() && self.draw(TRIAL) > self.draw(EARLIER);
+        Some(if place < floor || lean { t } else { e })
     }
 
     fn draw(&mut self, arm: usize) -> f64 {
@@ -803,7 +805,7 @@
 
     /// The lesser in-flight of two random hosts; where hosts work faster for keys met lately, the key's hash
     /// names the two, so that every router brings a key to the same ones.
-    fn lesser(&mut self, hosts: &[HostId], key: &Option<KeyId>, now: f64) -> Option<(HostId, f64)> {
+    fn lesser(&mut self, hosts: &[HostId], key: &Option<KeyId>, now: f64) -> Option<HostId> {
         let mut two: Vec<HostId> = match key {
             Some(key) => {
                 let mut ranked = hosts.to_vec();
@@ -820,7 +822,7 @@
         };
         two.truncate(2);
         let loads = two.iter().filter_map(|id| Some((*id, self.load(self.s.hosts.get(id)?, now))));
-        loads.min_by(|a, b| a.1.total_cmp(&b.1))
+        loads.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, _)| id)
     }
 
     // ---- swaps
@@ -952,19 +954,22 @@
         // With no earlier machine left, times have nothing of today to be compared with; errors have.
         let lives = self.earlier_lives();
         let marks = || (0..MARKS).filter(|mark| *mark == 1 || lives);
-        let pooled: Vec<f64> = marks().filter_map(|mark| self.chance(None, mark, ENOUGH)).collect();
-        // One operation may fail alone; the pooled figures would hide it.
-        let each =
-            (0..slots).flat_map(|s| marks().filter_map(move |m| self.chance(Some(s), m, ENOUGH_OF_ONE)));
-        let worst = pooled.iter().copied().chain(each).fold(0.0, f64::max);
+        let pooled = self.chance(None, 0, ENOUGH);
+        let mut worse = lives && pooled.is_some_and(|chance| chance > BACK_CHANCE);
+        // One operation may fail alone, and a build may be slow without missing the SLO time yet.
+        for mark in marks() {
+            let each =
+                (0..slots).filter(|_| mark != 2).filter_map(|s| self.chance(Some(s), mark, ENOUGH_OF_ONE));
+            worse |= each.chain(self.chance(None, mark, ENOUGH)).any(|chance| chance > SURE);
+        }
         let started = self.s.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
         let latest = started.filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
-        if heard < peers_due || pooled.is_empty() {
+        if !worse && (heard < peers_due || pooled.is_none()) {
             return if now - latest > STARVED_ON { Look::Overdue } else { Look::Starved };
         }
-        match worst {
-            w if w > BACK_CHANCE => Look::Worse,
-            _ if pooled[0] < ON_CHANCE || !lives => Look::Fine,
+        match pooled {
+            _ if worse => Look::Worse,
+            Some(chance) if chance < ON_CHANCE || !lives => Look::Fine,
             _ => Look::Unclear,
         }
     }
@@ -977,7 +982,12 @@
 
     fn judge(&mut self, now: f64, effects: &mut Vec<Effect>) {
         let Some(news) = self.s.news.filter(|news| news.phase == Phase::OnTrial) else { return };
-        let look = self.look(now, &news);
+        let mut look = self.look(now, &news);
+        if look != Look::Worse {
+            self.s.worse_since = now;
+        } else if now - self.s.worse_since < BACK_FIRM {
+            look = Look::Unclear;
+        }
         let row = WISHES.iter().find(|row| row.0 == self.t.by_clock && row.1 == look);
         let mut wish = row.and_then(|row| row.2).unwrap_or(self.s.wish);
         if wish == Sense::Hold {
