--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,10 @@
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote: some swaps, so that figures mix
 const SURE: f64 = 0.98; // the back chance where one operation, or the pace, speaks alone
+const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, and eta swells the odd one
+const DRAG: f64 = 1.3; // times as slow as before the trial: no vote on while earlier hosts are so, too
+const DRAG_BACK: [f64; 2] = [6.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
+const LOW: [f64; 2] = [0.3, 0.06]; // quantile of times that shows slowness but not queues, and its step
 const QUICK: f64 = 1.5; // times the usual time of an operation; a served dispatch within it is on pace
 // Hosts.
 const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
@@ -47,7 +51,7 @@
 const FURTHER: f64 = 0.1; // further dispatches an invocation taken, so that retries never double a load
 const FURTHER_SAVED: f64 = 10.0; // further dispatches saved up at most
 const OPEN_FIRST: f64 = 200.0; // dispatches open at once at first and at most
-const OPEN_LEAST: f64 = 3.0; // dispatches open at the least, so that a recovery is seen
+const OPEN_LEAST: f64 = 3.0; // dispatches open a host, of all routers, at the least: some two cores kept busy
 const OPEN_LESS: f64 = 0.5; // fewer for each late answer
 const OPEN_MORE: f64 = 0.1; // more for each timely one: settles where one answer in six is late
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
@@ -163,6 +167,7 @@
 
 #[derive(Clone, Copy)]
 struct Sent {
+    work: f64,
     host: HostId,
     build: BuildId,
     at: f64,
@@ -174,12 +179,20 @@
 struct Inv {
     operation: usize,
     key: Option<KeyId>,
+    work: f64,
     slo_at: f64,
     limit: f64,
     sent: Vec<Sent>,
     over: bool,
 }
 
+/// What a peer last told.
+struct Heard {
+    at: f64,
+    taken: f64,
+    drag: f64,
+}
+
 enum Task {
     Swap,
     Follow,
@@ -230,6 +243,9 @@
     open: usize,
     open_most: f64,
     usual: BTreeMap<(usize, KindId), f64>,
+    /// A low quantile of times (for each unit of expected work), now and when the trial began.
+    low: BTreeMap<(usize, KindId), (f64, Option<f64>)>,
+    drag_since: f64,
     /// Invocations taken and dispatches at trial builds, within the exposure window.
     taken: VecDeque<(f64, usize, bool)>,
     exposed: VecDeque<(f64, BuildId, usize)>,
@@ -241,7 +257,7 @@
     sums: Vec<f64>,
     /// The figures as last sent to a peer, and when one was last heard.
     swaps: BTreeMap<RouterId, Vec<f64>>,
-    heard: BTreeMap<RouterId, f64>,
+    heard: BTreeMap<RouterId, Heard>,
     fresh: bool,
     ballot: Ballot,
     ballot_sense: Sense,
@@ -480,8 +496,15 @@
         self.s.further = (self.s.further + FURTHER).min(FURTHER_SAVED);
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, inv.operation.0, bound));
-        let record =
-            Inv { operation: inv.operation.0, key: inv.key, slo_at, limit, sent: Vec::new(), over: false };
+        let record = Inv {
+            operation: inv.operation.0,
+            key: inv.key,
+            work: inv.work.unwrap_or(1.0),
+            slo_at,
+            limit,
+            sent: Vec::new(),
+            over: false,
+        };
         self.s.invs.insert(inv.id.clone(), record);
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
@@ -559,7 +582,7 @@
         let build = h.entry.build;
         let scored = h.aside_until <= now;
         self.s.open += 1;
-        inv.sent.push(Sent { host, build, at: now, out: true, may_have_run: false, scored });
+        inv.sent.push(Sent { work: inv.work, host, build, at: now, out: true, may_have_run: false, scored });
         h.out.push(now);
         h.sent.push_back(now);
         while h.sent.front().is_some_and(|at| now - at > self.t.fall_time) {
@@ -634,7 +657,7 @@
     // ---- what outcomes teach
 
     fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64) {
-        let Sent { host: id, build, at, scored, .. } = sent;
+        let Sent { work, host: id, build, at, scored, .. } = sent;
         let slo = self.t.operations[operation].slo;
         let Some(host) = self.s.hosts.get(&id) else { return };
         let warmth = self.warmth(host, at);
@@ -680,12 +703,21 @@
         // Answers that come too late shrink what this router keeps open, timely ones widen it while it is used.
         if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
             let step = if late { -OPEN_LESS } else { OPEN_MORE };
-            self.s.open_most = (self.s.open_most + step).clamp(OPEN_LEAST, OPEN_FIRST);
+            // Never below what keeps the hosts busy: where all are slow, fewer open would not make them quick.
+            let usable = self.s.hosts.values().filter(|h| h.usable).count() as f64;
+            let least = (OPEN_LEAST * usable * self.shared(now).0).max(OPEN_LEAST);
+            self.s.open_most = (self.s.open_most + step).min(OPEN_FIRST).max(least);
         }
         if verdict == Verdict::Succeeded && warmth >= 1.0 && self.phase(build) == Phase::Released {
             let usual = self.s.usual.entry((operation, kind)).or_insert(took);
             *usual += USUAL_WEIGHT * (took - *usual);
         }
+        let shows = nothing == 0.0 || verdict == Verdict::TimedOut;
+        if shows && warmth >= 1.0 && !sick && self.phase(build) == Phase::Released {
+            let time = took / work.max(1e-6);
+            let low = &mut self.s.low.entry((operation, kind)).or_insert((time, None)).0;
+            *low *= (LOW[1] * (LOW[0] - f64::from(u8::from(time < *low)))).exp();
+        }
         if !scored || sick {
             return;
         }
@@ -855,17 +887,23 @@
         let build = self.s.news.map_or(0, |news| news.build.0);
         let mut bytes = vec![kind, u8::from(self.s.fresh)];
         bytes.extend(build.to_le_bytes());
+        bytes.extend((self.s.taken.len() as f32).to_le_bytes());
+        bytes.extend((self.drag() as f32).to_le_bytes());
         self.s.sums.iter().for_each(|figure| bytes.extend((*figure as f32).to_le_bytes()));
         bytes
     }
 
     fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
-        self.s.heard.insert(from, now);
-        let (Some(news), Some((head, body))) = (self.s.news, payload.split_at_checked(4)) else { return };
-        let figures: Vec<f64> =
+        let Some((head, body)) = payload.split_at_checked(4) else { return };
+        let mut figures: Vec<f64> =
             body.chunks_exact(4).map(|b| f64::from(f32::from_le_bytes([b[0], b[1], b[2], b[3]]))).collect();
-        let odd = figures.len() != self.s.sums.len() || figures.iter().any(|f| !f.is_finite() || *f < 0.0);
-        if odd || u16::from_le_bytes([head[2], head[3]]) != news.build.0 || from == self.t.me {
+        if figures.len() < 2 || figures.iter().any(|f| !f.is_finite() || *f < 0.0) || from == self.t.me {
+            return;
+        }
+        let drag = figures.remove(1).clamp(0.1, 10.0);
+        self.s.heard.insert(from, Heard { at: now, taken: figures.remove(0), drag });
+        let Some(news) = self.s.news else { return };
+        if figures.len() != self.s.sums.len() || u16::from_le_bytes([head[2], head[3]]) != news.build.0 {
             return;
         }
         let (reply, their_fresh) = (head[0] == 1, head[1] == 1);
@@ -919,6 +957,7 @@
                 (self.s.sums[place + 2], self.s.sums[place + 3]) = (0.0, 0.0);
             }
             self.s.swaps.clear();
+            self.s.low.values_mut().for_each(|low| low.1 = old.map(|_| low.0));
             // Started into a trial already under way: the others know more than this router's prior.
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
@@ -938,7 +977,7 @@
             return None;
         }
         let moments = |a: f64, b: f64| {
-            let (a, n) = (a + 1.0, a + b + 2.0);
+            let (a, n) = (EVIDENCE * a + 1.0, EVIDENCE * (a + b) + 2.0);
             (a / n, a * (n - a) / (n * n * (n + 1.0)))
         };
         let ((em, ev), (tm, tv)) = (moments(ea, eb), moments(ta, tb));
@@ -946,10 +985,15 @@
         Some(1.0 / (1.0 + (-1.702 * z).exp()))
     }
 
-    fn look(&self, now: f64, news: &StageNews) -> Look {
-        let peers_due = self.s.heard.values().filter(|at| now - **at < PEER_LIVES).count().min(HEARD_PEERS);
-        let heard =
-            self.s.heard.values().filter(|at| **at >= self.s.stage_since && now - **at < PEER_LIVES).count();
+    fn look(&mut self, now: f64, news: &StageNews) -> Look {
+        let peers_due =
+            self.s.heard.values().filter(|heard| now - heard.at < PEER_LIVES).count().min(HEARD_PEERS);
+        let heard = self
+            .s
+            .heard
+            .values()
+            .filter(|heard| heard.at >= self.s.stage_since.max(now - PEER_LIVES))
+            .count();
         let slots = self.t.slots;
         // With no earlier machine left, times have nothing of today to be compared with; errors have.
         let lives = self.earlier_lives();
@@ -964,16 +1008,47 @@
         }
         let started = self.s.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
         let latest = started.filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
-        if !worse && (heard < peers_due || pooled.is_none()) {
-            return if now - latest > STARVED_ON { Look::Overdue } else { Look::Starved };
+        // A build may slow both arms alike, which no comparison shows; then the earlier hosts are slower than
+        // before the trial, most since a stage began. Also holds back the vote on in any common trouble.
+        let dragging = lives && self.shared(now).1 > DRAG;
+        if !dragging {
+            self.s.drag_since = now;
+        }
+        let came_with_stage = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
+        worse |= now - self.s.drag_since > DRAG_BACK[usize::from(!came_with_stage)];
+        if worse {
+            return Look::Worse;
         }
         match pooled {
-            _ if worse => Look::Worse,
-            Some(chance) if chance < ON_CHANCE || !lives => Look::Fine,
-            _ => Look::Unclear,
+            _ if dragging => Look::Unclear,
+            Some(_) if heard >= peers_due && !lives => Look::Fine,
+            Some(chance) if heard >= peers_due && chance < ON_CHANCE => Look::Fine,
+            Some(_) if heard >= peers_due => Look::Unclear,
+            _ if now - latest > STARVED_ON => Look::Overdue,
+            _ => Look::Starved,
         }
     }
 
+    /// How much slower than before the trial the earlier hosts are, here or (by traffic) among all that live.
+    fn drag(&self) -> f64 {
+        let logs: Vec<f64> = self
+            .s
+            .low
+            .values()
+            .filter_map(|(low, before)| before.map(|before| (low / before).ln()))
+            .collect();
+        if logs.is_empty() { 1.0 } else { (logs.iter().sum::<f64>() / logs.len() as f64).exp() }
+    }
+
+    /// This router's share of all traffic, and the drag of all.
+    fn shared(&self, now: f64) -> (f64, f64) {
+        let mine = (self.s.taken.len() as f64).max(1.0);
+        let live = || self.s.heard.values().filter(|heard| now - heard.at < PEER_LIVES);
+        let all = mine + live().map(|heard| heard.taken).sum::<f64>();
+        let drags = mine * self.drag().ln() + live().map(|heard| heard.taken * heard.drag.ln()).sum::<f64>();
+        (mine / all, (drags / all).exp())
+    }
+
     /// The place of this router in the order that the hash of the build gives.
     fn rank(&self, build: BuildId) -> u32 {
         let place = |router: u32| (mix(mix(u64::from(build.0)) ^ u64::from(router)), router);
@@ -1010,6 +1085,18 @@
         }
     }
 
+    /// What an operator needs to see why a vote was cast.
+    fn reasons(&self, now: f64, news: &StageNews) -> String {
+        let share = |mark, arm| {
+            let (up, down) = self.figures(None, mark, arm);
+            format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down)
+        };
+        let marks = (0..MARKS).map(|mark| format!("{}:{}", share(mark, EARLIER), share(mark, TRIAL)));
+        let (marks, drag) = (marks.collect::<Vec<_>>().join(" "), self.shared(now).1);
+        let (wish, build, stage) = (self.s.wish, news.build.0, news.stage);
+        format!("vote {wish:?} build {build} stage {stage}, in time, no error, pace {marks}, drag {drag:.2}")
+    }
+
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
         let Some(row) = BALLOTS.iter().find(|row| row.0 == self.s.ballot && row.1 == push) else { return };
         self.s.ballot = row.2;
@@ -1021,7 +1108,7 @@
             (self.s.ballot_sense, self.s.ballot_at) = (self.s.wish, now);
             effects.push(Effect::Vote { build: news.build, stage: news.stage, sense: self.s.wish });
             if !renewal {
-                let text = format!("vote {:?} build {} stage {}", self.s.wish, news.build.0, news.stage);
+                let text = self.reasons(now, &news);
                 effects.push(Effect::Note { text });
             }
         }
