Pace by a low quantile of times; lean operations throttled first; bound keys fill only the machines' share

Cause: queues equalise over both arms and hid slow builds; bound keys doubled the load of the first trial hosts.

--- a/benchlink/src/codec.rs
+++ b/benchlink/src/codec.rs
@@ -128,6 +128,7 @@
         routers: line.whole("group_size")?,
         zone: line.maybe("my_zone").map(|zone| ZoneId(names.number(zone))),
         operations,
+        billed_by_work: line.text("worth_by")? == "work",
         list_asked,
         ask_every: line.time("guarantees.ask_every")?,
         sizes,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,7 +21,7 @@
 const ENOUGH_OF_ONE: f64 = 12.0; // outcomes of one operation before it is judged by itself
 const BACK_CHANCE: f64 = 0.95; // vote back above this chance of being worse by over the margin
 const ON_CHANCE: f64 = 0.2; // vote on below it
-const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.15]; // of SLO time kept, of plain errors, of usual pace
+const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.08]; // of SLO time kept, of plain errors, of usual pace
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
@@ -33,8 +33,7 @@
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, and eta swells the odd one
 const DRAG: f64 = 1.3; // times as slow as before the trial: no vote on while earlier hosts are so, too
 const DRAG_BACK: [f64; 2] = [6.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
-const LOW: [f64; 2] = [0.3, 0.06]; // quantile of times that shows slowness but not queues, and its step
-const QUICK: f64 = 1.5; // times the usual time of an operation; a served dispatch within it is on pace
+const LOW: [f64; 2] = [0.4, 0.06]; // quantile of times that shows slowness more than queues, and its step
 // Hosts.
 const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
@@ -52,6 +51,8 @@
 const FURTHER_SAVED: f64 = 10.0; // further dispatches saved up at most
 const OPEN_FIRST: f64 = 200.0; // dispatches open at once at first and at most
 const OPEN_LEAST: f64 = 3.0; // dispatches open a host, of all routers, at the least: some two cores kept busy
+const OPEN_LEAN: f64 = 0.85; // of the bound, for operations that earn little: the rest always finds room
+const OPEN_COPY: f64 = 0.6; // of the bound, for second copies
 const OPEN_LESS: f64 = 0.5; // fewer for each late answer
 const OPEN_MORE: f64 = 0.1; // more for each timely one: settles where one answer in six is late
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
@@ -146,6 +147,8 @@
 struct Operation {
     slo: f64,
     late_is_worthless: bool,
+    /// Earns less than half of what the best operation earns for its time.
+    lean: bool,
     kind: Kind,
     group: RepeatGroup,
     window: f64,
@@ -277,13 +280,16 @@
 
 impl Router {
     pub fn start(terms: ServiceTerms, seed: u64, now: f64) -> Self {
+        let earns = |o: &OperationTerms| o.billed_value / if terms.billed_by_work { 1.0 } else { o.slo_time };
+        let best = terms.operations.iter().map(earns).fold(0.0, f64::max);
         let operations = terms.operations.iter().map(|o| {
             let (kind, group, window) = match o.repeats {
                 Repeats::Idempotent => (Kind::Idempotent, RepeatGroup::All, f64::INFINITY),
                 Repeats::Fingerprinted { group, window } => (Kind::Fingerprinted, group, window),
                 Repeats::SideEffecting => (Kind::SideEffecting, RepeatGroup::All, 0.0),
             };
-            Operation { slo: o.slo_time, late_is_worthless: o.late_share <= 0.0, kind, group, window }
+            let lean = earns(o) < 0.5 * best;
+            Operation { slo: o.slo_time, late_is_worthless: o.late_share <= 0.0, lean, kind, group, window }
         });
         let needed = match terms.gate {
             Gate::Any => 1,
@@ -539,7 +545,15 @@
         let paid = inv.sent.iter().all(|s| !s.out && !s.may_have_run) || self.s.further >= 1.0;
         let more = inv.sent.len() < self.t.most_dispatches && (!out || (copy && self.t.may_copy));
         let free = !inv.sent.is_empty();
-        let admitted = self.s.open as f64 <= self.s.open_most;
+        // When it gets tight, what earns least for its time goes first, and copies before anything.
+        let part = if copy {
+            OPEN_COPY
+        } else if operation.lean {
+            OPEN_LEAN
+        } else {
+            1.0
+        };
+        let admitted = self.s.open as f64 <= self.s.open_most * part;
         if again
             && timely
             && paid
@@ -728,8 +742,9 @@
             self.score(build, operation, 0, kept, 1.0);
         }
         self.score(build, operation, 1, !error, 1.0);
-        if let (Verdict::Succeeded, Some(usual)) = (verdict, usual) {
-            self.score(build, operation, 2, took * warmth <= QUICK * usual, 1.0);
+        if let (true, Some((low, _))) = (shows, self.s.low.get(&(operation, kind))) {
+            let quick = nothing == 0.0 && took / work.max(1e-6) * warmth <= *low;
+            self.score(build, operation, 2, quick, 1.0);
         }
     }
 
@@ -822,7 +837,13 @@
                 .sum()
         };
         let (we, wt) = (weigh(&earlier.1), weigh(&trial_hosts.1));
-        let floor = wt / (we + wt).max(0.001);
+        let mut floor = wt / (we + wt).max(0.001);
+        if self.t.keys_bound {
+            // Bound keys go to the trial anyway; new ones only fill up its machines' share.
+            let share = self.s.taken.iter().filter(|(.., bound)| *bound).count() as f64;
+            let share = share / (self.s.taken.len() as f64).max(1.0);
+            floor = if share > BOUND_ROOM * floor { 0.0 } else { (floor - share) / (1.0 - share) };
+        }
         // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap lies
         // well above that while machines still start, and a preferred build would be loaded into looking bad.
         let place = self.rng.random::<f64>();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,6 +97,8 @@
     pub routers: u32,
     pub zone: Option<ZoneId>,
     pub operations: Vec<OperationTerms>,
+    /// The billed value counts for each unit of work, not for each invocation.
+    pub billed_by_work: bool,
     /// The host list comes only when asked for.
     pub list_asked: bool,
     /// Without a subscription, a router counts as told after this time.
