--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,10 @@
 const SURE: f64 = 0.98; // the back chance where one operation, or the pace, speaks alone
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, and eta swells the odd one
 const DRAG: f64 = 1.3; // times as slow as before the trial: no vote on while earlier hosts are so, too
-const DRAG_BACK: [f64; 2] = [6.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
+const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
+const RELENT: f64 = 0.1; // a swap period, of the way down to a lower level; a second or two in all
+const SETTLED_PART: f64 = 0.9; // of a stage's machines listed, before a vote on
+const SETTLED: [f64; 2] = [1.2, 9.0]; // s after the latest start, or after the stage began, before a vote on
 const LOW: [f64; 2] = [0.4, 0.06]; // quantile of times that shows slowness more than queues, and its step
 // Hosts.
 const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
@@ -210,6 +213,7 @@
     operations: Vec<Operation>,
     list_asked: bool,
     by_clock: bool,
+    stage_shares: Vec<f64>,
     voters: u32,
     renew_every: f64,
     first_cap: f64,
@@ -247,7 +251,7 @@
     open_most: f64,
     usual: BTreeMap<(usize, KindId), f64>,
     /// A low quantile of times (for each unit of expected work), now and when the trial began.
-    low: BTreeMap<(usize, KindId), (f64, Option<f64>)>,
+    low: BTreeMap<(usize, KindId, usize), (f64, Option<f64>)>,
     drag_since: f64,
     /// Invocations taken and dispatches at trial builds, within the exposure window.
     taken: VecDeque<(f64, usize, bool)>,
@@ -303,6 +307,7 @@
             zone: terms.zone,
             operations: operations.collect(),
             list_asked: terms.list_asked,
+            stage_shares: terms.stage_shares,
             by_clock: terms.gate == Gate::Clock,
             voters: VOTERS.max(needed),
             renew_every: RENEW_EVERY.min(0.8 * terms.ballot_life),
@@ -727,12 +732,14 @@
             *usual += USUAL_WEIGHT * (took - *usual);
         }
         let shows = nothing == 0.0 || verdict == Verdict::TimedOut;
-        if shows && warmth >= 1.0 && !sick && self.phase(build) == Phase::Released {
+        let arm = usize::from(self.phase(build) != Phase::Released);
+        if shows && warmth >= 1.0 && !sick {
             let time = took / work.max(1e-6);
-            let low = &mut self.s.low.entry((operation, kind)).or_insert((time, None)).0;
-            *low *= (LOW[1] * (LOW[0] - f64::from(u8::from(time < *low)))).exp();
+            let low = &mut self.s.low.entry((operation, kind, arm)).or_insert((time, None)).0;
+            *low *= (LOW[1] * (LOW[0] - f64::from(u8::from(nothing == 0.0 && time < *low)))).exp();
         }
-        if !scored || sick {
+        // A host out of reach or full says nothing about its build.
+        if !scored || sick || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
             return;
         }
         let kept = verdict == Verdict::Succeeded && took <= slo;
@@ -742,7 +749,7 @@
             self.score(build, operation, 0, kept, 1.0);
         }
         self.score(build, operation, 1, !error, 1.0);
-        if let (true, Some((low, _))) = (shows, self.s.low.get(&(operation, kind))) {
+        if let (true, Some((low, _))) = (shows, self.s.low.get(&(operation, kind, EARLIER))) {
             let quick = nothing == 0.0 && took / work.max(1e-6) * warmth <= *low;
             self.score(build, operation, 2, quick, 1.0);
         }
@@ -884,6 +891,11 @@
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
         let fade = 0.5f64.powf(SWAP_EVERY / HALF_LIFE);
         let earlier_lives = self.earlier_lives();
+        for (low, before) in self.s.low.values_mut() {
+            // What came before the trial may have been a slow spell; then the memory of it gives way.
+            *before =
+                before.map(|before| if *low < before { before + RELENT * (*low - before) } else { before });
+        }
         for (place, figure) in self.s.sums.iter_mut().enumerate() {
             // With no earlier machine left, its figures stay: there is nothing newer to compare with.
             if earlier_lives || (place / 2) % 2 == TRIAL {
@@ -978,6 +990,7 @@
                 (self.s.sums[place + 2], self.s.sums[place + 3]) = (0.0, 0.0);
             }
             self.s.swaps.clear();
+            self.s.low.retain(|key, _| key.2 == EARLIER);
             self.s.low.values_mut().for_each(|low| low.1 = old.map(|_| low.0));
             // Started into a trial already under way: the others know more than this router's prior.
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
@@ -1029,9 +1042,15 @@
         }
         let started = self.s.hosts.values().filter(|h| h.usable && h.entry.build == news.build);
         let latest = started.filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
+        // A stage's machines must run and take their part before it is moved on: some builds fail only then.
+        let count =
+            |of: &dyn Fn(&Host) -> bool| self.s.hosts.values().filter(|h| h.usable && of(h)).count() as f64;
+        let part = self.t.stage_shares.get(news.stage as usize).copied().unwrap_or(1.0);
+        let there = count(&|h| h.entry.build >= news.build) >= SETTLED_PART * part * count(&|_| true);
+        let settled = there && now - latest > SETTLED[0] || now - self.s.stage_since > SETTLED[1];
         // A build may slow both arms alike, which no comparison shows; then the earlier hosts are slower than
         // before the trial, most since a stage began. Also holds back the vote on in any common trouble.
-        let dragging = lives && self.shared(now).1 > DRAG;
+        let dragging = self.shared(now).1 > DRAG;
         if !dragging {
             self.s.drag_since = now;
         }
@@ -1041,7 +1060,7 @@
             return Look::Worse;
         }
         match pooled {
-            _ if dragging => Look::Unclear,
+            _ if dragging || !settled => Look::Unclear,
             Some(_) if heard >= peers_due && !lives => Look::Fine,
             Some(chance) if heard >= peers_due && chance < ON_CHANCE => Look::Fine,
             Some(_) if heard >= peers_due => Look::Unclear,
@@ -1052,13 +1071,11 @@
 
     /// How much slower than before the trial the earlier hosts are, here or (by traffic) among all that live.
     fn drag(&self) -> f64 {
-        let logs: Vec<f64> = self
-            .s
-            .low
-            .values()
-            .filter_map(|(low, before)| before.map(|before| (low / before).ln()))
-            .collect();
-        if logs.is_empty() { 1.0 } else { (logs.iter().sum::<f64>() / logs.len() as f64).exp() }
+        let arm = usize::from(!self.earlier_lives());
+        let now = |key: &(usize, KindId, usize)| self.s.low.get(&(key.0, key.1, arm)).map(|low| low.0);
+        let known = self.s.low.iter().filter_map(|(key, low)| Some((now(key)? / low.1?).ln()));
+        let (sum, count) = known.fold((0.0, 0.0f64), |(sum, count), log| (sum + log, count + 1.0));
+        (sum / count.max(1.0)).exp()
     }
 
     /// This router's share of all traffic, and the drag of all.
