--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,7 +21,7 @@
 const ENOUGH_OF_ONE: f64 = 12.0; // outcomes of one operation before it is judged by itself
 const BACK_CHANCE: f64 = 0.95; // vote back above this chance of being worse by over the margin
 const ON_CHANCE: f64 = 0.2; // vote on below it
-const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.08]; // of SLO time kept, of plain errors, of usual pace
+const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of usual pace
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
@@ -29,18 +29,20 @@
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote: some swaps, so that figures mix
-const SURE: f64 = 0.98; // the back chance where one operation, or the pace, speaks alone
+const SURE: f64 = 0.97; // the back chance where one operation, or the pace, speaks alone
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, and eta swells the odd one
-const DRAG: f64 = 1.3; // times as slow as before the trial: no vote on while earlier hosts are so, too
+const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: on trial no vote on, released perhaps back
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
-const RELENT: f64 = 0.1; // a swap period, of the way down to a lower level; a second or two in all
+const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const SETTLED_PART: f64 = 0.9; // of a stage's machines listed, before a vote on
 const SETTLED: [f64; 2] = [1.2, 9.0]; // s after the latest start, or after the stage began, before a vote on
-const LOW: [f64; 2] = [0.4, 0.06]; // quantile of times that shows slowness more than queues, and its step
+const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what counts as quick, and what shows slowness without queues
+const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
 // Hosts.
 const USUAL_WEIGHT: f64 = 0.03; // weight of a new time in the usual time: some thirty dispatches
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
 const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
+const SLOWER: f64 = 1.6; // times the pace of its build's others: a slow host, not a slow service
 const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
 const SILENT: f64 = 4.0; // times the usual time without an answer before a host is passed over
 const COLD_SPEND: f64 = 1.6; // times its fair share that a cold host may get; at most half the fall multiple
@@ -192,6 +194,15 @@
     over: bool,
 }
 
+/// Low quantiles of times, for each unit of expected work.
+struct Low {
+    /// Divides quick answers from others.
+    pace: f64,
+    /// Shows slowness but hardly queues, now and before the trial.
+    least: f64,
+    before: Option<f64>,
+}
+
 /// What a peer last told.
 struct Heard {
     at: f64,
@@ -250,8 +261,8 @@
     open: usize,
     open_most: f64,
     usual: BTreeMap<(usize, KindId), f64>,
-    /// A low quantile of times (for each unit of expected work), now and when the trial began.
-    low: BTreeMap<(usize, KindId, usize), (f64, Option<f64>)>,
+    /// By operation, kind of machine and arm.
+    low: BTreeMap<(usize, KindId, usize), Low>,
     drag_since: f64,
     /// Invocations taken and dispatches at trial builds, within the exposure window.
     taken: VecDeque<(f64, usize, bool)>,
@@ -688,12 +699,12 @@
             _ => Some(1.0),
         };
         let ratio = usual.map(|usual| (took / usual.max(0.001)).clamp(0.2, 5.0));
-        let others: Vec<f64> = self
+        let others: Vec<(f64, f64)> = self
             .s
             .hosts
             .iter()
             .filter(|(other, h)| **other != id && h.usable && h.entry.build == build)
-            .map(|(_, h)| h.faults)
+            .map(|(_, h)| (h.faults, h.pace))
             .collect();
         let Some(host) = self.s.hosts.get_mut(&id) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
@@ -706,7 +717,10 @@
         }
         // A sick host is set aside when it stands out among those of its build: a whole build that fails alike
         // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
-        let alike = others.iter().sum::<f64>() / (others.len().max(1)) as f64;
+        let many = others.len().max(1) as f64;
+        let alike = others.iter().map(|other| other.0).sum::<f64>() / many;
+        let slower =
+            !others.is_empty() && host.pace > SLOWER * others.iter().map(|other| other.1).sum::<f64>() / many;
         if !others.is_empty() && host.faults > FAULTY + alike && host.aside_until <= now {
             host.aside_until = now + host.aside_for;
             host.aside_for = (2.0 * host.aside_for).min(ASIDE[1]);
@@ -733,12 +747,14 @@
         }
         let shows = nothing == 0.0 || verdict == Verdict::TimedOut;
         let arm = usize::from(self.phase(build) != Phase::Released);
-        if shows && warmth >= 1.0 && !sick {
+        if shows && warmth >= 1.0 && !sick && !slower {
             let time = took / work.max(1e-6);
-            let low = &mut self.s.low.entry((operation, kind, arm)).or_insert((time, None)).0;
-            *low *= (LOW[1] * (LOW[0] - f64::from(u8::from(nothing == 0.0 && time < *low)))).exp();
+            let new = Low { pace: time, least: time, before: None };
+            let low = self.s.low.entry((operation, kind, arm)).or_insert(new);
+            let below = |level: f64| f64::from(u8::from(nothing == 0.0 && time < level));
+            low.pace *= (LOW_STEP * (LOW[0] - below(low.pace))).exp();
+            low.least *= (LOW_STEP * (LOW[1] - below(low.least))).exp();
         }
-        // A host out of reach or full says nothing about its build.
         if !scored || sick || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
             return;
         }
@@ -749,8 +765,8 @@
             self.score(build, operation, 0, kept, 1.0);
         }
         self.score(build, operation, 1, !error, 1.0);
-        if let (true, Some((low, _))) = (shows, self.s.low.get(&(operation, kind, EARLIER))) {
-            let quick = nothing == 0.0 && took / work.max(1e-6) * warmth <= *low;
+        if let (true, Some(low)) = (shows, self.s.low.get(&(operation, kind, EARLIER))) {
+            let quick = nothing == 0.0 && took / work.max(1e-6) * warmth <= low.pace;
             self.score(build, operation, 2, quick, 1.0);
         }
     }
@@ -891,10 +907,10 @@
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
         let fade = 0.5f64.powf(SWAP_EVERY / HALF_LIFE);
         let earlier_lives = self.earlier_lives();
-        for (low, before) in self.s.low.values_mut() {
+        for low in self.s.low.values_mut() {
             // What came before the trial may have been a slow spell; then the memory of it gives way.
-            *before =
-                before.map(|before| if *low < before { before + RELENT * (*low - before) } else { before });
+            let least = low.least;
+            low.before = low.before.map(|before| before + RELENT * (least - before).min(0.0));
         }
         for (place, figure) in self.s.sums.iter_mut().enumerate() {
             // With no earlier machine left, its figures stay: there is nothing newer to compare with.
@@ -991,7 +1007,7 @@
             }
             self.s.swaps.clear();
             self.s.low.retain(|key, _| key.2 == EARLIER);
-            self.s.low.values_mut().for_each(|low| low.1 = old.map(|_| low.0));
+            self.s.low.values_mut().for_each(|low| low.before = old.map(|_| low.least));
             // Started into a trial already under way: the others know more than this router's prior.
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
@@ -1033,6 +1049,7 @@
         let lives = self.earlier_lives();
         let marks = || (0..MARKS).filter(|mark| *mark == 1 || lives);
         let pooled = self.chance(None, 0, ENOUGH);
+        let released = news.phase == Phase::Released;
         let mut worse = lives && pooled.is_some_and(|chance| chance > BACK_CHANCE);
         // One operation may fail alone, and a build may be slow without missing the SLO time yet.
         for mark in marks() {
@@ -1050,15 +1067,20 @@
         let settled = there && now - latest > SETTLED[0] || now - self.s.stage_since > SETTLED[1];
         // A build may slow both arms alike, which no comparison shows; then the earlier hosts are slower than
         // before the trial, most since a stage began. Also holds back the vote on in any common trouble.
-        let dragging = self.shared(now).1 > DRAG;
+        let dragging = self.shared(now).1 > DRAG[usize::from(released)];
         if !dragging {
             self.s.drag_since = now;
         }
         let came_with_stage = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
-        worse |= now - self.s.drag_since > DRAG_BACK[usize::from(!came_with_stage)];
+        worse &= !released;
+        worse |= now - self.s.drag_since > DRAG_BACK[usize::from(released || !came_with_stage)];
         if worse {
             return Look::Worse;
         }
+        if released {
+            // Once released, only a drag that outlasts common troubles still speaks, against the build.
+            return Look::Starved;
+        }
         match pooled {
             _ if dragging || !settled => Look::Unclear,
             Some(_) if heard >= peers_due && !lives => Look::Fine,
@@ -1071,9 +1093,11 @@
 
     /// How much slower than before the trial the earlier hosts are, here or (by traffic) among all that live.
     fn drag(&self) -> f64 {
-        let arm = usize::from(!self.earlier_lives());
-        let now = |key: &(usize, KindId, usize)| self.s.low.get(&(key.0, key.1, arm)).map(|low| low.0);
-        let known = self.s.low.iter().filter_map(|(key, low)| Some((now(key)? / low.1?).ln()));
+        let arm = usize::from(
+            !self.earlier_lives() && self.s.news.is_some_and(|news| news.phase == Phase::OnTrial),
+        );
+        let now = |key: &(usize, KindId, usize)| self.s.low.get(&(key.0, key.1, arm)).map(|low| low.least);
+        let known = self.s.low.iter().filter_map(|(key, low)| Some((now(key)? / low.before?).ln()));
         let (sum, count) = known.fold((0.0, 0.0f64), |(sum, count), log| (sum + log, count + 1.0));
         (sum / count.max(1.0)).exp()
     }
@@ -1094,7 +1118,11 @@
     }
 
     fn judge(&mut self, now: f64, effects: &mut Vec<Effect>) {
-        let Some(news) = self.s.news.filter(|news| news.phase == Phase::OnTrial) else { return };
+        let Some(news) = self.s.news else { return };
+        let judged = news.phase == Phase::OnTrial || news.phase == Phase::Released;
+        if !judged {
+            return;
+        }
         let mut look = self.look(now, &news);
         if look != Look::Worse {
             self.s.worse_since = now;
