--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,61 +12,53 @@
 use crate::interface::*;
 
 // The mechanism.
-const SWAP_EVERY: f64 = 0.2; // s; a few swaps a stage with every peer, at a small price in messages
-const HALF_LIFE: f64 = 5.0; // s; figures fade, about one stage long, so that late failures and old zeros show
+const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
+const HALF_LIFE: f64 = 5.0; // s; figures fade, about a stage long, so that late failures and old zeros show
 const VOTERS: u32 = 3; // routers; few enough to agree soon, more than one may be dead
 const HEARD_PEERS: usize = 10; // peers heard this stage before judging, or all that live
 const PEER_LIVES: f64 = 2.5; // s without word before a peer is taken for dead; a dozen swaps missed
-const ENOUGH: f64 = 20.0; // outcomes before a build is judged
-const ENOUGH_OF_ONE: f64 = 12.0; // outcomes of one operation before it is judged by itself
-const BACK_CHANCE: f64 = 0.95; // vote back above this chance of being worse by over the margin
+const ENOUGH: [f64; 2] = [20.0, 12.0]; // outcomes before a build is judged, before one operation is by itself
+const BACK_CHANCE: [f64; 2] = [0.95, 0.97]; // of being worse by over the margin; where a lesser mark speaks alone
 const ON_CHANCE: f64 = 0.2; // vote on below it
-const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of usual pace
+const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
+const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, eta swells the odd one
+const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote, for figures to mix
+const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, or of the stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote: some swaps, so that figures mix
-const SURE: f64 = 0.97; // the back chance where one operation, or the pace, speaks alone
-const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, and eta swells the odd one
-const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: on trial no vote on, released perhaps back
-const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of it before voting back: when it came with a stage, when it did not
+const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; when released, perhaps back
+const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all; more is other trouble
+const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
-const SETTLED_PART: f64 = 0.9; // of a stage's machines listed, before a vote on
-const SETTLED: [f64; 2] = [1.2, 9.0]; // s after the latest start, or after the stage began, before a vote on
-const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what counts as quick, and what shows slowness without queues
+const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
 const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
 // Hosts.
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
 const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
-const SLOWER: f64 = 1.6; // times the pace of its build's others: a slow host, not a slow service
 const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
-const SILENT: f64 = 7.0; // times the quick time without an answer before a host counts as slower
-const COLD_SPEND: f64 = 1.6; // times its fair share that a cold host may get; at most half the fall multiple
+const SLOWER: f64 = 1.6; // times the pace of its build's others: a slow host, not a slow service
+const SILENT: f64 = 0.7; // of the longest SLO time without an answer before a host counts as slower
 const PACE_TIME: f64 = 4.0; // s over which the rate of succeeded dispatches is taken; longer than a short jam
+const COLD_SPEND: f64 = 1.6; // times its fair share that a cold host may get; at most half the fall multiple
 const COLD_SPARE: f64 = 1.0; // dispatches in the fall time beside that, so that a small router reaches it
 const FAR: f64 = 0.3; // in-flight dispatches that another zone counts for; breaks ties towards the near
+const REMEMBERED: f64 = 60.0; // s that the record of a host that left the list is kept
 // Invocations.
-const FIRST_WAIT: f64 = 0.5; // of the time left to the SLO, before a further dispatch
-const FIRST_PACE: f64 = 5.0; // times the quick time waited at least, before a further dispatch
-const FURTHER: f64 = 0.1; // further dispatches an invocation taken, so that retries never double a load
-const FURTHER_SAVED: f64 = 10.0; // further dispatches saved up at most
-const OPEN_FIRST: f64 = 200.0; // dispatches open at once at first and at most
-const OPEN_LEAST: f64 = 3.0; // dispatches open a host, of all routers, at the least: some two cores kept busy
-const OPEN_LEAN: f64 = 0.85; // of the bound, for operations that earn little: the rest always finds room
-const OPEN_COPY: f64 = 0.6; // of the bound, for second copies and early time-outs
-const OPEN_LESS: f64 = 0.5; // fewer for each late answer
-const OPEN_MORE: f64 = 0.1; // more for each timely one: settles where one answer in six is late
+const FIRST_WAIT: [f64; 2] = [0.5, 5.0]; // before a further one: of the time to the SLO, and times the quick time
+const FURTHER: [f64; 2] = [0.1, 10.0]; // further dispatches an invocation taken, and saved up: no retry storms
+const OPEN: [f64; 2] = [200.0, 3.0]; // open at most; at the least, a host, of all routers: two cores kept busy
+const OPEN_PART: [f64; 2] = [0.85, 0.6]; // of the bound, for operations that earn little, and for second copies
+const OPEN_STEP: [f64; 2] = [0.1, 0.5]; // more for a timely answer, fewer for a late one: settles at one in six
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
-const BOUND_ROOM: f64 = 0.6; // of the cap that keys bound to the trial build may take before new ones stop
-const BOUND_FULL: f64 = 0.85; // of the cap that may be used up before new keys stop
+const BOUND_ROOM: [f64; 2] = [0.6, 0.85]; // of the machines' share bound, of the cap used, before new keys stop
 const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
 const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
-const REMEMBERED: f64 = 60.0; // s that the record of a host that left the list is kept
 
-const MARKS: usize = 3; // kept the SLO time, had no plain error, kept the pace
+const MARKS: usize = 3; // kept the SLO time, had no plain error, was quick
 const SLOTS: usize = 4; // operations told apart in a message; more share a slot
 const EARLIER: usize = 0;
 const TRIAL: usize = 1;
@@ -81,15 +73,9 @@
     Binding,
 }
 
-/// Trace, whether all hosts know repeats: may it be dispatched again, may it be throttled. Guards rule 2.
-const AGAIN: [(Trace, bool, bool, bool); 6] = [
-    (Trace::Clean, true, true, true),
-    (Trace::Clean, false, true, true),
-    (Trace::MayHaveRun, true, true, true),
-    (Trace::MayHaveRun, false, true, false),
-    (Trace::Binding, true, false, false),
-    (Trace::Binding, false, false, false),
-];
+/// Trace: may it be dispatched again, may it be throttled if all hosts know repeats. Guards rule 2.
+const AGAIN: [(Trace, bool, bool); 3] =
+    [(Trace::Clean, true, true), (Trace::MayHaveRun, true, true), (Trace::Binding, false, false)];
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Look {
@@ -100,18 +86,14 @@
     Overdue,
 }
 
-/// Whether a clock moves the build, what the merged figures say: the vote wished for; None keeps the last wish.
-const WISHES: [(bool, Look, Option<Sense>); 10] = [
-    (false, Look::Worse, Some(Sense::Back)),
-    (false, Look::Fine, Some(Sense::On)),
-    (false, Look::Overdue, Some(Sense::On)),
-    (false, Look::Unclear, None),
-    (false, Look::Starved, None),
-    (true, Look::Worse, Some(Sense::Back)),
-    (true, Look::Fine, Some(Sense::None)),
-    (true, Look::Overdue, Some(Sense::None)),
-    (true, Look::Unclear, Some(Sense::Hold)),
-    (true, Look::Starved, Some(Sense::None)),
+/// What the merged figures say: the vote wished for, where votes move the build and where a clock does; None keeps
+/// the last wish.
+const WISHES: [(Look, Option<Sense>, Option<Sense>); 5] = [
+    (Look::Worse, Some(Sense::Back), Some(Sense::Back)),
+    (Look::Fine, Some(Sense::On), Some(Sense::None)),
+    (Look::Overdue, Some(Sense::On), Some(Sense::None)),
+    (Look::Unclear, None, Some(Sense::Hold)),
+    (Look::Starved, None, Some(Sense::None)),
 ];
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -200,13 +182,6 @@
     before: Option<f64>,
 }
 
-/// What a peer last told.
-struct Heard {
-    at: f64,
-    taken: f64,
-    drag: f64,
-}
-
 enum Task {
     Swap,
     Follow,
@@ -216,8 +191,9 @@
 /// For each slot and mark, for each arm: what alpha and beta have above Beta(1, 1).
 type Sheet = Vec<[[f64; 2]; 2]>;
 
-/// The terms as decisions use them.
-struct Derived {
+#[derive(Default)]
+struct State {
+    // From the terms.
     me: RouterId,
     routers: u32,
     zone: Option<ZoneId>,
@@ -245,10 +221,7 @@
     most_dispatches: usize,
     slots: usize,
     tick: f64,
-}
-
-#[derive(Default)]
-struct State {
+    // Seen since.
     hosts: BTreeMap<HostId, Host>,
     invs: BTreeMap<InvId, Inv>,
     alarms: BTreeMap<u64, Task>,
@@ -273,8 +246,10 @@
     sums: Sheet,
     /// The figures as last sent to a peer, and what it last told.
     swaps: BTreeMap<RouterId, Sheet>,
-    heard: BTreeMap<RouterId, Heard>,
+    /// When, the invocations it took in a window, the drag it sees.
+    heard: BTreeMap<RouterId, (f64, f64, f64)>,
     fresh: bool,
+    /// State of the ballot, what it says, and since when.
     ballot: Ballot,
     ballot_sense: Sense,
     ballot_at: f64,
@@ -286,7 +261,6 @@
 
 /// One router's decisions.
 pub struct Router {
-    t: Derived,
     s: State,
     rng: ChaCha8Rng,
 }
@@ -310,58 +284,39 @@
             Gate::Clock => terms.votes_back.max(terms.votes_hold),
         };
         let tick = terms.tick.max(GUARD);
-        let t = Derived {
-            me: terms.me,
-            routers: terms.routers.max(1),
-            zone: terms.zone,
-            operations: operations.collect(),
-            list_asked: terms.list_asked,
-            stage_shares: terms.stage_shares,
-            by_clock: terms.gate == Gate::Clock,
-            voters: VOTERS.max(needed),
-            renew_every: RENEW_EVERY.min(0.8 * terms.ballot_life),
-            first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
-            window: terms.exposure_window + tick,
-            spare: terms.exposure_spare,
-            by_operation: terms.exposure_by_operation,
-            guarded_stages: terms.guarded_stages,
-            keys_bound: terms.keys_bound,
-            keys_warm: terms.keys_warm,
-            dispute_weight: if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 },
-            cold_share: terms.cold_share,
-            cold_time: terms.cold_time.max(GUARD),
-            cold_spend: COLD_SPEND.min(0.5 * terms.fall_multiple),
-            fall_time: terms.fall_time + tick,
-            may_tell: terms.may_tell,
-            may_copy: terms.may_copy,
-            advice: terms.may_advise.then_some(terms.longest_advice),
-            most_dispatches: terms.most_dispatches.max(1) as usize,
-            slots: terms.operations.len().clamp(1, SLOTS),
-            tick,
-        };
-        let s = State {
-            follow_wait: REFOLLOW[0],
-            pace: (0.0, now),
-            open_most: OPEN_FIRST,
-            further: FURTHER_SAVED / 2.0,
-            stage_since: now,
-            sums: vec![[[0.0; 2]; 2]; t.slots * MARKS],
-            ..State::default()
-        };
-        Router { t, s, rng: ChaCha8Rng::seed_from_u64(seed) }
+        let mut s =
+            State { operations: operations.collect(), stage_shares: terms.stage_shares, ..State::default() };
+        (s.me, s.routers, s.zone) = (terms.me, terms.routers.max(1), terms.zone);
+        (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
+        s.renew_every = RENEW_EVERY.min(0.8 * terms.ballot_life);
+        (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
+        s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
+        (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
+        (s.by_operation, s.guarded_stages) = (terms.exposure_by_operation, terms.guarded_stages);
+        (s.keys_bound, s.keys_warm) = (terms.keys_bound, terms.keys_warm);
+        s.dispute_weight = if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 };
+        (s.cold_share, s.cold_time) = (terms.cold_share, terms.cold_time.max(GUARD));
+        (s.cold_spend, s.fall_time) = (COLD_SPEND.min(0.5 * terms.fall_multiple), terms.fall_time + tick);
+        (s.may_tell, s.may_copy) = (terms.may_tell, terms.may_copy);
+        s.advice = terms.may_advise.then_some(terms.longest_advice);
+        s.most_dispatches = terms.most_dispatches.max(1) as usize;
+        s.slots = terms.operations.len().clamp(1, SLOTS);
+        s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
+        (s.pace, s.stage_since, s.open_most, s.further) = ((0.0, now), now, OPEN[0], FURTHER[1] / 2.0);
+        Router { s, rng: ChaCha8Rng::seed_from_u64(seed) }
     }
 
     pub fn handle(&mut self, now: f64, event: Event, effects: &mut Vec<Effect>) {
         if self.s.next_alarm == 0 {
             let first = now + SWAP_EVERY * self.rng.random::<f64>();
             self.set_alarm(first, Task::Swap, effects);
-            if self.t.list_asked {
+            if self.s.list_asked {
                 effects.push(Effect::Follow { on: true });
             }
         }
         match event {
             Event::Hosts { scope, entries } => self.list(now, scope, &entries),
-            Event::ListFailed if self.t.list_asked => {
+            Event::ListFailed if self.s.list_asked => {
                 // A subscription that broke would count as told; ask again soon, spread and slower each time.
                 let wait = self.s.follow_wait * (0.5 + self.rng.random::<f64>());
                 self.s.follow_wait = (2.0 * self.s.follow_wait).min(REFOLLOW[1]);
@@ -388,7 +343,7 @@
             Event::Stage(news) => self.stage(now, news, effects),
             Event::Disputed { host, operation, .. } => {
                 if let Some(build) = self.s.hosts.get(&host).map(|h| h.entry.build) {
-                    self.score(build, operation.0, 1, false, self.t.dispute_weight);
+                    self.score(build, operation.0, 1, false, self.s.dispute_weight);
                 }
             }
             Event::ListFailed | Event::Tally { .. } | Event::Probed { .. } => {}
@@ -429,7 +384,7 @@
 
     fn warmth(&self, host: &HostEntry, now: f64) -> f64 {
         let age = host.started.map_or(f64::INFINITY, |started| now - started);
-        self.t.cold_share + (1.0 - self.t.cold_share) * (age / self.t.cold_time).clamp(0.0, 1.0)
+        self.s.cold_share + (1.0 - self.s.cold_share) * (age / self.s.cold_time).clamp(0.0, 1.0)
     }
 
     /// Succeeded dispatches a second: what hosts take, where dispatches sent would count an overload too.
@@ -440,9 +395,9 @@
     /// Rule 4: all routers keep to a like share of what a cold host can do, so their sum stays under the fall.
     fn cold_room(&self, host: &Host, now: f64) -> bool {
         let warmth = self.warmth(&host.entry, now);
-        let sent = host.sent.iter().filter(|at| now - **at < self.t.fall_time).count() as f64;
-        let fair = self.pace(now) * self.t.fall_time * host.entry.size / self.s.fleet.max(GUARD);
-        warmth >= 1.0 || sent < COLD_SPARE + self.t.cold_spend * warmth * fair
+        let sent = host.sent.iter().filter(|at| now - **at < self.s.fall_time).count() as f64;
+        let fair = self.pace(now) * self.s.fall_time * host.entry.size / self.s.fleet.max(GUARD);
+        warmth >= 1.0 || sent < COLD_SPARE + self.s.cold_spend * warmth * fair
     }
 
     /// Where a build stands; one that the news does not name yet is on trial.
@@ -461,21 +416,20 @@
     fn exposure_room(&self, now: f64, build: BuildId, operation: usize, new_key: bool) -> bool {
         let phase = self.phase(build);
         let news = self.s.news.filter(|news| news.build == build);
-        let (cap, stage) = news.map_or((self.t.first_cap, 0), |news| (news.cap, news.stage));
-        let guarded = stage < self.t.guarded_stages && self.t.operations[operation].window.is_finite();
+        let (cap, stage) = news.map_or((self.s.first_cap, 0), |news| (news.cap, news.stage));
+        let guarded = stage < self.s.guarded_stages && self.s.operations[operation].window.is_finite();
         if phase != Phase::OnTrial || cap <= 0.0 || guarded {
             return phase == Phase::Released;
         }
-        let counts = |o: usize| !self.t.by_operation || o == operation;
-        let kept = self.t.window - 2.0 * self.t.tick;
-        let taken = || self.s.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o));
-        let limit = cap * taken().count() as f64;
+        let counts = |o: usize| !self.s.by_operation || o == operation;
+        let kept = self.s.window - 2.0 * self.s.tick;
+        let taken = self.s.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o)).count();
+        let limit = cap * taken as f64;
         let sent = self.s.exposed.iter().filter(|(_, b, o)| *b == build && counts(*o)).count() as f64;
         // Bound keys must go to the trial build; new ones only where those leave room.
-        let bound = || taken().filter(|(.., bound)| *bound).count() as f64;
-        let crowded =
-            || bound() >= BOUND_ROOM * limit || sent + 1.0 > BOUND_FULL * limit + self.t.spare / 2.0;
-        sent + 1.0 <= self.t.spare + limit && !(new_key && self.t.keys_bound && cap < 1.0 && crowded())
+        let new_key = new_key && self.s.keys_bound && cap < 1.0;
+        let (part, spare) = if new_key { (BOUND_ROOM[1], 0.5) } else { (1.0, 1.0) };
+        sent + 1.0 <= spare * self.s.spare + part * limit
     }
 
     fn bound_to(&self, key: &Option<KeyId>) -> Option<BuildId> {
@@ -485,15 +439,15 @@
     // ---- invocations
 
     fn arrived(&mut self, now: f64, inv: Invocation, effects: &mut Vec<Effect>) {
-        let Some(operation) = self.t.operations.get(inv.operation.0) else {
+        let Some(operation) = self.s.operations.get(inv.operation.0) else {
             return effects.push(Effect::Terminate { inv: inv.id });
         };
         let (limit, slo_at) = (now + inv.time_left, now + operation.slo);
         let (operation, work) = (inv.operation.0, inv.work.unwrap_or(1.0).max(1e-6));
-        let window = self.t.window;
+        let window = self.s.window;
         self.s.taken.retain(|(at, ..)| now - at <= window);
         self.s.exposed.retain(|(at, ..)| now - at <= window);
-        self.s.further = (self.s.further + FURTHER).min(FURTHER_SAVED);
+        self.s.further = (self.s.further + FURTHER[0]).min(FURTHER[1]);
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, operation, bound));
         let record = Inv { operation, key: inv.key, work, slo_at, limit, sent: vec![], over: false };
@@ -503,7 +457,7 @@
 
     /// The trace of an invocation's dispatches, and the host of the first that may have run.
     fn trace(&self, now: f64, inv: &Inv) -> (Trace, Option<HostEntry>) {
-        let window = self.t.operations[inv.operation].window - 2.0 * self.t.tick;
+        let window = self.s.operations[inv.operation].window - 2.0 * self.s.tick;
         match inv.sent.iter().find(|s| s.out || s.may_have_run) {
             None => (Trace::Clean, None),
             Some(first) if now - first.at < window => (Trace::MayHaveRun, Some(first.to)),
@@ -514,17 +468,19 @@
     /// Sends the next dispatch; where there is none to send, the final answer goes out at once (rule 1).
     fn dispatch_or_end(&mut self, now: f64, id: &InvId, copy: bool, effects: &mut Vec<Effect>) {
         let Some(inv) = self.s.invs.get(id) else { return };
-        let operation = &self.t.operations[inv.operation];
+        let operation = &self.s.operations[inv.operation];
         let (trace, _) = self.trace(now, inv);
-        let row = AGAIN.iter().find(|row| row.0 == trace && row.1 == (operation.group == RepeatGroup::All));
-        let (again, throttle) = row.map_or((false, false), |row| (row.2, row.3));
+        let row = AGAIN.iter().find(|row| row.0 == trace);
+        let (again, throttle) = row.map_or((false, false), |row| (row.1, row.2));
+        let throttle = throttle && (trace == Trace::Clean || operation.group == RepeatGroup::All);
         let out = inv.sent.iter().any(|s| s.out);
         let end = if operation.late_is_worthless { inv.limit.min(inv.slo_at) } else { inv.limit };
-        let timely = end - now > 2.0 * self.t.tick;
+        let timely = end - now > 2.0 * self.s.tick;
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
-        let more = inv.sent.len() < self.t.most_dispatches && (!out || (copy && self.t.may_copy));
+        let more = inv.sent.len() < self.s.most_dispatches && (!out || (copy && self.s.may_copy));
         // When it gets tight, what earns least for its time goes first, and copies before anything.
-        let part = [1.0, OPEN_LEAN][usize::from(operation.lean)].min(if copy { OPEN_COPY } else { 1.0 });
+        let part =
+            [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if copy { OPEN_PART[1] } else { 1.0 });
         let room = self.s.open as f64 <= self.s.open_most * part;
         let host = if again && timely && paid && more && room { self.choose(now, id) } else { None };
         if let Some(host) = host {
@@ -536,27 +492,27 @@
         }
         self.close(id);
         let wait = ADVICE * (1.0 + self.rng.random::<f64>());
-        let stay_away = self.t.advice.map(|most| wait.min(most));
+        let stay_away = self.s.advice.map(|most| wait.min(most));
         let throttled = Effect::Throttle { inv: id.clone(), stay_away };
         effects.push(if throttle { throttled } else { Effect::Terminate { inv: id.clone() } });
     }
 
     fn send(&mut self, now: f64, id: &InvId, host: HostId, end: f64, effects: &mut Vec<Effect>) {
         let (Some(inv), Some(h)) = (self.s.invs.get_mut(id), self.s.hosts.get_mut(&host)) else { return };
-        let operation = &self.t.operations[inv.operation];
+        let operation = &self.s.operations[inv.operation];
         let low = self.s.low.get(&(inv.operation, h.entry.kind, EARLIER));
         let quick = low.map_or(0.1 * operation.slo, |low| low.quick * inv.work);
-        let wait = (FIRST_WAIT * (inv.slo_at - now)).max(FIRST_PACE * quick);
+        let wait = (FIRST_WAIT[0] * (inv.slo_at - now)).max(FIRST_WAIT[1] * quick);
         // A further dispatch is planned while it can still be in time, and while there is room for it.
-        let easy = self.s.further >= 1.0 && self.s.open as f64 <= OPEN_COPY * self.s.open_most;
-        let planned = easy && operation.window > wait && inv.sent.len() + 1 < self.t.most_dispatches;
+        let easy = self.s.further >= 1.0 && self.s.open as f64 <= OPEN_PART[1] * self.s.open_most;
+        let planned = easy && operation.window > wait && inv.sent.len() + 1 < self.s.most_dispatches;
         let planned = planned && now + wait + quick < end.min(inv.slo_at);
-        let time_out = if planned && !self.t.may_copy { wait } else { end - now };
+        let time_out = if planned && !self.s.may_copy { wait } else { end - now };
         let scored = h.health.aside_until <= now;
         inv.sent.push(Sent { to: h.entry, at: now, out: true, may_have_run: false, scored });
         h.out.push(now);
         h.sent.push_back(now);
-        let fall_time = self.t.fall_time;
+        let fall_time = self.s.fall_time;
         h.sent.retain(|at| now - at <= fall_time);
         let (build, operation) = (h.entry.build, inv.operation);
         self.s.open += 1;
@@ -564,7 +520,7 @@
             self.s.exposed.push_back((now, build, operation));
         }
         effects.push(Effect::Dispatch { inv: id.clone(), host, time_out });
-        if planned && self.t.may_copy {
+        if planned && self.s.may_copy {
             self.set_alarm(now + wait, Task::Further(id.clone()), effects);
         }
     }
@@ -593,7 +549,7 @@
         self.s.open -= 1;
         self.learn(now, operation, sent, verdict, took, work);
         let build = sent.to.build;
-        let binds = verdict == Verdict::Succeeded && self.t.keys_bound;
+        let binds = verdict == Verdict::Succeeded && self.s.keys_bound;
         if binds && matches!(self.phase(build), Phase::OnTrial | Phase::Released) {
             key.map(|key| self.s.bound.entry(key).and_modify(|b| *b = build.max(*b)).or_insert(build));
         }
@@ -604,7 +560,7 @@
 
     fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64, work: f64) {
         let Sent { to, at, scored, .. } = sent;
-        let (slo, warmth, build) = (self.t.operations[operation].slo, self.warmth(&to, at), to.build);
+        let (slo, warmth, build) = (self.s.operations[operation].slo, self.warmth(&to, at), to.build);
         let (time, place) = (took / work, (operation, to.kind));
         let quick = self.s.low.get(&(place.0, place.1, EARLIER)).map(|low| low.quick);
         let others = self.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
@@ -639,9 +595,9 @@
         // Answers that come too late shrink what this router keeps open, timely ones widen it while it is used;
         // never below what keeps the hosts busy: where all are slow, fewer open would not make them quick.
         if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
-            let least = (self.usable().count() as f64 * self.shared(now).0).max(1.0) * OPEN_LEAST;
-            let step = if late { -OPEN_LESS } else { OPEN_MORE };
-            self.s.open_most = (self.s.open_most + step).min(OPEN_FIRST).max(least);
+            let least = (self.usable().count() as f64 * self.shared(now).0).max(1.0) * OPEN[1];
+            let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
+            self.s.open_most = (self.s.open_most + step).min(OPEN[0]).max(least);
         }
         let shows = served || verdict == Verdict::TimedOut;
         let arm = usize::from(self.phase(build) != Phase::Released);
@@ -670,13 +626,13 @@
     /// A score adds eta, the router count, to one of an arm's two figures.
     fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
         let arm = usize::from(self.s.news.is_some_and(|news| build >= news.build));
-        let place = operation % self.t.slots * MARKS + mark;
-        self.s.sums[place][arm][usize::from(!good)] += f64::from(self.t.routers) * weight;
+        let place = operation % self.s.slots * MARKS + mark;
+        self.s.sums[place][arm][usize::from(!good)] += f64::from(self.s.routers) * weight;
     }
 
     /// One mark's figures of an arm, of one operation or of all.
     fn figures(&self, slot: Option<usize>, mark: usize, arm: usize) -> [f64; 2] {
-        let places = (0..self.t.slots).filter(|s| slot.is_none_or(|only| only == *s));
+        let places = (0..self.s.slots).filter(|s| slot.is_none_or(|only| only == *s));
         let cells = places.map(|s| self.s.sums[s * MARKS + mark][arm]);
         cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
     }
@@ -684,10 +640,10 @@
     // ---- where to
 
     fn load(&self, host: &Host, now: f64) -> f64 {
-        let far = if self.t.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
+        let far = if self.s.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
         // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
-        let slowest = self.t.operations.iter().map(|o| 0.1 * o.slo).fold(GUARD, f64::max);
-        let silent = ((now - host.out.iter().copied().fold(now, f64::min)) / (SILENT * slowest)).max(1.0);
+        let longest = self.s.operations.iter().map(|o| o.slo).fold(GUARD, f64::max);
+        let silent = ((now - host.out.iter().copied().fold(now, f64::min)) / (SILENT * longest)).max(1.0);
         let speed = host.entry.size.max(GUARD) * self.warmth(&host.entry, now);
         (host.out.len() as f64 + 1.0 + far) * host.health.pace.max(0.5) * silent / speed
     }
@@ -695,11 +651,11 @@
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
         let inv = self.s.invs.get(id)?;
         let (_, first) = self.trace(now, inv);
-        let group = self.t.operations[inv.operation].group;
+        let group = self.s.operations[inv.operation].group;
         let bound = self.bound_to(&inv.key);
-        let mut arms: [(u8, Vec<HostId>); 2] = [(u8::MAX, vec![]), (u8::MAX, vec![])];
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
-        for (host_id, host) in self.s.hosts.iter().filter(|(_, h)| h.usable) {
+        let mut open: Vec<(usize, u8, HostId, f64)> = vec![];
+        for host in self.usable() {
             let build = host.entry.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
@@ -710,37 +666,28 @@
                 RepeatGroup::Zone => first.zone == host.entry.zone,
                 RepeatGroup::Cell => first.cell == host.entry.cell,
             });
-            if !room || !may_return || !same || !self.cold_room(host, now) {
-                continue;
-            }
-            let tried = inv.sent.iter().any(|s| s.to.host == *host_id);
-            let doubtful =
-                host.health.aside_until > now || host.health.faults > FAULTY && !host.out.is_empty();
-            let tier = if tried { 2 } else { u8::from(doubtful) };
-            let arm = &mut arms[usize::from(self.phase(build) == Phase::OnTrial)];
-            if tier < arm.0 {
-                *arm = (tier, vec![]);
-            }
-            if tier == arm.0 {
-                arm.1.push(*host_id);
+            if room && may_return && same && self.cold_room(host, now) {
+                let (health, id) = (&host.health, host.entry.host);
+                let tried = inv.sent.iter().any(|s| s.to.host == id);
+                let doubtful = health.aside_until > now || health.faults > FAULTY && !host.out.is_empty();
+                let tier = if tried { 2 } else { u8::from(doubtful) };
+                let arm = usize::from(self.phase(build) == Phase::OnTrial);
+                open.push((arm, tier, id, host.entry.size * self.warmth(&host.entry, now)));
             }
         }
-        let key = inv.key.clone().filter(|_| self.t.keys_warm);
-        let [e, t] = [&arms[EARLIER].1, &arms[TRIAL].1].map(|hosts| self.lesser(hosts, &key, now));
-        let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
-        if arms[EARLIER].0 != arms[TRIAL].0 {
-            return if arms[EARLIER].0 < arms[TRIAL].0 { e } else { t };
-        }
-        let [we, wt] = [EARLIER, TRIAL].map(|arm| {
-            let hosts = arms[arm].1.iter().filter_map(|id| self.s.hosts.get(id));
-            hosts.map(|h| h.entry.size * self.warmth(&h.entry, now)).sum::<f64>()
+        let best = open.iter().map(|o| o.1).min()?;
+        let key = inv.key.clone().filter(|_| self.s.keys_warm);
+        let [(e, we), (t, wt)] = [EARLIER, TRIAL].map(|arm| {
+            let hosts: Vec<_> = open.iter().filter(|o| o.0 == arm && o.1 == best).collect();
+            (self.lesser(hosts.iter().map(|o| o.2), &key, now), hosts.iter().map(|o| o.3).sum::<f64>())
         });
+        let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
-        if self.t.keys_bound {
+        if self.s.keys_bound {
             // Bound keys go to the trial anyway; new ones only fill up its machines' share.
             let share = self.s.taken.iter().filter(|(.., bound)| *bound).count() as f64;
             let share = share / (self.s.taken.len() as f64).max(1.0);
-            floor = if share > BOUND_ROOM * floor { 0.0 } else { (floor - share) / (1.0 - share) };
+            floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
         // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap lies
         // well above that while machines still start, and a preferred build would be loaded into looking bad.
@@ -756,10 +703,12 @@
 
     /// The lesser in-flight of two random hosts; where hosts work faster for keys met lately, the key's hash
     /// names the two, so that every router brings a key to the same ones.
-    fn lesser(&mut self, hosts: &[HostId], key: &Option<KeyId>, now: f64) -> Option<HostId> {
+    fn lesser(
+        &mut self, hosts: impl Iterator<Item = HostId>, key: &Option<KeyId>, now: f64,
+    ) -> Option<HostId> {
         let hash = key.as_ref().map(|key| key.0.bytes().fold(0, |h, b| mix(h ^ u64::from(b))));
         let salt = hash.unwrap_or_else(|| self.rng.random());
-        let mut ranked: Vec<_> = hosts.iter().map(|id| (mix(salt ^ u64::from(id.0)), *id)).collect();
+        let mut ranked: Vec<_> = hosts.map(|id| (mix(salt ^ u64::from(id.0)), id)).collect();
         ranked.sort_unstable();
         let loads =
             ranked.iter().take(2).filter_map(|(_, id)| Some((self.load(self.s.hosts.get(id)?, now), *id)));
@@ -780,9 +729,9 @@
             // With no earlier machine left, its figures stay: there is nothing newer to compare with.
             earlier.iter_mut().filter(|_| lives).chain(trial).for_each(|figure| *figure *= fade);
         }
-        if self.t.may_tell && self.t.routers > 1 && self.s.news.is_some() {
-            let other = self.rng.random_range(0..self.t.routers - 1);
-            let peer = RouterId(other + u32::from(other >= self.t.me.0));
+        if self.s.may_tell && self.s.routers > 1 && self.s.news.is_some() {
+            let other = self.rng.random_range(0..self.s.routers - 1);
+            let peer = RouterId(other + u32::from(other >= self.s.me.0));
             self.s.swaps.insert(peer, self.s.sums.clone());
             effects.push(Effect::Tell { to: Some(peer), payload: self.message(0) });
         }
@@ -808,10 +757,10 @@
             |bytes: &[u8]| bytes.try_into().map_or(f64::NAN, |bytes| f64::from(f32::from_le_bytes(bytes)));
         let figures: Vec<f64> = body.chunks(4).map(float).collect();
         let [taken, drag, theirs @ ..] = figures.as_slice() else { return };
-        if figures.iter().any(|f| !f.is_finite() || *f < 0.0) || from == self.t.me {
+        if figures.iter().any(|f| !f.is_finite() || *f < 0.0) || from == self.s.me {
             return;
         }
-        self.s.heard.insert(from, Heard { at: now, taken: *taken, drag: drag.clamp(0.1, 10.0) });
+        self.s.heard.insert(from, (now, *taken, drag.clamp(0.1, 10.0)));
         let same = self.s.news.is_some_and(|news| news.build.0.to_le_bytes() == [head[2], head[3]]);
         if !same || theirs.len() != 4 * self.s.sums.len() {
             return;
@@ -882,28 +831,30 @@
     }
 
     fn look(&mut self, now: f64, news: &StageNews) -> Look {
-        let live = |since: f64| self.s.heard.values().filter(|heard| heard.at > since).count();
+        let live = |since: f64| self.s.heard.values().filter(|heard| heard.0 > since).count();
         let since = now - PEER_LIVES;
         let heard = live(since.max(self.s.stage_since)) >= live(since).min(HEARD_PEERS);
         // With no earlier machine left, times have nothing of today to be compared with; errors have.
         let (lives, released) = (self.earlier_lives(), news.phase == Phase::Released);
-        let pooled = self.chance(None, 0, ENOUGH);
-        let mut worse = lives && pooled.is_some_and(|chance| chance > BACK_CHANCE);
+        let pooled = self.chance(None, 0, ENOUGH[0]);
+        let mut worse = lives && pooled.is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, and a build may be slow without missing the SLO time yet.
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives) {
-            let slots = (0..self.t.slots).filter(|_| mark != 2);
-            let each = slots.filter_map(|slot| self.chance(Some(slot), mark, ENOUGH_OF_ONE));
-            worse |= each.chain(self.chance(None, mark, ENOUGH)).any(|chance| chance > SURE);
+            let slots = (0..self.s.slots).filter(|_| mark != 2);
+            let each = slots.filter_map(|slot| self.chance(Some(slot), mark, ENOUGH[1]));
+            worse |= each.chain(self.chance(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
         }
         let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
         // A stage's machines must run and take their part before it is moved on: some builds fail only then.
-        let part = self.t.stage_shares.get(news.stage as usize).copied().unwrap_or(1.0);
-        let there = of_trial().count() as f64 >= SETTLED_PART * part * self.usable().count() as f64;
-        let settled = there && now - latest > SETTLED[0] || now - self.s.stage_since > SETTLED[1];
+        let part = self.s.stage_shares.get(news.stage as usize).copied().unwrap_or(1.0);
+        let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
+        let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms alike, which no comparison shows; then the earlier hosts are slower than
         // before the trial, most since a stage began. Also holds back the vote on in any common trouble.
-        let dragging = self.shared(now).1 > DRAG[usize::from(released)];
+        // More than its share of machines can explain is another trouble's doing.
+        let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
+        let dragging = drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
         if !dragging {
             self.s.drag_since = now;
         }
@@ -934,9 +885,9 @@
     /// This router's share of all traffic, and the drag that all see, by their traffic.
     fn shared(&self, now: f64) -> (f64, f64) {
         let mine = (self.s.taken.len() as f64).max(1.0);
-        let live = || self.s.heard.values().filter(|heard| now - heard.at < PEER_LIVES);
-        let all = mine + live().map(|heard| heard.taken).sum::<f64>();
-        let drags = mine * self.drag().ln() + live().map(|heard| heard.taken * heard.drag.ln()).sum::<f64>();
+        let live = || self.s.heard.values().filter(|heard| now - heard.0 < PEER_LIVES);
+        let all = mine + live().map(|heard| heard.1).sum::<f64>();
+        let drags = mine * self.drag().ln() + live().map(|heard| heard.1 * heard.2.ln()).sum::<f64>();
         (mine / all, (drags / all).exp())
     }
 
@@ -949,8 +900,9 @@
         } else if now - self.s.worse_since < BACK_FIRM {
             look = Look::Unclear;
         }
-        let row = WISHES.iter().find(|row| row.0 == self.t.by_clock && row.1 == look);
-        let mut wish = row.and_then(|row| row.2).unwrap_or(self.s.wish);
+        let row = WISHES.iter().find(|row| row.0 == look);
+        let wish = row.and_then(|row| if self.s.by_clock { row.2 } else { row.1 });
+        let mut wish = wish.unwrap_or(self.s.wish);
         self.s.held += if wish == Sense::Hold { SWAP_EVERY } else { 0.0 };
         if wish == Sense::Hold && self.s.held > HOLD_MOST {
             wish = Sense::None;
@@ -961,10 +913,10 @@
         // The hash names the voters. Where a wish stays unmet, the next in its order stand in, one after the
         // other: a named voter may be dead, cut off or without traffic.
         let place = |router: u32| (mix(mix(u64::from(news.build.0)) ^ u64::from(router)), router);
-        let rank = (0..self.t.routers).filter(|other| place(*other) < place(self.t.me.0)).count() as u32;
-        let late = f64::from((rank + 1).saturating_sub(self.t.voters)) * STAND_IN;
+        let rank = (0..self.s.routers).filter(|other| place(*other) < place(self.s.me.0)).count() as u32;
+        let late = f64::from((rank + 1).saturating_sub(self.s.voters)) * STAND_IN;
         let nothing = wish == Sense::None && self.s.ballot_sense == Sense::None;
-        let wait = if self.s.ballot == Ballot::Silent { ASK_AGAIN } else { self.t.renew_every };
+        let wait = if self.s.ballot == Ballot::Silent { ASK_AGAIN } else { self.s.renew_every };
         let due = wish != self.s.ballot_sense || now - self.s.ballot_at >= wait;
         if !nothing && due && now - self.s.wish_since >= late {
             self.vote(now, Push::Due, effects);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,7 +19,7 @@
 pub struct BuildId(pub u16);
 
 /// A router of this service, by its number among them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RouterId(pub u32);
 
 /// An operation, by its place in [`ServiceTerms::operations`].
