--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,5 @@
-//! Every decision of a router: which build and host an invocation goes to, what follows a failed dispatch, and
-//! the vote on a build on trial. Invoked as `Router::start(terms, seed, now)`, then
+//! Every decision of a router: the build and host of an invocation, what follows a failed dispatch, and the
+//! vote on a build on trial. Invoked as `Router::start(terms, seed, now)`, then
 //! `handle(now, event, &mut effects)` for each event in its order; `src/interface.rs` has the interface, and
 //! `docs/design.md` the sources and reasons.
 
@@ -10,6 +10,7 @@
 use rand_distr::{Beta, Distribution};
 
 use crate::interface::*;
+use crate::record::*;
 
 // The mechanism.
 const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
@@ -18,20 +19,20 @@
 const HEARD_PEERS: usize = 10; // peers heard this stage before judging, or all that live
 const PEER_LIVES: f64 = 2.5; // s without word before a peer is taken for dead; a dozen swaps missed
 const ENOUGH: [f64; 2] = [20.0, 12.0]; // outcomes before a build is judged, before one operation is by itself
-const BACK_CHANCE: [f64; 2] = [0.95, 0.97]; // of being worse by over the margin; where a lesser mark speaks alone
+const BACK_CHANCE: [f64; 2] = [0.95, 0.97]; // of being worse by over the margin; for a lesser mark alone
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, eta swells the odd one
 const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote, for figures to mix
-const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, or of the stage
+const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; when released, perhaps back
-const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all; more is other trouble
+const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
+const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -48,13 +49,13 @@
 const FAR: f64 = 0.3; // in-flight dispatches that another zone counts for; breaks ties towards the near
 const REMEMBERED: f64 = 60.0; // s that the record of a host that left the list is kept
 // Invocations.
-const FIRST_WAIT: [f64; 2] = [0.5, 5.0]; // before a further one: of the time to the SLO, and times the quick time
-const FURTHER: [f64; 2] = [0.1, 10.0]; // further dispatches an invocation taken, and saved up: no retry storms
-const OPEN: [f64; 2] = [200.0, 3.0]; // open at most; at the least, a host, of all routers: two cores kept busy
-const OPEN_PART: [f64; 2] = [0.85, 0.6]; // of the bound, for operations that earn little, and for second copies
-const OPEN_STEP: [f64; 2] = [0.1, 0.5]; // more for a timely answer, fewer for a late one: settles at one in six
+const FIRST_WAIT: [f64; 2] = [0.5, 5.0]; // before a further dispatch: of the time to the SLO, and quick times
+const FURTHER: [f64; 2] = [0.1, 10.0]; // further dispatches an invocation, and saved up: no retry storms
+const OPEN: [f64; 2] = [200.0, 3.0]; // open at most; at least, a host, of all routers: two cores kept busy
+const OPEN_PART: [f64; 2] = [0.85, 0.6]; // of the bound, for operations that earn little, for second copies
+const OPEN_STEP: [f64; 2] = [0.1, 0.5]; // more for a timely answer, fewer for a late one: one in six
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
-const BOUND_ROOM: [f64; 2] = [0.6, 0.85]; // of the machines' share bound, of the cap used, before new keys stop
+const BOUND_ROOM: [f64; 2] = [0.6, 0.85]; // of machines' share bound, of the cap used: new keys stop
 const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
 const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
 
@@ -86,8 +87,8 @@
     Overdue,
 }
 
-/// What the merged figures say: the vote wished for, where votes move the build and where a clock does; None keeps
-/// the last wish.
+/// What the merged figures say: the vote wished for where votes move the build, and where a clock does; None
+/// keeps the last wish.
 const WISHES: [(Look, Option<Sense>, Option<Sense>); 5] = [
     (Look::Worse, Some(Sense::Back), Some(Sense::Back)),
     (Look::Fine, Some(Sense::On), Some(Sense::None)),
@@ -96,14 +97,6 @@
     (Look::Starved, None, Some(Sense::None)),
 ];
 
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum Ballot {
-    #[default]
-    Silent,
-    Asked,
-    Stands,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Push {
     Due,
@@ -123,142 +116,8 @@
     (Ballot::Stands, Push::News, Ballot::Silent, false),
 ];
 
-struct Operation {
-    slo: f64,
-    late_is_worthless: bool,
-    /// Earns less than half of what the best operation earns for its time.
-    lean: bool,
-    group: RepeatGroup,
-    /// How long a repeat is harmless: for ever where idempotent, never where side-effecting.
-    window: f64,
-}
-
-/// What a host's outcomes say of it; a restart, or a new machine under a used id, begins afresh.
-#[derive(Clone, Copy)]
-struct Health {
-    faults: f64,
-    pace: f64,
-    aside_until: f64,
-    aside_for: f64,
-}
-
 const UNKNOWN: Health = Health { faults: 0.0, pace: 1.5, aside_until: 0.0, aside_for: ASIDE[0] };
 
-/// The one record of a host.
-struct Host {
-    entry: HostEntry,
-    usable: bool,
-    /// Send times of the dispatches that are out, and of all within the fall time.
-    out: Vec<f64>,
-    sent: VecDeque<f64>,
-    health: Health,
-}
-
-#[derive(Clone, Copy)]
-struct Sent {
-    to: HostEntry,
-    at: f64,
-    out: bool,
-    may_have_run: bool,
-    scored: bool,
-}
-
-struct Inv {
-    operation: usize,
-    key: Option<KeyId>,
-    work: f64,
-    slo_at: f64,
-    limit: f64,
-    sent: Vec<Sent>,
-    over: bool,
-}
-
-/// Low quantiles of times, for each unit of expected work.
-struct Low {
-    /// Divides quick answers from others.
-    quick: f64,
-    /// Shows slowness but hardly queues, now and before the trial.
-    least: f64,
-    before: Option<f64>,
-}
-
-enum Task {
-    Swap,
-    Follow,
-    Further(InvId),
-}
-
-/// For each slot and mark, for each arm: what alpha and beta have above Beta(1, 1).
-type Sheet = Vec<[[f64; 2]; 2]>;
-
-#[derive(Default)]
-struct State {
-    // From the terms.
-    me: RouterId,
-    routers: u32,
-    zone: Option<ZoneId>,
-    operations: Vec<Operation>,
-    list_asked: bool,
-    stage_shares: Vec<f64>,
-    by_clock: bool,
-    voters: u32,
-    renew_every: f64,
-    first_cap: f64,
-    window: f64,
-    spare: f64,
-    by_operation: bool,
-    guarded_stages: u32,
-    keys_bound: bool,
-    keys_warm: bool,
-    dispute_weight: f64,
-    cold_share: f64,
-    cold_time: f64,
-    cold_spend: f64,
-    fall_time: f64,
-    may_tell: bool,
-    may_copy: bool,
-    advice: Option<f64>,
-    most_dispatches: usize,
-    slots: usize,
-    tick: f64,
-    // Seen since.
-    hosts: BTreeMap<HostId, Host>,
-    invs: BTreeMap<InvId, Inv>,
-    alarms: BTreeMap<u64, Task>,
-    next_alarm: u64,
-    follow_wait: f64,
-    /// The largest size that was ever listed at once.
-    fleet: f64,
-    /// Succeeded dispatches a second, fading, as of a time.
-    pace: (f64, f64),
-    open: usize,
-    open_most: f64,
-    /// By operation, kind of machine and arm.
-    low: BTreeMap<(usize, KindId, usize), Low>,
-    drag_since: f64,
-    /// Invocations taken (and whether bound to the trial) and dispatches at trials, in the exposure window.
-    taken: VecDeque<(f64, usize, bool)>,
-    exposed: VecDeque<(f64, BuildId, usize)>,
-    bound: BTreeMap<KeyId, BuildId>,
-    further: f64,
-    news: Option<StageNews>,
-    stage_since: f64,
-    sums: Sheet,
-    /// The figures as last sent to a peer, and what it last told.
-    swaps: BTreeMap<RouterId, Sheet>,
-    /// When, the invocations it took in a window, the drag it sees.
-    heard: BTreeMap<RouterId, (f64, f64, f64)>,
-    fresh: bool,
-    /// State of the ballot, what it says, and since when.
-    ballot: Ballot,
-    ballot_sense: Sense,
-    ballot_at: f64,
-    wish: Sense,
-    wish_since: f64,
-    worse_since: f64,
-    held: f64,
-}
-
 /// One router's decisions.
 pub struct Router {
     s: State,
@@ -392,7 +251,7 @@
         self.s.pace.0 * (-(now - self.s.pace.1) / PACE_TIME).exp()
     }
 
-    /// Rule 4: all routers keep to a like share of what a cold host can do, so their sum stays under the fall.
+    /// Rule 4: all routers keep to a like share of what a cold host can do, so the sum stays under the fall.
     fn cold_room(&self, host: &Host, now: f64) -> bool {
         let warmth = self.warmth(&host.entry, now);
         let sent = host.sent.iter().filter(|at| now - **at < self.s.fall_time).count() as f64;
@@ -579,7 +438,7 @@
         health.faults += HOST_WEIGHT * (f64::from(u8::from(!served)) - health.faults);
         let ratio = quick.map_or(health.pace, |quick| (time * warmth / quick).clamp(0.2, 10.0));
         health.pace += HOST_WEIGHT * (ratio - health.pace);
-        // A sick host is set aside when it stands out among those of its build: a whole build that fails alike
+        // A sick host is set aside when it stands out among those of its build: a build that fails alike
         // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
         if !alone && health.faults > FAULTY + alike.0 && health.aside_until <= now {
             (health.aside_until, health.faults) = (now + health.aside_for, FAULTY + alike.0);
@@ -592,7 +451,7 @@
         if !late {
             self.s.pace = (self.pace(now) + 1.0 / PACE_TIME, now);
         }
-        // Answers that come too late shrink what this router keeps open, timely ones widen it while it is used;
+        // Answers that come too late shrink what this router keeps open, timely ones widen it while in use;
         // never below what keeps the hosts busy: where all are slow, fewer open would not make them quick.
         if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
             let least = (self.usable().count() as f64 * self.shared(now).0).max(1.0) * OPEN[1];
@@ -689,7 +548,7 @@
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
-        // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap lies
+        // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap is
         // well above that while machines still start, and a preferred build would be loaded into looking bad.
         let place = self.rng.random::<f64>();
         let won = place < LEAN * floor && self.draw(TRIAL) > self.draw(EARLIER);
@@ -733,7 +592,7 @@
             let other = self.rng.random_range(0..self.s.routers - 1);
             let peer = RouterId(other + u32::from(other >= self.s.me.0));
             self.s.swaps.insert(peer, self.s.sums.clone());
-            effects.push(Effect::Tell { to: Some(peer), payload: self.message(0) });
+            effects.push(Effect::Tell { to: Some(peer), payload: self.message(false) });
         }
         self.judge(now, effects);
     }
@@ -742,40 +601,30 @@
         self.s.news.is_none_or(|news| self.usable().any(|h| h.entry.build < news.build))
     }
 
-    fn message(&self, kind: u8) -> Vec<u8> {
-        let build = self.s.news.map_or(0, |news| news.build.0).to_le_bytes();
-        let mut bytes = vec![kind, u8::from(self.s.fresh), build[0], build[1]];
-        let told = [self.s.taken.len() as f64, self.drag()];
-        let figures = told.iter().chain(self.s.sums.iter().flatten().flatten());
-        figures.for_each(|figure| bytes.extend((*figure as f32).to_le_bytes()));
-        bytes
+    fn message(&self, reply: bool) -> Vec<u8> {
+        let build = self.s.news.map_or(BuildId(0), |news| news.build);
+        let sums = self.s.sums.iter().flatten().flatten().copied().collect();
+        let (taken, drag) = (self.s.taken.len() as f64, self.drag());
+        Message { reply, fresh: self.s.fresh, build, taken, drag, sums }.encode()
     }
 
     fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
-        let Some((head, body)) = payload.split_at_checked(4) else { return };
-        let float =
-            |bytes: &[u8]| bytes.try_into().map_or(f64::NAN, |bytes| f64::from(f32::from_le_bytes(bytes)));
-        let figures: Vec<f64> = body.chunks(4).map(float).collect();
-        let [taken, drag, theirs @ ..] = figures.as_slice() else { return };
-        if figures.iter().any(|f| !f.is_finite() || *f < 0.0) || from == self.s.me {
-            return;
-        }
-        self.s.heard.insert(from, (now, *taken, drag.clamp(0.1, 10.0)));
-        let same = self.s.news.is_some_and(|news| news.build.0.to_le_bytes() == [head[2], head[3]]);
-        if !same || theirs.len() != 4 * self.s.sums.len() {
+        let Some(told) = Message::decode(payload).filter(|_| from != self.s.me) else { return };
+        self.s.heard.insert(from, (now, told.taken, told.drag.clamp(0.1, 10.0)));
+        let same = self.s.news.is_some_and(|news| news.build == told.build);
+        if !same || told.sums.len() != 4 * self.s.sums.len() {
             return;
         }
-        let (reply, their_fresh) = (head[0] == 1, head[1] == 1);
-        let mine = if reply { self.s.swaps.remove(&from) } else { Some(self.s.sums.clone()) };
-        if !reply {
-            effects.push(Effect::Tell { to: Some(from), payload: self.message(1) });
+        let mine = if told.reply { self.s.swaps.remove(&from) } else { Some(self.s.sums.clone()) };
+        if !told.reply {
+            effects.push(Effect::Tell { to: Some(from), payload: self.message(true) });
         }
-        let sums = self.s.sums.iter_mut().flatten().flatten().zip(theirs);
-        if self.s.fresh && !their_fresh {
+        let sums = self.s.sums.iter_mut().flatten().flatten().zip(&told.sums);
+        if self.s.fresh && !told.fresh {
             // A restarted router takes a partner's figures whole: at Beta(1, 1) it would halve them.
             sums.for_each(|(sum, theirs)| *sum = *theirs);
             self.s.fresh = false;
-        } else if let (true, Some(mine)) = (self.s.fresh == their_fresh, mine) {
+        } else if let (true, Some(mine)) = (self.s.fresh == told.fresh, mine) {
             // Half the difference of what was sent: outcomes that came in meanwhile survive.
             let sent = mine.iter().flatten().flatten();
             sums.zip(sent).for_each(|((sum, theirs), sent)| *sum = (*sum + (theirs - sent) / 2.0).max(0.0));
@@ -951,11 +800,3 @@
         }
     }
 }
-
-/// A fixed hash, the same on every machine.
-fn mix(value: u64) -> u64 {
-    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- /dev/null
+++ b/src/record.rs
@@ -0,0 +1,188 @@
+//! What a router keeps between events, and the plain form of what routers tell each other. Records only:
+//! every decision, table and tuned value is in `choice.rs`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::*;
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Ballot {
+    #[default]
+    Silent,
+    Asked,
+    Stands,
+}
+
+pub(crate) struct Operation {
+    pub(crate) slo: f64,
+    pub(crate) late_is_worthless: bool,
+    /// Earns less than half of what the best operation earns for its time.
+    pub(crate) lean: bool,
+    pub(crate) group: RepeatGroup,
+    /// How long a repeat is harmless: for ever where idempotent, never where side-effecting.
+    pub(crate) window: f64,
+}
+
+/// What a host's outcomes say of it; a restart, or a new machine under a used id, begins afresh.
+#[derive(Clone, Copy)]
+pub(crate) struct Health {
+    pub(crate) faults: f64,
+    pub(crate) pace: f64,
+    pub(crate) aside_until: f64,
+    pub(crate) aside_for: f64,
+}
+
+/// The one record of a host.
+pub(crate) struct Host {
+    pub(crate) entry: HostEntry,
+    pub(crate) usable: bool,
+    /// Send times of the dispatches that are out, and of all within the fall time.
+    pub(crate) out: Vec<f64>,
+    pub(crate) sent: VecDeque<f64>,
+    pub(crate) health: Health,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Sent {
+    pub(crate) to: HostEntry,
+    pub(crate) at: f64,
+    pub(crate) out: bool,
+    pub(crate) may_have_run: bool,
+    pub(crate) scored: bool,
+}
+
+pub(crate) struct Inv {
+    pub(crate) operation: usize,
+    pub(crate) key: Option<KeyId>,
+    pub(crate) work: f64,
+    pub(crate) slo_at: f64,
+    pub(crate) limit: f64,
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) over: bool,
+}
+
+/// Low quantiles of times, for each unit of expected work.
+pub(crate) struct Low {
+    /// Divides quick answers from others.
+    pub(crate) quick: f64,
+    /// Shows slowness but hardly queues, now and before the trial.
+    pub(crate) least: f64,
+    pub(crate) before: Option<f64>,
+}
+
+pub(crate) enum Task {
+    Swap,
+    Follow,
+    Further(InvId),
+}
+
+/// For each slot and mark, for each arm: what alpha and beta have above Beta(1, 1).
+pub(crate) type Sheet = Vec<[[f64; 2]; 2]>;
+
+#[derive(Default)]
+pub(crate) struct State {
+    // From the terms.
+    pub(crate) me: RouterId,
+    pub(crate) routers: u32,
+    pub(crate) zone: Option<ZoneId>,
+    pub(crate) operations: Vec<Operation>,
+    pub(crate) list_asked: bool,
+    pub(crate) stage_shares: Vec<f64>,
+    pub(crate) by_clock: bool,
+    pub(crate) voters: u32,
+    pub(crate) renew_every: f64,
+    pub(crate) first_cap: f64,
+    pub(crate) window: f64,
+    pub(crate) spare: f64,
+    pub(crate) by_operation: bool,
+    pub(crate) guarded_stages: u32,
+    pub(crate) keys_bound: bool,
+    pub(crate) keys_warm: bool,
+    pub(crate) dispute_weight: f64,
+    pub(crate) cold_share: f64,
+    pub(crate) cold_time: f64,
+    pub(crate) cold_spend: f64,
+    pub(crate) fall_time: f64,
+    pub(crate) may_tell: bool,
+    pub(crate) may_copy: bool,
+    pub(crate) advice: Option<f64>,
+    pub(crate) most_dispatches: usize,
+    pub(crate) slots: usize,
+    pub(crate) tick: f64,
+    // Seen since.
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) invs: BTreeMap<InvId, Inv>,
+    pub(crate) alarms: BTreeMap<u64, Task>,
+    pub(crate) next_alarm: u64,
+    pub(crate) follow_wait: f64,
+    /// The largest size that was ever listed at once.
+    pub(crate) fleet: f64,
+    /// Succeeded dispatches a second, fading, as of a time.
+    pub(crate) pace: (f64, f64),
+    pub(crate) open: usize,
+    pub(crate) open_most: f64,
+    /// By operation, kind of machine and arm.
+    pub(crate) low: BTreeMap<(usize, KindId, usize), Low>,
+    pub(crate) drag_since: f64,
+    /// Invocations taken (and whether bound to the trial) and dispatches at trials, in the exposure window.
+    pub(crate) taken: VecDeque<(f64, usize, bool)>,
+    pub(crate) exposed: VecDeque<(f64, BuildId, usize)>,
+    pub(crate) bound: BTreeMap<KeyId, BuildId>,
+    pub(crate) further: f64,
+    pub(crate) news: Option<StageNews>,
+    pub(crate) stage_since: f64,
+    pub(crate) sums: Sheet,
+    /// The figures as last sent to a peer, and what it last told.
+    pub(crate) swaps: BTreeMap<RouterId, Sheet>,
+    /// When, the invocations it took in a window, the drag it sees.
+    pub(crate) heard: BTreeMap<RouterId, (f64, f64, f64)>,
+    pub(crate) fresh: bool,
+    /// State of the ballot, what it says, and since when.
+    pub(crate) ballot: Ballot,
+    pub(crate) ballot_sense: Sense,
+    pub(crate) ballot_at: f64,
+    pub(crate) wish: Sense,
+    pub(crate) wish_since: f64,
+    pub(crate) worse_since: f64,
+    pub(crate) held: f64,
+}
+
+/// What one router tells another: the build its figures are of, and the figures.
+pub(crate) struct Message {
+    pub(crate) reply: bool,
+    pub(crate) fresh: bool,
+    pub(crate) build: BuildId,
+    pub(crate) taken: f64,
+    pub(crate) drag: f64,
+    pub(crate) sums: Vec<f64>,
+}
+
+impl Message {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = vec![u8::from(self.reply), u8::from(self.fresh)];
+        bytes.extend(self.build.0.to_le_bytes());
+        let figures = [self.taken, self.drag].into_iter().chain(self.sums.iter().copied());
+        figures.for_each(|figure| bytes.extend((figure as f32).to_le_bytes()));
+        bytes
+    }
+
+    /// None where the bytes are not a message of finite figures of zero or more.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        let ([reply, fresh, low, high], body) = bytes.split_first_chunk()?;
+        let (body, rest) = body.as_chunks::<4>();
+        let mut figures = body.iter().map(|bytes| f64::from(f32::from_le_bytes(*bytes)));
+        let (taken, drag, sums) = (figures.next()?, figures.next()?, figures.collect::<Vec<_>>());
+        let plain = sums.iter().chain([&taken, &drag]).all(|f| f.is_finite() && *f >= 0.0);
+        let (reply, fresh) = (*reply == 1, *fresh == 1);
+        let build = BuildId(u16::from_le_bytes([*low, *high]));
+        (plain && rest.is_empty()).then_some(Message { reply, fresh, build, taken, drag, sums })
+    }
+}
+
+/// A fixed hash, the same on every machine.
+pub(crate) fn mix(value: u64) -> u64 {
+    let mut z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
