--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,305 @@
+//! Short stories, one for each failure met.
+
+mod fake;
+
+use fake::*;
+use kestreltide::choice::Router;
+use kestreltide::interface::*;
+use rstest::rstest;
+
+/// Every fourth host already runs the new build, started long before.
+fn on_trial(terms: ServiceTerms, hosts: u32) -> Fake {
+    let mut fake = Fake::new(terms, hosts);
+    fake.run(4.0, |_, _| (Verdict::Succeeded, 0.1));
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
+    let build = |id: u32| if id.is_multiple_of(4) { NEW } else { OLD };
+    fake.list((0..hosts).map(|id| host(id, build(id), None)).collect());
+    fake
+}
+
+#[rstest]
+#[case::error(Verdict::Error, false)]
+#[case::timed_out(Verdict::TimedOut, false)]
+#[case::reset(Verdict::Reset, false)]
+#[case::turned_away(Verdict::Full, true)]
+#[case::out_of_reach(Verdict::NoConnection, true)]
+fn a_side_effecting_invocation_that_may_have_run_is_never_repeated(
+    #[case] verdict: Verdict, #[case] again: bool,
+) {
+    let mut fake = Fake::new(terms(), 4);
+    let (id, _) = fake.ask(ONCE, None);
+    let effects = fake.end(&id, 0, verdict, 0.1);
+    assert_eq!(sent_to(&effects).is_some(), again);
+    assert_eq!(effects.contains(&Effect::Terminate { inv: id }), !again);
+}
+
+#[test]
+fn a_fingerprinted_invocation_is_not_repeated_once_hosts_forget_it() {
+    let mut fake = Fake::new(terms(), 4);
+    let (early, _) = fake.ask(CHANGE, None);
+    fake.now += 0.2;
+    assert!(sent_to(&fake.end(&early, 0, Verdict::Error, 0.2)).is_some());
+    let (late, _) = fake.ask(CHANGE, None);
+    fake.now += 0.6;
+    assert_eq!(fake.end(&late, 0, Verdict::Error, 0.6), [Effect::Terminate { inv: late }]);
+}
+
+#[rstest]
+#[case::may(true)]
+#[case::may_not(false)]
+fn what_is_given_up_is_answered_at_once_with_advice_where_allowed(#[case] may_advise: bool) {
+    let mut fake = Fake::new(ServiceTerms { may_advise, ..terms() }, 2);
+    let (id, _) = fake.ask(READ, None);
+    fake.now += 0.8;
+    let effects = fake.end(&id, 0, Verdict::TimedOut, 0.8);
+    let [Effect::Throttle { inv, stay_away }] = effects.as_slice() else { panic!("one answer: {effects:?}") };
+    assert_eq!((inv, stay_away.is_some()), (&id, may_advise));
+    assert!(fake.end(&id, 0, Verdict::TimedOut, 0.8).is_empty());
+}
+
+#[test]
+fn no_host_that_drains_or_is_gone_is_sent_to() {
+    let mut fake = Fake::new(terms(), 3);
+    let mut draining = host(0, OLD, None);
+    draining.state = HostState::Stopping;
+    fake.feed(Event::Hosts { scope: ListScope::Changes, entries: [draining].into() });
+    assert!((0..50).all(|_| sent_to(&fake.ask(READ, None).1) != Some(HostId(0))));
+    fake.list(vec![host(2, OLD, None)]);
+    assert!((0..20).all(|_| sent_to(&fake.ask(READ, None).1) == Some(HostId(2))));
+    fake.list(vec![]);
+    let (id, effects) = fake.ask(READ, None);
+    assert!(matches!(effects.as_slice(), [Effect::Throttle { inv, .. }] if *inv == id));
+}
+
+#[rstest]
+#[case::asked(true)]
+#[case::pushed(false)]
+fn a_list_that_must_be_asked_is_followed_and_followed_again_after_errors(#[case] list_asked: bool) {
+    let mut router = Router::start(ServiceTerms { list_asked, ..terms() }, 3, 0.0);
+    let mut effects = vec![];
+    router.handle(0.0, Event::ListFailed, &mut effects);
+    assert_eq!(effects.contains(&Effect::Follow { on: true }), list_asked);
+    let alarms = effects.iter().filter_map(|effect| match effect {
+        Effect::SetAlarm { at, key } => Some((*at, *key)),
+        _ => None,
+    });
+    let (at, key) = alarms.last().expect("at least the swaps' alarm");
+    let mut later = vec![];
+    router.handle(at, Event::Alarm { key }, &mut later);
+    assert_eq!(later.contains(&Effect::Follow { on: true }), list_asked);
+    assert!(!list_asked || at < terms().ask_every);
+}
+
+#[test]
+fn a_cold_host_gets_no_more_than_its_part_even_when_alone() {
+    let mut fake = Fake::new(terms(), 4);
+    fake.run(4.0, |_, _| (Verdict::Succeeded, 0.1));
+    let started = Some(fake.now);
+    fake.list(vec![host(0, OLD, started)]);
+    let (_, sent) = fake.run(1.0, |_, _| (Verdict::Succeeded, 0.1));
+    // Fifty a second came for four hosts: at 0.4 to 0.55 of twelve, three times that is the fall.
+    assert!((2..=15).contains(&sent.len()), "{}", sent.len());
+    fake.list(vec![host(0, OLD, None)]);
+    let (_, sent) = fake.run(1.0, |_, _| (Verdict::Succeeded, 0.1));
+    assert!(sent.len() >= 45, "warm again, {}", sent.len());
+}
+
+#[rstest]
+#[case::named(NEW, Phase::OnTrial, 0.1, 0.1)]
+#[case::not_named_yet(OLD, Phase::Released, 1.0, 0.3)]
+#[case::going_back(NEW, Phase::GoingBack, 0.0, 0.0)]
+fn dispatches_at_a_trial_stay_within_the_cap(
+    #[case] build: BuildId, #[case] phase: Phase, #[case] told: f64, #[case] cap: f64,
+) {
+    let mut fake = Fake::new(terms(), 1);
+    fake.feed(news(build, 0, phase, told));
+    fake.list((1..4).map(|id| host(id, NEW, None)).chain([host(0, OLD, None)]).collect());
+    let (_, sent) = fake.run(1.9, |_, _| (Verdict::Succeeded, 0.1));
+    let trial = sent.iter().filter(|h| h.build == NEW).count() as f64;
+    let most = if cap > 0.0 { 2.0 + cap * f64::from(fake.taken) } else { 0.0 };
+    assert!(trial <= most && (cap == 0.0 || trial > 0.0), "{trial} of {most}");
+}
+
+#[test]
+fn a_guarded_stage_takes_no_invocation_with_an_effect() {
+    let mut fake = on_trial(ServiceTerms { guarded_stages: 1, ..terms() }, 1);
+    assert!(sent_to(&fake.ask(READ, None).1).is_some());
+    assert!(sent_to(&fake.ask(CHANGE, None).1).is_none());
+}
+
+#[test]
+fn a_key_that_the_trial_answered_goes_to_no_earlier_build_until_it_goes_back() {
+    let mut fake = on_trial(ServiceTerms { keys_bound: true, exposure_spare: 100.0, ..terms() }, 4);
+    let bind = |fake: &mut Fake, key: &str| {
+        let (id, effects) = fake.ask(READ, Some(key));
+        fake.end(&id, 0, Verdict::Succeeded, 0.1);
+        sent_to(&effects) == Some(HostId(0))
+    };
+    let key = (0..200).map(|n| format!("key-{n}")).find(|key| bind(&mut fake, key)).expect("a key on trial");
+    assert!((0..10).all(|_| sent_to(&fake.ask(READ, Some(&key)).1) == Some(HostId(0))));
+    fake.list((1..4).map(|id| host(id, OLD, None)).collect());
+    assert_eq!(sent_to(&fake.ask(READ, Some(&key)).1), None);
+    fake.feed(news(NEW, 0, Phase::GoingBack, 0.0));
+    assert!(sent_to(&fake.ask(READ, Some(&key)).1).is_some());
+}
+
+#[rstest]
+#[case::all_fails(|_: OperationId| Verdict::Error)]
+#[case::one_operation_fails(|o: OperationId| if o == CHANGE { Verdict::Error } else { Verdict::Succeeded })]
+fn a_build_that_fails_is_voted_back(#[case] verdict: fn(OperationId) -> Verdict) {
+    let mut fake = on_trial(terms(), 8);
+    let how = |h: &HostEntry, o| (if h.build == NEW { verdict(o) } else { Verdict::Succeeded }, 0.1);
+    let (votes, _) = fake.run(6.0, how);
+    assert!(!votes.contains(&Sense::On) && votes.last() == Some(&Sense::Back), "{votes:?}");
+}
+
+#[test]
+fn a_slow_build_is_voted_back_though_it_keeps_the_slo_time() {
+    let mut fake = on_trial(terms(), 8);
+    let (votes, _) = fake.run(8.0, |h, _| (Verdict::Succeeded, if h.build == NEW { 0.3 } else { 0.1 }));
+    assert_eq!(votes.last(), Some(&Sense::Back));
+}
+
+#[rstest]
+#[case::votes(Gate::Any, vec![Sense::On])]
+#[case::clock(Gate::Clock, vec![Sense::Hold, Sense::None])]
+fn a_good_build_is_voted_on_or_held_no_longer_than_the_clock_may_be(
+    #[case] gate: Gate, #[case] expected: Vec<Sense>,
+) {
+    let mut fake = on_trial(ServiceTerms { gate, votes_back: 1, votes_hold: 1, ..terms() }, 8);
+    let (mut votes, _) = fake.run(6.0, |_, _| (Verdict::Succeeded, 0.1));
+    votes.dedup();
+    assert_eq!(votes, expected);
+}
+
+#[test]
+fn no_stage_is_moved_on_before_its_machines_run() {
+    let mut fake = on_trial(terms(), 8);
+    let entries: Vec<_> = fake.hosts.iter().map(|h| host(h.host.0, OLD, None)).collect();
+    fake.list(entries);
+    let (votes, _) = fake.run(6.0, |_, _| (Verdict::Succeeded, 0.1));
+    assert_eq!(votes, []);
+}
+
+#[test]
+fn a_build_that_slows_both_arms_is_not_voted_on() {
+    let mut fake = on_trial(terms(), 8);
+    let (votes, _) = fake.run(20.0, |_, _| (Verdict::Succeeded, 0.2));
+    assert!(!votes.contains(&Sense::On) && votes.last() == Some(&Sense::Back), "{votes:?}");
+}
+
+#[test]
+fn an_unnamed_router_votes_only_when_the_named_ones_do_not() {
+    let good = |_: &HostEntry, _| (Verdict::Succeeded, 0.1);
+    let first = |me: u32| {
+        let mut fake = on_trial(ServiceTerms { me: RouterId(me), routers: 6, ..terms() }, 8);
+        (1..100).find(|_| !fake.run(0.1, good).0.is_empty()).unwrap_or(100)
+    };
+    let mut firsts: Vec<_> = (0..6).map(first).collect();
+    firsts.sort_unstable();
+    assert!(firsts[2] < firsts[3] - 10 && firsts[5] < 100, "{firsts:?}");
+}
+
+#[test]
+fn a_sick_host_is_set_aside_and_does_not_speak_for_its_build() {
+    let mut fake = on_trial(ServiceTerms { stage_shares: vec![0.5], ..terms() }, 12);
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.9));
+    let build = |id: u32| if id.is_multiple_of(2) { NEW } else { OLD };
+    fake.list((0..12).map(|id| host(id, build(id), None)).collect());
+    let sick = |h: &HostEntry| h.host == HostId(4);
+    let how = |h: &HostEntry, _| (if sick(h) { Verdict::Reset } else { Verdict::Succeeded }, 0.1);
+    fake.run(3.0, how);
+    let (votes, sent) = fake.run(6.0, how);
+    assert!(sent.iter().filter(|h| sick(h)).count() * 30 < sent.len());
+    assert!(!votes.contains(&Sense::Back));
+}
+
+#[test]
+fn a_host_that_keeps_silent_is_passed_over() {
+    let mut fake = Fake::new(terms(), 2);
+    fake.run(2.0, |_, _| (Verdict::Succeeded, 0.01));
+    while let (id, effects) = fake.ask(READ, None) && sent_to(&effects) != Some(HostId(1)) {
+        fake.end(&id, 0, Verdict::Succeeded, 0.01);
+    }
+    fake.now += 1.5;
+    let (_, sent) = fake.run(1.0, |_, _| (Verdict::Succeeded, 0.01));
+    assert!(sent.iter().filter(|h| h.host == HostId(1)).count() * 10 < sent.len());
+}
+
+#[test]
+fn late_answers_bound_what_is_open_but_never_to_nothing() {
+    let mut fake = Fake::new(terms(), 4);
+    fake.run(12.0, |_, _| (Verdict::TimedOut, 0.8));
+    let admitted = (0..100).filter(|_| sent_to(&fake.ask(READ, None).1).is_some()).count();
+    assert!((4..=20).contains(&admitted), "{admitted}");
+}
+
+/// The payloads that a router tells, by beating once.
+fn beat(router: &mut Router, now: f64) -> Vec<u8> {
+    let mut effects = vec![];
+    router.handle(now, Event::Alarm { key: AlarmKey(1) }, &mut effects);
+    let told = effects.into_iter().find_map(|effect| match effect {
+        Effect::Tell { payload, .. } => Some(payload),
+        _ => None,
+    });
+    told.expect("a swap")
+}
+
+#[rstest]
+#[case::restarted(3.0, 1.0)]
+#[case::there_from_the_start(0.0, 0.5)]
+fn a_restarted_router_takes_figures_whole_and_others_meet_halfway(#[case] age: f64, #[case] part: f64) {
+    let mut fake = on_trial(ServiceTerms { routers: 2, ..terms() }, 8);
+    fake.run(2.0, |_, _| (Verdict::Succeeded, 0.1));
+    let mut other = Router::start(ServiceTerms { me: RouterId(1), routers: 2, ..terms() }, 5, fake.now);
+    let stage = |age| StageNews {
+        verdict: Verdict::Succeeded,
+        build: NEW,
+        stage: 0,
+        phase: Phase::OnTrial,
+        cap: 0.3,
+        age,
+        answers_vote: false,
+    };
+    other.handle(fake.now, Event::Stage(stage(age)), &mut vec![]);
+    let figures = |bytes: &[u8]| -> f64 {
+        let floats = bytes[12..].chunks_exact(4).map(|b| f32::from_le_bytes([b[0], b[1], b[2], b[3]]));
+        floats.map(f64::from).sum()
+    };
+    let mut effects = fake.feed(Event::Told { from: RouterId(1), payload: beat(&mut other, fake.now) });
+    let Some(Effect::Tell { payload, .. }) = effects.pop() else { panic!("a reply") };
+    let told = figures(&payload);
+    other.handle(fake.now, Event::Told { from: RouterId(0), payload }, &mut vec![]);
+    let taken = figures(&{
+        let mut effects = vec![];
+        let hello = Event::Told { from: RouterId(0), payload: vec![0; 12] };
+        other.handle(fake.now, hello, &mut effects);
+        other.handle(fake.now, Event::Stage(stage(age)), &mut effects);
+        let mut bytes = vec![0, 0, 8, 0];
+        bytes.resize(12 + 4 * 36, 0);
+        other.handle(fake.now, Event::Told { from: RouterId(0), payload: bytes }, &mut effects);
+        match effects.pop() {
+            Some(Effect::Tell { payload, .. }) => payload,
+            other => panic!("a reply, not {other:?}"),
+        }
+    });
+    assert!(told > 100.0 && (taken / told - part).abs() < 0.01, "{taken} of {told}");
+}
+
+#[test]
+fn odd_events_change_nothing_and_the_same_events_give_the_same_effects() {
+    let play = || {
+        let mut fake = on_trial(terms(), 8);
+        let ghost = InvId("ghost".into());
+        assert!(fake.end(&ghost, 3, Verdict::Succeeded, 0.1).is_empty());
+        assert!(fake.feed(Event::ClientLeft { inv: ghost }).is_empty());
+        assert!(fake.feed(Event::Alarm { key: AlarmKey(u64::MAX) }).is_empty());
+        for payload in [vec![], vec![0; 11], vec![255; 300]] {
+            assert!(fake.feed(Event::Told { from: RouterId(9), payload }).is_empty());
+        }
+        let lost = OperationId(9);
+        assert!(fake.feed(Event::Disputed { host: HostId(99), operation: lost, age: 1.0 }).is_empty());
+        fake.run(3.0, |_, _| (Verdict::Succeeded, 0.1))
+    };
+    assert_eq!(play(), play());
+}
