On takes figures as they stand; a build whose hosts all fail is no set of sick hosts

Cause, found by a story test: hosts of a wholly failing build set each other aside and their zeros were not scored, so the build was voted on as unheard. And halved evidence delayed every vote on.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 const BACK_CHANCE: [f64; 2] = [0.95, 0.97]; // of being worse by over the margin; for a lesser mark alone
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
-const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth: swaps mix unevenly, eta swells the odd one
+const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
 const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
@@ -41,6 +41,7 @@
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
 const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
 const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
+const ASIDE_OTHERS: [usize; 2] = [2, 3]; // others of its build at least; times those aside: else all are
 const SLOWER: f64 = 1.6; // times the pace of its build's others: a slow host, not a slow service
 const SILENT: f64 = 0.7; // of the longest SLO time without an answer before a host counts as slower
 const PACE_TIME: f64 = 4.0; // s over which the rate of succeeded dispatches is taken; longer than a short jam
@@ -422,10 +423,12 @@
         let (slo, warmth, build) = (self.s.operations[operation].slo, self.warmth(&to, at), to.build);
         let (time, place) = (took / work, (operation, to.kind));
         let quick = self.s.low.get(&(place.0, place.1, EARLIER)).map(|low| low.quick);
-        let others = self.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
-        let alike = others
-            .fold((0.0, 0.0, 0.0f64), |sum, h| (sum.0 + h.health.faults, sum.1 + h.health.pace, sum.2 + 1.0));
-        let (alone, alike) = (alike.2 < 1.0, (alike.0 / alike.2.max(1.0), alike.1 / alike.2.max(1.0)));
+        let others = || self.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
+        let aside = others().filter(|h| h.health.aside_until > now).count();
+        let lonely = others().count() < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others().count();
+        let mean =
+            |of: fn(&Health) -> f64| others().map(|h| of(&h.health)).sum::<f64>() / others().count() as f64;
+        let alike = (mean(|h| h.faults), mean(|h| h.pace));
         let Some(host) = self.s.hosts.get_mut(&to.host) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
             host.out.swap_remove(place);
@@ -440,13 +443,13 @@
         health.pace += HOST_WEIGHT * (ratio - health.pace);
         // A sick host is set aside when it stands out among those of its build: a build that fails alike
         // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
-        if !alone && health.faults > FAULTY + alike.0 && health.aside_until <= now {
+        if !lonely && health.faults > FAULTY + alike.0 && health.aside_until <= now {
             (health.aside_until, health.faults) = (now + health.aside_for, FAULTY + alike.0);
             health.aside_for = (2.0 * health.aside_for).min(ASIDE[1]);
         } else if served && health.faults < FAULTY / 3.0 {
             health.aside_for = ASIDE[0];
         }
-        let (sick, slower) = (health.aside_until > now, !alone && health.pace > SLOWER * alike.1);
+        let (sick, slower) = (health.aside_until > now && !lonely, !lonely && health.pace > SLOWER * alike.1);
         let late = !served || took > slo;
         if !late {
             self.s.pace = (self.pace(now) + 1.0 / PACE_TIME, now);
@@ -669,10 +672,10 @@
 
     /// The chance that the trial build's mark lies lower by over its margin, by the normal curve's logistic
     /// stand-in; None without enough outcomes.
-    fn chance(&self, slot: Option<usize>, mark: usize, enough: f64) -> Option<f64> {
+    fn chance(&self, slot: Option<usize>, mark: usize, enough: f64, part: f64) -> Option<f64> {
         let arms = [EARLIER, TRIAL].map(|arm| self.figures(slot, mark, arm));
         let [(em, ev), (tm, tv)] = arms.map(|[up, down]| {
-            let (a, n) = (EVIDENCE * up + 1.0, EVIDENCE * (up + down) + 2.0);
+            let (a, n) = (part * up + 1.0, part * (up + down) + 2.0);
             (a / n, a * (n - a) / (n * n * (n + 1.0)))
         });
         let z = (em - tm - MARGINS[mark]) / (ev + tv).sqrt();
@@ -685,13 +688,14 @@
         let heard = live(since.max(self.s.stage_since)) >= live(since).min(HEARD_PEERS);
         // With no earlier machine left, times have nothing of today to be compared with; errors have.
         let (lives, released) = (self.earlier_lives(), news.phase == Phase::Released);
-        let pooled = self.chance(None, 0, ENOUGH[0]);
-        let mut worse = lives && pooled.is_some_and(|chance| chance > BACK_CHANCE[0]);
+        let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
+        let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
+        let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, and a build may be slow without missing the SLO time yet.
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
-            let each = slots.filter_map(|slot| self.chance(Some(slot), mark, ENOUGH[1]));
-            worse |= each.chain(self.chance(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
+            let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
+            worse |= each.chain(firm(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
         }
         let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
