Drag votes back only with harm; cut-off zones say nothing of a build; under pressure the trial holds its part

Cause: keys bound to the trial come again and again under overload (213 dispatches against 145 a host) and loaded it into looking bad; a zone cut made two routers vote a good build back; drag alone sent a build back that kept its SLO time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -429,6 +429,14 @@
         let mean =
             |of: fn(&Health) -> f64| others().map(|h| of(&h.health)).sum::<f64>() / others().count() as f64;
         let alike = (mean(|h| h.faults), mean(|h| h.pace));
+        // A zone that this router reaches badly, whatever runs there, says nothing about a build.
+        let faults = |near: bool| {
+            let hosts =
+                self.usable().filter(|h| h.entry.host != to.host && (h.entry.zone == to.zone) == near);
+            let (sum, many) = hosts.fold((0.0, 0.0), |(sum, many), h| (sum + h.health.faults, many + 1.0));
+            if many >= 2.0 { sum / many } else { f64::NAN }
+        };
+        let cut_off = faults(true) > FAULTY + faults(false);
         let Some(host) = self.s.hosts.get_mut(&to.host) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
             host.out.swap_remove(place);
@@ -470,8 +478,8 @@
             low.quick *= (LOW_STEP * (LOW[0] - below(low.quick))).exp();
             low.least *= (LOW_STEP * (LOW[1] - below(low.least))).exp();
         }
-        // A host out of reach, full or set aside says nothing about its build.
-        if !scored || sick || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
+        // Nor does a host out of reach, full or set aside.
+        if !scored || sick || cut_off || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
             return;
         }
         let error = matches!(verdict, Verdict::Error | Verdict::Reset);
@@ -543,6 +551,14 @@
             let hosts: Vec<_> = open.iter().filter(|o| o.0 == arm && o.1 == best).collect();
             (self.lesser(hosts.iter().map(|o| o.2), &key, now), hosts.iter().map(|o| o.3).sum::<f64>())
         });
+        // When it is tight, the trial holds no more than its machines' part of what is open: keys bound to it come
+        // again and again, and would load it into looking bad.
+        let of_trial = |h: &&Host| self.phase(h.entry.build) == Phase::OnTrial;
+        let size = |hosts: &mut dyn Iterator<Item = &Host>| hosts.map(|h| h.entry.size).sum::<f64>();
+        let part = size(&mut self.usable().filter(of_trial)) / size(&mut self.usable()).max(GUARD);
+        let held = self.usable().filter(of_trial).map(|h| h.out.len()).sum::<usize>() as f64;
+        let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
+        let t = t.filter(|_| open <= tight || held <= 1.0 + LEAN * part * open);
         let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
         if self.s.keys_bound {
@@ -658,6 +674,8 @@
                 *trial = [0.0; 2];
             }
             self.s.swaps.clear();
+            let [up, down] = self.figures(None, 0, EARLIER);
+            self.s.kept_best = up / (up + down).max(1.0);
             self.s.low.retain(|key, _| key.2 == EARLIER);
             self.s.low.values_mut().for_each(|low| low.before = old.map(|_| low.least));
             // Started into a trial already under way: the others know more than this router's prior.
@@ -711,13 +729,18 @@
         if !dragging {
             self.s.drag_since = now;
         }
+        // It takes harm to vote back, and what does none only holds the build for a while.
+        let [up, down] = self.figures(None, 0, usize::from(!lives));
+        let kept = up / (up + down).max(1.0);
+        self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
+        let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0]);
         let chance_drag = released || self.s.drag_since > latest + DRAG_BACK[0] / 2.0;
         // Once released, only a drag that outlasts common troubles still speaks against the build.
-        worse = worse && !released || now - self.s.drag_since > DRAG_BACK[usize::from(chance_drag)];
+        worse = worse && !released || harm && since > DRAG_BACK[usize::from(chance_drag)];
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if dragging || !settled => Look::Unclear,
+            _ if !settled || dragging && (harm || since < DRAG_BACK[1]) => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
             _ if now - latest > STARVED_ON => Look::Overdue,
@@ -778,14 +801,11 @@
 
     /// What an operator needs to see why a vote was cast.
     fn reasons(&self, now: f64, news: &StageNews) -> String {
-        let share = |mark, arm| {
-            let [up, down] = self.figures(None, mark, arm);
-            format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down)
-        };
-        let marks = (0..MARKS).map(|mark| format!("{}:{}", share(mark, EARLIER), share(mark, TRIAL)));
-        let (marks, drag) = (marks.collect::<Vec<_>>().join(" "), self.shared(now).1);
+        let good = |[up, down]: [f64; 2]| format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down);
+        let arms = |mark| [EARLIER, TRIAL].map(|arm| good(self.figures(None, mark, arm))).join(":");
+        let (marks, drag) = ([arms(0), arms(1), arms(2)].join(" "), self.shared(now).1);
         let (wish, build, stage) = (self.s.wish, news.build.0, news.stage);
-        format!("vote {wish:?} build {build} stage {stage}, in time, no error, pace {marks}, drag {drag:.2}")
+        format!("vote {wish:?} build {build} stage {stage}, in time, no error, quick {marks}, drag {drag:.2}")
     }
 
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
