--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,7 @@
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
+const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.1]; // of a mark among the hosts of one build
 const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
@@ -88,8 +89,7 @@
     Overdue,
 }
 
-/// What the merged figures say: the vote wished for where votes move the build, and where a clock does; None
-/// keeps the last wish.
+/// What the merged figures say: the wish where votes move the build, and where a clock does; None keeps the last.
 const WISHES: [(Look, Option<Sense>, Option<Sense>); 5] = [
     (Look::Worse, Some(Sense::Back), Some(Sense::Back)),
     (Look::Fine, Some(Sense::On), Some(Sense::None)),
@@ -163,6 +163,7 @@
         s.slots = terms.operations.len().clamp(1, SLOTS);
         s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
         (s.pace, s.stage_since, s.open_most, s.further) = ((0.0, now), now, OPEN[0], FURTHER[1] / 2.0);
+        s.even = 1.0;
         Router { s, rng: ChaCha8Rng::seed_from_u64(seed) }
     }
 
@@ -184,7 +185,7 @@
             }
             Event::Arrived(inv) => self.arrived(now, inv, effects),
             Event::Ended { inv, dispatch, verdict, took, over, .. } => {
-                self.ended(now, inv, dispatch, (verdict, took, over), effects)
+                self.ended(now, inv, dispatch.0, (verdict, took, over), effects)
             }
             // A streamed answer that has started belongs to the client.
             Event::ClientLeft { inv } | Event::Streaming { inv, .. } => self.close(&inv),
@@ -216,8 +217,6 @@
         effects.push(Effect::SetAlarm { at, key: AlarmKey(self.s.next_alarm) });
     }
 
-    // ---- hosts
-
     fn list(&mut self, now: f64, scope: ListScope, entries: &[HostEntry]) {
         self.s.follow_wait = REFOLLOW[0];
         if scope != ListScope::Changes {
@@ -242,6 +241,15 @@
         self.s.hosts.values().filter(|h| h.usable)
     }
 
+    /// The trial's part of the machines.
+    fn part(&self) -> f64 {
+        let size = |trial: bool| {
+            let hosts = self.usable().filter(|h| (self.phase(h.entry.build) == Phase::OnTrial) == trial);
+            hosts.map(|h| h.entry.size).sum::<f64>()
+        };
+        size(true) / (size(true) + size(false)).max(GUARD)
+    }
+
     fn warmth(&self, host: &HostEntry, now: f64) -> f64 {
         let age = host.started.map_or(f64::INFINITY, |started| now - started);
         self.s.cold_share + (1.0 - self.s.cold_share) * (age / self.s.cold_time).clamp(0.0, 1.0)
@@ -296,8 +304,6 @@
         key.as_ref().and_then(|key| self.s.bound.get(key)).copied()
     }
 
-    // ---- invocations
-
     fn arrived(&mut self, now: f64, inv: Invocation, effects: &mut Vec<Effect>) {
         let Some(operation) = self.s.operations.get(inv.operation.0) else {
             return effects.push(Effect::Terminate { inv: inv.id });
@@ -395,12 +401,9 @@
         }
     }
 
-    fn ended(
-        &mut self, now: f64, id: InvId, number: DispatchNo, how: (Verdict, f64, bool),
-        effects: &mut Vec<Effect>,
-    ) {
+    fn ended(&mut self, now: f64, id: InvId, no: u32, how: (Verdict, f64, bool), effects: &mut Vec<Effect>) {
         let Some(inv) = self.s.invs.get_mut(&id) else { return };
-        let Some(sent) = inv.sent.get_mut(number.0 as usize).filter(|s| s.out) else { return };
+        let Some(sent) = inv.sent.get_mut(no as usize).filter(|s| s.out) else { return };
         let (verdict, took, over) = how;
         sent.out = false;
         sent.may_have_run = !matches!(verdict, Verdict::Full | Verdict::NoConnection | Verdict::Moot);
@@ -416,8 +419,6 @@
         if over { self.close(&id) } else { self.dispatch_or_end(now, &id, false, effects) }
     }
 
-    // ---- what outcomes teach
-
     fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64, work: f64) {
         let Sent { to, at, scored, .. } = sent;
         let (slo, warmth, build) = (self.s.operations[operation].slo, self.warmth(&to, at), to.build);
@@ -493,10 +494,12 @@
         }
     }
 
-    /// A score adds eta, the router count, to one of an arm's two figures.
+    /// A score adds eta, the router count, to one of an arm's two figures. During a trial the earlier arm weighs as
+    /// much as the trial at each time: else its longer past would hide what has befallen all since.
     fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
         let arm = usize::from(self.s.news.is_some_and(|news| build >= news.build));
         let place = operation % self.s.slots * MARKS + mark;
+        let weight = if arm == EARLIER { weight * self.s.even } else { weight };
         self.s.sums[place][arm][usize::from(!good)] += f64::from(self.s.routers) * weight;
     }
 
@@ -507,8 +510,6 @@
         cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
     }
 
-    // ---- where to
-
     fn load(&self, host: &Host, now: f64) -> f64 {
         let far = if self.s.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
         // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
@@ -551,12 +552,10 @@
             let hosts: Vec<_> = open.iter().filter(|o| o.0 == arm && o.1 == best).collect();
             (self.lesser(hosts.iter().map(|o| o.2), &key, now), hosts.iter().map(|o| o.3).sum::<f64>())
         });
-        // When it is tight, the trial holds no more than its machines' part of what is open: keys bound to it come
-        // again and again, and would load it into looking bad.
-        let of_trial = |h: &&Host| self.phase(h.entry.build) == Phase::OnTrial;
-        let size = |hosts: &mut dyn Iterator<Item = &Host>| hosts.map(|h| h.entry.size).sum::<f64>();
-        let part = size(&mut self.usable().filter(of_trial)) / size(&mut self.usable()).max(GUARD);
-        let held = self.usable().filter(of_trial).map(|h| h.out.len()).sum::<usize>() as f64;
+        // When it is tight, the trial holds its machines' part of what is open: keys bound to it come again and again.
+        let part = self.part();
+        let of_trial = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
+        let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
         let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
         let t = t.filter(|_| open <= tight || held <= 1.0 + LEAN * part * open);
         let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
@@ -567,8 +566,7 @@
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
-        // Above the floor a won draw sends it to the trial, up to LEAN times the machines' share: the cap is
-        // well above that while machines still start, and a preferred build would be loaded into looking bad.
+        // A won draw goes above the floor, not up to the cap: that would load a preferred build into looking bad.
         let place = self.rng.random::<f64>();
         let won = place < LEAN * floor && self.draw(TRIAL) > self.draw(EARLIER);
         if place < floor || won { t } else { e }
@@ -579,8 +577,7 @@
         Beta::new(1.0 + up, 1.0 + down).map_or(0.5, |beta| beta.sample(&mut self.rng))
     }
 
-    /// The lesser in-flight of two random hosts; where hosts work faster for keys met lately, the key's hash
-    /// names the two, so that every router brings a key to the same ones.
+    /// The lesser in-flight of two random hosts; the key's hash names them where hosts are quicker for known keys.
     fn lesser(
         &mut self, hosts: impl Iterator<Item = HostId>, key: &Option<KeyId>, now: f64,
     ) -> Option<HostId> {
@@ -593,8 +590,6 @@
         loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
-    // ---- swaps
-
     fn beat(&mut self, now: f64, effects: &mut Vec<Effect>) {
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
         for low in self.s.low.values_mut() {
@@ -602,6 +597,8 @@
             let least = low.least;
             low.before = low.before.map(|before| before + RELENT * (least - before).min(0.0));
         }
+        let part = self.part();
+        self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
         let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.earlier_lives());
         for [earlier, trial] in &mut self.s.sums {
             // With no earlier machine left, its figures stay: there is nothing newer to compare with.
@@ -650,8 +647,6 @@
         }
     }
 
-    // ---- stages and votes
-
     fn stage(&mut self, now: f64, news: StageNews, effects: &mut Vec<Effect>) {
         if news.answers_vote {
             // A moot one is asked again when it would be renewed, or after news.
@@ -670,8 +665,9 @@
         if !same_build {
             let released = old.is_some_and(|old| old.phase == Phase::Released);
             for [earlier, trial] in &mut self.s.sums {
-                *earlier = if released { *trial } else { *earlier };
-                *trial = [0.0; 2];
+                let past = if released { *trial } else { *earlier };
+                let keep = (ENOUGH[0] / (past[0] + past[1]).max(ENOUGH[0])).min(1.0);
+                (*earlier, *trial) = (past.map(|figure| figure * keep), [0.0; 2]);
             }
             self.s.swaps.clear();
             let [up, down] = self.figures(None, 0, EARLIER);
@@ -688,15 +684,17 @@
         }
     }
 
-    /// The chance that the trial build's mark lies lower by over its margin, by the normal curve's logistic
-    /// stand-in; None without enough outcomes.
+    /// The chance that the trial's mark is lower by over its margin, by the logistic curve; None if too few.
     fn chance(&self, slot: Option<usize>, mark: usize, enough: f64, part: f64) -> Option<f64> {
         let arms = [EARLIER, TRIAL].map(|arm| self.figures(slot, mark, arm));
         let [(em, ev), (tm, tv)] = arms.map(|[up, down]| {
             let (a, n) = (part * up + 1.0, part * (up + down) + 2.0);
             (a / n, a * (n - a) / (n * n * (n + 1.0)))
         });
-        let z = (em - tm - MARGINS[mark]) / (ev + tv).sqrt();
+        // Hosts of one build differ, in pace most of all: few of them prove little, however much they serve.
+        let hosts = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial).count() as f64;
+        let spread = HOST_SPREAD[mark].powi(2) / hosts.max(1.0);
+        let z = (em - tm - MARGINS[mark]) / (ev + tv + spread).sqrt();
         arms.iter().all(|[up, down]| up + down >= enough).then(|| 1.0 / (1.0 + (-1.702 * z).exp()))
     }
 
@@ -721,9 +719,8 @@
         let part = self.s.stage_shares.get(news.stage as usize).copied().unwrap_or(1.0);
         let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
-        // A build may slow both arms alike, which no comparison shows; then the earlier hosts are slower than
-        // before the trial, most since a stage began. Also holds back the vote on in any common trouble.
-        // More than its share of machines can explain is another trouble's doing.
+        // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
+        // before. More than its share of machines can explain is another trouble's doing.
         let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
         let dragging = drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
         if !dragging {
@@ -786,8 +783,7 @@
         if wish != self.s.wish {
             (self.s.wish, self.s.wish_since) = (wish, now);
         }
-        // The hash names the voters. Where a wish stays unmet, the next in its order stand in, one after the
-        // other: a named voter may be dead, cut off or without traffic.
+        // The hash names the voters; while a wish stays unmet the next stand in: voters may be dead or cut off.
         let place = |router: u32| (mix(mix(u64::from(news.build.0)) ^ u64::from(router)), router);
         let rank = (0..self.s.routers).filter(|other| place(*other) < place(self.s.me.0)).count() as u32;
         let late = f64::from((rank + 1).saturating_sub(self.s.voters)) * STAND_IN;
--- a/src/record.rs
+++ b/src/record.rs
@@ -134,6 +134,8 @@
     pub(crate) news: Option<StageNews>,
     pub(crate) stage_since: f64,
     pub(crate) sums: Sheet,
+    /// What an outcome of the earlier arm weighs.
+    pub(crate) even: f64,
     /// The figures as last sent to a peer, and what it last told.
     pub(crate) swaps: BTreeMap<RouterId, Sheet>,
     /// When, the invocations it took in a window, the drag it sees.
