The bound on open dispatches starts at 30 and grows only with use

Cause: in a jam, work behind the time-outs piled up unseen while the bound came down from 200, and took many seconds to drain.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,7 +53,7 @@
 // Invocations.
 const FIRST_WAIT: [f64; 2] = [0.5, 5.0]; // before a further dispatch: of the time to the SLO, and quick times
 const FURTHER: [f64; 2] = [0.1, 10.0]; // further dispatches an invocation, and saved up: no retry storms
-const OPEN: [f64; 2] = [200.0, 3.0]; // open at most; at least, a host, of all routers: two cores kept busy
+const OPEN: [f64; 2] = [30.0, 3.0]; // open at first; at least, a host, of all routers: two cores kept busy
 const OPEN_PART: [f64; 2] = [0.85, 0.6]; // of the bound, for operations that earn little, for second copies
 const OPEN_STEP: [f64; 2] = [0.1, 0.5]; // more for a timely answer, fewer for a late one: one in six
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
@@ -468,7 +468,7 @@
         if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
             let least = (self.usable().count() as f64 * self.shared(now).0).max(1.0) * OPEN[1];
             let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
-            self.s.open_most = (self.s.open_most + step).min(OPEN[0]).max(least);
+            self.s.open_most = (self.s.open_most + step).max(least);
         }
         let shows = served || verdict == Verdict::TimedOut;
         let arm = usize::from(self.phase(build) != Phase::Released);
