--- a/src/choice.rs
+++ b/src/choice.rs
@@ -89,7 +89,7 @@
     Overdue,
 }
 
-/// What the merged figures say: the wish where votes move the build, and where a clock does; None keeps the last.
+/// What the merged figures say: the wish where votes move a build, where a clock does; None keeps the last.
 const WISHES: [(Look, Option<Sense>, Option<Sense>); 5] = [
     (Look::Worse, Some(Sense::Back), Some(Sense::Back)),
     (Look::Fine, Some(Sense::On), Some(Sense::None)),
@@ -171,9 +171,7 @@
         if self.s.next_alarm == 0 {
             let first = now + SWAP_EVERY * self.rng.random::<f64>();
             self.set_alarm(first, Task::Swap, effects);
-            if self.s.list_asked {
-                effects.push(Effect::Follow { on: true });
-            }
+            effects.extend(self.s.list_asked.then_some(Effect::Follow { on: true }));
         }
         match event {
             Event::Hosts { scope, entries } => self.list(now, scope, &entries),
@@ -494,8 +492,8 @@
         }
     }
 
-    /// A score adds eta, the router count, to one of an arm's two figures. During a trial the earlier arm weighs as
-    /// much as the trial at each time: else its longer past would hide what has befallen all since.
+    /// A score adds eta, the router count, to one of an arm's two figures; the earlier arm's weighs as the
+    /// trial's at each time, else its longer past would hide what has befallen all since.
     fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
         let arm = usize::from(self.s.news.is_some_and(|news| build >= news.build));
         let place = operation % self.s.slots * MARKS + mark;
@@ -552,7 +550,7 @@
             let hosts: Vec<_> = open.iter().filter(|o| o.0 == arm && o.1 == best).collect();
             (self.lesser(hosts.iter().map(|o| o.2), &key, now), hosts.iter().map(|o| o.3).sum::<f64>())
         });
-        // When it is tight, the trial holds its machines' part of what is open: keys bound to it come again and again.
+        // When tight, the trial holds its machines' part of what is open: bound keys come again and again.
         let part = self.part();
         let of_trial = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
         let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
@@ -566,7 +564,7 @@
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
-        // A won draw goes above the floor, not up to the cap: that would load a preferred build into looking bad.
+        // A won draw goes above the floor, not up to the cap: that would load a build into looking bad.
         let place = self.rng.random::<f64>();
         let won = place < LEAN * floor && self.draw(TRIAL) > self.draw(EARLIER);
         if place < floor || won { t } else { e }
@@ -577,7 +575,7 @@
         Beta::new(1.0 + up, 1.0 + down).map_or(0.5, |beta| beta.sample(&mut self.rng))
     }
 
-    /// The lesser in-flight of two random hosts; the key's hash names them where hosts are quicker for known keys.
+    /// The lesser in-flight of two random hosts; the key's hash names them where hosts know keys.
     fn lesser(
         &mut self, hosts: impl Iterator<Item = HostId>, key: &Option<KeyId>, now: f64,
     ) -> Option<HostId> {
@@ -592,11 +590,9 @@
 
     fn beat(&mut self, now: f64, effects: &mut Vec<Effect>) {
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
-        for low in self.s.low.values_mut() {
-            // What came before the trial may have been a slow spell; then the memory of it gives way.
-            let least = low.least;
-            low.before = low.before.map(|before| before + RELENT * (least - before).min(0.0));
-        }
+        // What came before the trial may have been a slow spell; then the memory of it gives way.
+        let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
+        self.s.low.values_mut().for_each(|low| low.before = relent(low));
         let part = self.part();
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
         let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.earlier_lives());
@@ -658,9 +654,8 @@
             return;
         }
         self.s.news = Some(news);
-        if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
-            self.s.bound.retain(|_, build| *build != news.build);
-        }
+        let gone = matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+        self.s.bound.retain(|_, build| !gone || *build != news.build);
         let same_build = old.is_some_and(|old| old.build == news.build);
         if !same_build {
             let released = old.is_some_and(|old| old.phase == Phase::Released);
@@ -723,9 +718,7 @@
         // before. More than its share of machines can explain is another trouble's doing.
         let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
         let dragging = drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
-        if !dragging {
-            self.s.drag_since = now;
-        }
+        self.s.drag_since = if dragging { self.s.drag_since } else { now };
         // It takes harm to vote back, and what does none only holds the build for a while.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
@@ -767,23 +760,20 @@
     fn judge(&mut self, now: f64, effects: &mut Vec<Effect>) {
         let judged = |news: &StageNews| matches!(news.phase, Phase::OnTrial | Phase::Released);
         let Some(news) = self.s.news.filter(judged) else { return };
-        let mut look = self.look(now, &news);
-        if look != Look::Worse {
-            self.s.worse_since = now;
-        } else if now - self.s.worse_since < BACK_FIRM {
-            look = Look::Unclear;
-        }
+        let look = self.look(now, &news);
+        self.s.worse_since = if look == Look::Worse { self.s.worse_since } else { now };
+        let firm = look != Look::Worse || now - self.s.worse_since >= BACK_FIRM;
+        let look = if firm { look } else { Look::Unclear };
         let row = WISHES.iter().find(|row| row.0 == look);
         let wish = row.and_then(|row| if self.s.by_clock { row.2 } else { row.1 });
         let mut wish = wish.unwrap_or(self.s.wish);
-        self.s.held += if wish == Sense::Hold { SWAP_EVERY } else { 0.0 };
-        if wish == Sense::Hold && self.s.held > HOLD_MOST {
-            wish = Sense::None;
-        }
-        if wish != self.s.wish {
-            (self.s.wish, self.s.wish_since) = (wish, now);
+        if wish == Sense::Hold {
+            self.s.held += SWAP_EVERY;
+            wish = if self.s.held > HOLD_MOST { Sense::None } else { wish };
         }
-        // The hash names the voters; while a wish stays unmet the next stand in: voters may be dead or cut off.
+        let since = if wish == self.s.wish { self.s.wish_since } else { now };
+        (self.s.wish, self.s.wish_since) = (wish, since);
+        // The hash names the voters; while a wish stays unmet the next stand in: some may be dead or cut off.
         let place = |router: u32| (mix(mix(u64::from(news.build.0)) ^ u64::from(router)), router);
         let rank = (0..self.s.routers).filter(|other| place(*other) < place(self.s.me.0)).count() as u32;
         let late = f64::from((rank + 1).saturating_sub(self.s.voters)) * STAND_IN;
@@ -807,9 +797,7 @@
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
         let Some(row) = BALLOTS.iter().find(|row| row.0 == self.s.ballot && row.1 == push) else { return };
         self.s.ballot = row.2;
-        if push == Push::News {
-            self.s.ballot_sense = Sense::None;
-        }
+        self.s.ballot_sense = if push == Push::News { Sense::None } else { self.s.ballot_sense };
         if let (true, Some(news)) = (row.3, self.s.news) {
             let renewal = self.s.ballot_sense == self.s.wish;
             (self.s.ballot_sense, self.s.ballot_at) = (self.s.wish, now);
