--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,7 @@
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
+const ALIKE: f64 = 0.1; // more quick answers than the earlier hosts, and the trial is not slowed with them
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -314,7 +315,8 @@
         self.s.further = (self.s.further + FURTHER[0]).min(FURTHER[1]);
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, operation, bound));
-        let record = Inv { operation, key: inv.key, work, slo_at, limit, sent: vec![], over: false };
+        let (again, key) = (inv.again, inv.key);
+        let record = Inv { operation, key, work, again, slo_at, limit, sent: vec![], over: false };
         self.s.invs.insert(inv.id.clone(), record);
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
@@ -342,9 +344,11 @@
         let timely = end - now > 2.0 * self.s.tick;
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
         let more = inv.sent.len() < self.s.most_dispatches && (!out || (copy && self.s.may_copy));
-        // When it gets tight, what earns least for its time goes first, and copies before anything.
+        // When it gets tight, what earns least for its time goes first; copies before, and tries that come again:
+        // their SLO time is running or past, and the work would be lost.
+        let late = copy || inv.again && operation.late_is_worthless;
         let part =
-            [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if copy { OPEN_PART[1] } else { 1.0 });
+            [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if late { OPEN_PART[1] } else { 1.0 });
         let room = self.s.open as f64 <= self.s.open_most * part;
         let host = if again && timely && paid && more && room { self.choose(now, id) } else { None };
         if let Some(host) = host {
@@ -703,7 +707,8 @@
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, and a build may be slow without missing the SLO time yet.
-        for mark in (0..MARKS).filter(|mark| *mark == 1 || lives) {
+        // Where hosts know keys, a new one knows none and is slow at first whatever it runs.
+        for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
             let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
             worse |= each.chain(firm(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
@@ -715,9 +720,13 @@
         let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
-        // before. More than its share of machines can explain is another trouble's doing.
+        // before. More than its share of machines explains, or a quicker trial, is other trouble.
         let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
-        let dragging = drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
+        let [e, t] = [EARLIER, TRIAL]
+            .map(|arm| self.figures(None, 2, arm))
+            .map(|[up, down]| up / (up + down).max(1.0));
+        let alike = !lives || t < e + ALIKE;
+        let dragging = alike && drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
         // It takes harm to vote back, and what does none only holds the build for a while.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
--- a/src/record.rs
+++ b/src/record.rs
@@ -55,6 +55,7 @@
     pub(crate) operation: usize,
     pub(crate) key: Option<KeyId>,
     pub(crate) work: f64,
+    pub(crate) again: bool,
     pub(crate) slo_at: f64,
     pub(crate) limit: f64,
     pub(crate) sent: Vec<Sent>,
