--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,7 @@
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
-const ALIKE: f64 = 0.1; // more quick answers than the earlier hosts, and the trial is not slowed with them
+const ALIKE: f64 = 0.15; // more quick answers than the earlier hosts, and the trial is not slowed with them
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -344,8 +344,8 @@
         let timely = end - now > 2.0 * self.s.tick;
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
         let more = inv.sent.len() < self.s.most_dispatches && (!out || (copy && self.s.may_copy));
-        // When it gets tight, what earns least for its time goes first; copies before, and tries that come again:
-        // their SLO time is running or past, and the work would be lost.
+        // When it gets tight, what earns least for its time goes first; before that copies, and tries that come
+        // again: their SLO time is running or past.
         let late = copy || inv.again && operation.late_is_worthless;
         let part =
             [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if late { OPEN_PART[1] } else { 1.0 });
