--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,7 @@
 const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.15; // more quick answers than the earlier hosts, and the trial is not slowed with them
+const DRAG_GROWS: f64 = 1.2; // times the drag of the stage before, at least: a trouble does not grow with stages
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -67,13 +68,11 @@
 const EARLIER: usize = 0;
 const TRIAL: usize = 1;
 
-/// What an invocation's earlier dispatches may have done, as its operation's repeats go.
+/// What earlier dispatches may have done: nothing; what hosts still know, or may be done again; what binds.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Trace {
     Clean,
-    /// One may have run, and a repeat is harmless, or known to the hosts of a group.
     MayHaveRun,
-    /// One may have run, and a repeat would do its work twice.
     Binding,
 }
 
@@ -120,7 +119,6 @@
 
 const UNKNOWN: Health = Health { faults: 0.0, pace: 1.5, aside_until: 0.0, aside_for: ASIDE[0] };
 
-/// One router's decisions.
 pub struct Router {
     s: State,
     rng: ChaCha8Rng,
@@ -191,12 +189,7 @@
             Event::Alarm { key } => match self.s.alarms.remove(&key.0) {
                 Some(Task::Swap) => self.beat(now, effects),
                 Some(Task::Follow) => effects.push(Effect::Follow { on: true }),
-                Some(Task::Further(id)) => {
-                    let one_out = |inv: &Inv| !inv.over && inv.sent.iter().filter(|s| s.out).count() == 1;
-                    if self.s.invs.get(&id).is_some_and(one_out) {
-                        self.dispatch_or_end(now, &id, true, effects);
-                    }
-                }
+                Some(Task::Further(id)) => self.dispatch_or_end(now, &id, true, effects),
                 None => {}
             },
             Event::Told { from, payload } => self.told(now, from, &payload, effects),
@@ -240,8 +233,7 @@
         self.s.hosts.values().filter(|h| h.usable)
     }
 
-    /// The trial's part of the machines.
-    fn part(&self) -> f64 {
+    fn trial_part(&self) -> f64 {
         let size = |trial: bool| {
             let hosts = self.usable().filter(|h| (self.phase(h.entry.build) == Phase::OnTrial) == trial);
             hosts.map(|h| h.entry.size).sum::<f64>()
@@ -267,7 +259,6 @@
         warmth >= 1.0 || sent < COLD_SPARE + self.s.cold_spend * warmth * fair
     }
 
-    /// Where a build stands; one that the news does not name yet is on trial.
     fn phase(&self, build: BuildId) -> Phase {
         match self.s.news {
             Some(news) if build < news.build => Phase::Released,
@@ -333,17 +324,18 @@
 
     /// Sends the next dispatch; where there is none to send, the final answer goes out at once (rule 1).
     fn dispatch_or_end(&mut self, now: f64, id: &InvId, copy: bool, effects: &mut Vec<Effect>) {
-        let Some(inv) = self.s.invs.get(id) else { return };
+        let Some(inv) = self.s.invs.get(id).filter(|inv| !inv.over) else { return };
         let operation = &self.s.operations[inv.operation];
         let (trace, _) = self.trace(now, inv);
         let row = AGAIN.iter().find(|row| row.0 == trace);
         let (again, throttle) = row.map_or((false, false), |row| (row.1, row.2));
         let throttle = throttle && (trace == Trace::Clean || operation.group == RepeatGroup::All);
-        let out = inv.sent.iter().any(|s| s.out);
+        let out = inv.sent.iter().filter(|s| s.out).count();
         let end = if operation.late_is_worthless { inv.limit.min(inv.slo_at) } else { inv.limit };
         let timely = end - now > 2.0 * self.s.tick;
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
-        let more = inv.sent.len() < self.s.most_dispatches && (!out || (copy && self.s.may_copy));
+        let more =
+            inv.sent.len() < self.s.most_dispatches && (out == 0 || copy && self.s.may_copy && out == 1);
         // When it gets tight, what earns least for its time goes first; before that copies, and tries that come
         // again: their SLO time is running or past.
         let late = copy || inv.again && operation.late_is_worthless;
@@ -355,7 +347,7 @@
             self.s.further -= f64::from(u8::from(trace != Trace::Clean));
             return self.send(now, id, host, end, effects);
         }
-        if out {
+        if out > 0 {
             return;
         }
         self.close(id);
@@ -505,7 +497,6 @@
         self.s.sums[place][arm][usize::from(!good)] += f64::from(self.s.routers) * weight;
     }
 
-    /// One mark's figures of an arm, of one operation or of all.
     fn figures(&self, slot: Option<usize>, mark: usize, arm: usize) -> [f64; 2] {
         let places = (0..self.s.slots).filter(|s| slot.is_none_or(|only| only == *s));
         let cells = places.map(|s| self.s.sums[s * MARKS + mark][arm]);
@@ -555,7 +546,7 @@
             (self.lesser(hosts.iter().map(|o| o.2), &key, now), hosts.iter().map(|o| o.3).sum::<f64>())
         });
         // When tight, the trial holds its machines' part of what is open: bound keys come again and again.
-        let part = self.part();
+        let part = self.trial_part();
         let of_trial = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
         let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
         let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
@@ -597,7 +588,7 @@
         // What came before the trial may have been a slow spell; then the memory of it gives way.
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
-        let part = self.part();
+        let part = self.trial_part();
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
         let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.earlier_lives());
         for [earlier, trial] in &mut self.s.sums {
@@ -668,6 +659,7 @@
                 let keep = (ENOUGH[0] / (past[0] + past[1]).max(ENOUGH[0])).min(1.0);
                 (*earlier, *trial) = (past.map(|figure| figure * keep), [0.0; 2]);
             }
+            self.s.drag_past = 1.0;
             self.s.swaps.clear();
             let [up, down] = self.figures(None, 0, EARLIER);
             self.s.kept_best = up / (up + down).max(1.0);
@@ -677,6 +669,9 @@
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
+            if same_build && old.is_some_and(|old| old.stage != news.stage) {
+                self.s.drag_past = self.shared(now).1;
+            }
             (self.s.stage_since, self.s.held) = (now - news.age, 0.0);
             (self.s.wish, self.s.wish_since) = (Sense::None, now);
             self.vote(now, Push::News, effects);
@@ -726,16 +721,18 @@
             .map(|arm| self.figures(None, 2, arm))
             .map(|[up, down]| up / (up + down).max(1.0));
         let alike = !lives || t < e + ALIKE;
-        let dragging = alike && drag > DRAG[usize::from(released)] && drag < 1.0 + DRAG_SPAN * share;
+        let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
+        let dragging = alike && grown && drag > DRAG[usize::from(released)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
         // It takes harm to vote back, and what does none only holds the build for a while.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0]);
-        let chance_drag = released || self.s.drag_since > latest + DRAG_BACK[0] / 2.0;
-        // Once released, only a drag that outlasts common troubles still speaks against the build.
-        worse = worse && !released || harm && since > DRAG_BACK[usize::from(chance_drag)];
+        // Once released, only a drag that came with the last stage, and outlasts common troubles, still speaks.
+        let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
+        worse = worse && !released
+            || harm && (came || !released) && since > DRAG_BACK[usize::from(released || !came)];
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
@@ -794,7 +791,6 @@
         }
     }
 
-    /// What an operator needs to see why a vote was cast.
     fn reasons(&self, now: f64, news: &StageNews) -> String {
         let good = |[up, down]: [f64; 2]| format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down);
         let arms = |mark| [EARLIER, TRIAL].map(|arm| good(self.figures(None, mark, arm))).join(":");
--- a/src/record.rs
+++ b/src/record.rs
@@ -125,6 +125,8 @@
     /// By operation, kind of machine and arm.
     pub(crate) low: BTreeMap<(usize, KindId, usize), Low>,
     pub(crate) drag_since: f64,
+    /// The drag when the stage before ended.
+    pub(crate) drag_past: f64,
     /// The share in time, as good as it was lately, before or during the trial.
     pub(crate) kept_best: f64,
     /// Invocations taken (and whether bound to the trial) and dispatches at trials, in the exposure window.
