--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.15; // more quick answers than the earlier hosts, and the trial is not slowed with them
-const DRAG_GROWS: f64 = 1.2; // times the drag of the stage before, at least: a trouble does not grow with stages
+const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it does not follow the trial
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -336,8 +336,8 @@
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
         let more =
             inv.sent.len() < self.s.most_dispatches && (out == 0 || copy && self.s.may_copy && out == 1);
-        // When it gets tight, what earns least for its time goes first; before that copies, and tries that come
-        // again: their SLO time is running or past.
+        // When it gets tight, what earns least for its time goes first; before that copies, and tries that
+        // come again: their SLO time is running or past.
         let late = copy || inv.again && operation.late_is_worthless;
         let part =
             [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if late { OPEN_PART[1] } else { 1.0 });
@@ -729,7 +729,7 @@
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0]);
-        // Once released, only a drag that came with the last stage, and outlasts common troubles, still speaks.
+        // Once released, only a drag that came with the last stage and outlasts common troubles still speaks.
         let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
         worse = worse && !released
             || harm && (came || !released) && since > DRAG_BACK[usize::from(released || !came)];
