--- a/src/choice.rs
+++ b/src/choice.rs
@@ -659,7 +659,6 @@
                 let keep = (ENOUGH[0] / (past[0] + past[1]).max(ENOUGH[0])).min(1.0);
                 (*earlier, *trial) = (past.map(|figure| figure * keep), [0.0; 2]);
             }
-            self.s.drag_past = 1.0;
             self.s.swaps.clear();
             let [up, down] = self.figures(None, 0, EARLIER);
             self.s.kept_best = up / (up + down).max(1.0);
@@ -669,9 +668,7 @@
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
-            if same_build && old.is_some_and(|old| old.stage != news.stage) {
-                self.s.drag_past = self.shared(now).1;
-            }
+            self.s.drag_past = if same_build { self.shared(now).1 } else { 1.0 };
             (self.s.stage_since, self.s.held) = (now - news.age, 0.0);
             (self.s.wish, self.s.wish_since) = (Sense::None, now);
             self.vote(now, Push::News, effects);
