--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,8 +34,8 @@
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
-const ALIKE: f64 = 0.15; // more quick answers than the earlier hosts, and the trial is not slowed with them
-const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it does not follow the trial
+const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
+const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -385,7 +385,6 @@
         }
     }
 
-    /// No answer is owed any more; the record stays while a dispatch is out.
     fn close(&mut self, id: &InvId) {
         if let Some(inv) = self.s.invs.get_mut(id) {
             inv.over = true;
@@ -592,7 +591,6 @@
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
         let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.earlier_lives());
         for [earlier, trial] in &mut self.s.sums {
-            // With no earlier machine left, its figures stay: there is nothing newer to compare with.
             earlier.iter_mut().filter(|_| lives).chain(trial).for_each(|figure| *figure *= fade);
         }
         if self.s.may_tell && self.s.routers > 1 && self.s.news.is_some() {
@@ -611,7 +609,7 @@
     fn message(&self, reply: bool) -> Vec<u8> {
         let build = self.s.news.map_or(BuildId(0), |news| news.build);
         let sums = self.s.sums.iter().flatten().flatten().copied().collect();
-        let (taken, drag) = (self.s.taken.len() as f64, self.drag());
+        let (taken, drag) = (self.s.taken.len() as f64, self.my_drag());
         Message { reply, fresh: self.s.fresh, build, taken, drag, sums }.encode()
     }
 
@@ -693,7 +691,7 @@
         let live = |since: f64| self.s.heard.values().filter(|heard| heard.0 > since).count();
         let since = now - PEER_LIVES;
         let heard = live(since.max(self.s.stage_since)) >= live(since).min(HEARD_PEERS);
-        // With no earlier machine left, times have nothing of today to be compared with; errors have.
+        // With no earlier machine left, only errors can still be compared.
         let (lives, released) = (self.earlier_lives(), news.phase == Phase::Released);
         let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
@@ -714,14 +712,11 @@
         // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
         // before. More than its share of machines explains, or a quicker trial, is other trouble.
         let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
-        let [e, t] = [EARLIER, TRIAL]
-            .map(|arm| self.figures(None, 2, arm))
-            .map(|[up, down]| up / (up + down).max(1.0));
-        let alike = !lives || t < e + ALIKE;
+        let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
         let dragging = alike && grown && drag > DRAG[usize::from(released)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
-        // It takes harm to vote back, and what does none only holds the build for a while.
+        // It takes harm to vote back; what does none only holds the build for a while.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
@@ -741,14 +736,18 @@
         }
     }
 
-    /// How much slower than before the trial the earlier hosts are, or all where none of them is left.
-    fn drag(&self) -> f64 {
-        let on_trial = self.s.news.is_some_and(|news| news.phase == Phase::OnTrial);
-        let arm = usize::from(on_trial && !self.earlier_lives());
+    /// How much slower than before the trial an arm's hosts are, as far as this router knows.
+    fn drag(&self, arm: usize) -> Option<f64> {
         let least = |place: &(usize, KindId, usize)| Some(self.s.low.get(&(place.0, place.1, arm))?.least);
         let known = self.s.low.iter().filter_map(|(place, low)| Some((least(place)? / low.before?).ln()));
         let (sum, count) = known.fold((0.0, 0.0f64), |(sum, count), log| (sum + log, count + 1.0));
-        (sum / count.max(1.0)).exp()
+        (count > 0.0).then(|| (sum / count).exp())
+    }
+
+    /// The drag of the earlier hosts, or of all where none of them is left.
+    fn my_drag(&self) -> f64 {
+        let on_trial = self.s.news.is_some_and(|news| news.phase == Phase::OnTrial);
+        self.drag(usize::from(on_trial && !self.earlier_lives())).unwrap_or(1.0)
     }
 
     /// This router's share of all traffic, and the drag that all see, by their traffic.
@@ -756,7 +755,7 @@
         let mine = (self.s.taken.len() as f64).max(1.0);
         let live = || self.s.heard.values().filter(|heard| now - heard.0 < PEER_LIVES);
         let all = mine + live().map(|heard| heard.1).sum::<f64>();
-        let drags = mine * self.drag().ln() + live().map(|heard| heard.1 * heard.2.ln()).sum::<f64>();
+        let drags = mine * self.my_drag().ln() + live().map(|heard| heard.1 * heard.2.ln()).sum::<f64>();
         (mine / all, (drags / all).exp())
     }
 
