--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const DRAG: [f64; 2] = [1.3, 1.6]; // times as slow as before the trial: no vote on; once released, back
+const DRAG: [f64; 3] = [1.3, 1.6, 2.0]; // times as slow as before the trial: no vote on; released; harm by itself
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
@@ -716,11 +716,11 @@
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
         let dragging = alike && grown && drag > DRAG[usize::from(released)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
-        // It takes harm to vote back; what does none only holds the build for a while.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
-        let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0]);
+        let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || drag > DRAG[2]);
+        let held = since.min(now - latest);
         // Once released, only a drag that came with the last stage and outlasts common troubles still speaks.
         let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
         worse = worse && !released
@@ -728,7 +728,7 @@
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if !settled || dragging && (harm || since < DRAG_BACK[1]) => Look::Unclear,
+            _ if !settled || dragging && (harm || held < DRAG_BACK[0]) => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
             _ if now - latest > STARVED_ON => Look::Overdue,
