--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,8 @@
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
-const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.1]; // of a mark among the hosts of one build
-const BACK_FIRM: f64 = 0.7; // s that a build keeps looking worse before the vote, for figures to mix
+const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.15]; // of a mark among the hosts of one build
+const BACK_FIRM: f64 = 1.0; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
@@ -714,17 +714,18 @@
         let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
         let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
-        let dragging = alike && grown && drag > DRAG[usize::from(released)];
+        let dragging = alike && grown && drag > DRAG[usize::from(!lives)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
-        let (since, harm) = (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || drag > DRAG[2]);
+        let (since, harm) =
+            (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2]);
         let held = since.min(now - latest);
-        // Once released, only a drag that came with the last stage and outlasts common troubles still speaks.
+        // With no earlier host left, going back stops all for a while: only what outlasts common troubles counts.
         let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
         worse = worse && !released
-            || harm && (came || !released) && since > DRAG_BACK[usize::from(released || !came)];
+            || harm && (came || !released) && since > DRAG_BACK[usize::from(!lives || !came)];
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
