--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,8 @@
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
-const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
-const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
+const LOW: [f64; 2] = [0.4, 0.2]; // quantiles of times: what is quick; what shows slowness without queues
+const LOW_STEP: [f64; 2] = [0.08, 0.12]; // step of each, of its size: some forty dispatches
 // Hosts.
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
 const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
@@ -469,8 +469,8 @@
             let new = Low { quick: time, least: time, before: None };
             let low = self.s.low.entry((place.0, place.1, arm)).or_insert(new);
             let below = |level: f64| f64::from(u8::from(served && time < level));
-            low.quick *= (LOW_STEP * (LOW[0] - below(low.quick))).exp();
-            low.least *= (LOW_STEP * (LOW[1] - below(low.least))).exp();
+            low.quick *= (LOW_STEP[0] * (LOW[0] - below(low.quick))).exp();
+            low.least *= (LOW_STEP[1] * (LOW[1] - below(low.least))).exp();
         }
         // Nor does a host out of reach, full or set aside.
         if !scored || sick || cut_off || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
@@ -722,7 +722,7 @@
         let (since, harm) =
             (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2]);
         let held = since.min(now - latest);
-        // With no earlier host left, going back stops all for a while: only what outlasts common troubles counts.
+        // With no earlier host left, going back stops all for a while: it must outlast common troubles.
         let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
         worse = worse && !released
             || harm && (came || !released) && since > DRAG_BACK[usize::from(!lives || !came)];
