--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,8 @@
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
 const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
-const LOW: [f64; 2] = [0.4, 0.2]; // quantiles of times: what is quick; what shows slowness without queues
-const LOW_STEP: [f64; 2] = [0.08, 0.12]; // step of each, of its size: some forty dispatches
+const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
+const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
 // Hosts.
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
 const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
@@ -85,16 +85,18 @@
     Worse,
     Fine,
     Unclear,
+    Dragging,
     Starved,
     Overdue,
 }
 
 /// What the merged figures say: the wish where votes move a build, where a clock does; None keeps the last.
-const WISHES: [(Look, Option<Sense>, Option<Sense>); 5] = [
+const WISHES: [(Look, Option<Sense>, Option<Sense>); 6] = [
     (Look::Worse, Some(Sense::Back), Some(Sense::Back)),
     (Look::Fine, Some(Sense::On), Some(Sense::None)),
     (Look::Overdue, Some(Sense::On), Some(Sense::None)),
     (Look::Unclear, None, Some(Sense::Hold)),
+    (Look::Dragging, Some(Sense::None), Some(Sense::Hold)),
     (Look::Starved, None, Some(Sense::None)),
 ];
 
@@ -284,7 +286,6 @@
         let taken = self.s.taken.iter().filter(|(at, o, _)| now - at < kept && counts(*o)).count();
         let limit = cap * taken as f64;
         let sent = self.s.exposed.iter().filter(|(_, b, o)| *b == build && counts(*o)).count() as f64;
-        // Bound keys must go to the trial build; new ones only where those leave room.
         let new_key = new_key && self.s.keys_bound && cap < 1.0;
         let (part, spare) = if new_key { (BOUND_ROOM[1], 0.5) } else { (1.0, 1.0) };
         sent + 1.0 <= spare * self.s.spare + part * limit
@@ -312,7 +313,6 @@
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
 
-    /// The trace of an invocation's dispatches, and the host of the first that may have run.
     fn trace(&self, now: f64, inv: &Inv) -> (Trace, Option<HostEntry>) {
         let window = self.s.operations[inv.operation].window - 2.0 * self.s.tick;
         match inv.sent.iter().find(|s| s.out || s.may_have_run) {
@@ -469,10 +469,9 @@
             let new = Low { quick: time, least: time, before: None };
             let low = self.s.low.entry((place.0, place.1, arm)).or_insert(new);
             let below = |level: f64| f64::from(u8::from(served && time < level));
-            low.quick *= (LOW_STEP[0] * (LOW[0] - below(low.quick))).exp();
-            low.least *= (LOW_STEP[1] * (LOW[1] - below(low.least))).exp();
+            low.quick *= (LOW_STEP * (LOW[0] - below(low.quick))).exp();
+            low.least *= (LOW_STEP * (LOW[1] - below(low.least))).exp();
         }
-        // Nor does a host out of reach, full or set aside.
         if !scored || sick || cut_off || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
             return;
         }
@@ -729,7 +728,8 @@
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if !settled || dragging && (harm || held < DRAG_BACK[0]) => Look::Unclear,
+            _ if dragging && (harm || held < DRAG_BACK[0]) => Look::Dragging,
+            _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
             _ if now - latest > STARVED_ON => Look::Overdue,
