--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,11 +32,12 @@
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const DRAG: [f64; 3] = [1.3, 1.6, 2.0]; // times as slow as before the trial: no vote on; released; harm by itself
+const DRAG: [f64; 3] = [1.3, 1.6, 2.0]; // times as slow as before the trial: no vote on; if alone; harm itself
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
-const DRAG_BACK: [f64; 2] = [8.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
+const DRAG_HELD: f64 = 8.0; // s a stage that a drag without harm holds the build
+const DRAG_BACK: [f64; 2] = [12.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
 const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
@@ -336,8 +337,7 @@
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
         let more =
             inv.sent.len() < self.s.most_dispatches && (out == 0 || copy && self.s.may_copy && out == 1);
-        // When it gets tight, what earns least for its time goes first; before that copies, and tries that
-        // come again: their SLO time is running or past.
+        // When tight, copies go first, and tries that come again (their SLO time is past); then what earns little.
         let late = copy || inv.again && operation.late_is_worthless;
         let part =
             [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if late { OPEN_PART[1] } else { 1.0 });
@@ -695,8 +695,7 @@
         let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
-        // One operation may fail alone, and a build may be slow without missing the SLO time yet.
-        // Where hosts know keys, a new one knows none and is slow at first whatever it runs.
+        // One operation may fail alone, or a build be slow yet in time. Where hosts know keys, new ones are slow.
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
             let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
@@ -722,13 +721,13 @@
             (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2]);
         let held = since.min(now - latest);
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
-        let came = self.s.drag_since < latest + DRAG_BACK[0] / 2.0;
+        let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
         worse = worse && !released
             || harm && (came || !released) && since > DRAG_BACK[usize::from(!lives || !came)];
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if dragging && (harm || held < DRAG_BACK[0]) => Look::Dragging,
+            _ if dragging && (harm || held < DRAG_HELD) => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
