--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const DRAG: [f64; 3] = [1.3, 1.6, 2.0]; // times as slow as before the trial: no vote on; if alone; harm itself
+const DRAG: [f64; 4] = [1.3, 1.6, 2.0, 3.0]; // times slower than before: no vote on; if alone; harm; in haste
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
@@ -337,7 +337,7 @@
         let paid = trace == Trace::Clean || self.s.further >= 1.0;
         let more =
             inv.sent.len() < self.s.most_dispatches && (out == 0 || copy && self.s.may_copy && out == 1);
-        // When tight, copies go first, and tries that come again (their SLO time is past); then what earns little.
+        // When tight, copies go first, and tries that come again (their SLO time is past); then lean ones.
         let late = copy || inv.again && operation.late_is_worthless;
         let part =
             [1.0, OPEN_PART[0]][usize::from(operation.lean)].min(if late { OPEN_PART[1] } else { 1.0 });
@@ -695,7 +695,7 @@
         let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
-        // One operation may fail alone, or a build be slow yet in time. Where hosts know keys, new ones are slow.
+        // One operation may fail alone, or a build be slow yet in time; where hosts know keys, new ones are.
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
             let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
@@ -717,17 +717,16 @@
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
-        let (since, harm) =
-            (now - self.s.drag_since, kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2]);
-        let held = since.min(now - latest);
+        let since = now - self.s.drag_since;
+        let harm = kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2];
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
         let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
-        worse = worse && !released
-            || harm && (came || !released) && since > DRAG_BACK[usize::from(!lives || !came)];
+        let long = since * (drag / DRAG[3]).max(1.0) > DRAG_BACK[usize::from(!lives || !came)];
+        worse = worse && !released || harm && long && (came || !released);
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if dragging && (harm || held < DRAG_HELD) => Look::Dragging,
+            _ if dragging && (harm || since.min(now - latest) < DRAG_HELD) => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
