--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,8 @@
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next router by hash votes too
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
-const DRAG: [f64; 4] = [1.3, 1.6, 2.0, 3.0]; // times slower than before: no vote on; if alone; harm; in haste
+const DRAG: [f64; 4] = [1.3, 1.6, 2.0, 2.6]; // times slower than before: no vote on; if alone; harm; in haste
+const LOSS: f64 = 4.0; // times slower that losing all answers in time counts for
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
@@ -709,19 +710,20 @@
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
         // before. More than its share of machines explains, or a quicker trial, is other trouble.
-        let (drag, share) = (self.shared(now).1, if released { 1.0 } else { part });
+        let [up, down] = self.figures(None, 0, usize::from(!lives));
+        let kept = up / (up + down).max(1.0);
+        self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
+        let share = if released { 1.0 } else { part };
+        let drag = self.shared(now).1.max(1.0 + LOSS * (self.s.kept_best - kept));
         let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
         let dragging = alike && grown && drag > DRAG[usize::from(!lives)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
-        let [up, down] = self.figures(None, 0, usize::from(!lives));
-        let kept = up / (up + down).max(1.0);
-        self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let since = now - self.s.drag_since;
         let harm = kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2];
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
         let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
-        let long = since * (drag / DRAG[3]).max(1.0) > DRAG_BACK[usize::from(!lives || !came)];
+        let long = since * drag / DRAG[3] > DRAG_BACK[usize::from(!lives || !came)];
         worse = worse && !released || harm && long && (came || !released);
         match pooled {
             _ if worse => Look::Worse,
