--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,7 @@
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
 const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.15]; // of a mark among the hosts of one build
+const WIDE: usize = 3; // one in so many of the trial's hosts must fail before errors speak against the build
 const BACK_FIRM: f64 = 1.0; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
 const STARVED_ON: f64 = 3.0; // s after the stage's latest listed start: vote on with too few samples
@@ -584,7 +585,6 @@
 
     fn beat(&mut self, now: f64, effects: &mut Vec<Effect>) {
         self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
-        // What came before the trial may have been a slow spell; then the memory of it gives way.
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         let part = self.trial_part();
@@ -697,15 +697,19 @@
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, or a build be slow yet in time; where hosts know keys, new ones are.
+        let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
+        // Errors of a few hosts are theirs; a build's show on many.
+        let failing = of_trial().filter(|h| h.health.faults > MARGINS[1]).count();
+        let wide = failing * WIDE >= of_trial().count();
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
             let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
-            worse |= each.chain(firm(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
+            worse |= (mark != 1 || wide)
+                && each.chain(firm(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
         }
-        let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
         // A stage's machines must run and take their part before it is moved on: some builds fail only then.
-        let part = self.s.stage_shares.get(news.stage as usize).copied().unwrap_or(1.0);
+        let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
         let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
@@ -713,10 +717,9 @@
         let [up, down] = self.figures(None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
-        let share = if released { 1.0 } else { part };
         let drag = self.shared(now).1.max(1.0 + LOSS * (self.s.kept_best - kept));
         let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
-        let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * share;
+        let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * part;
         let dragging = alike && grown && drag > DRAG[usize::from(!lives)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
         let since = now - self.s.drag_since;
