--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
-const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.15]; // of a mark among the hosts of one build
+const HOST_SPREAD: [f64; MARKS] = [0.12, 0.0, 0.15]; // of a mark among the hosts of one build
 const WIDE: usize = 3; // one in so many of the trial's hosts must fail before errors speak against the build
 const BACK_FIRM: f64 = 1.0; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
@@ -554,7 +554,6 @@
         let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
         if self.s.keys_bound {
-            // Bound keys go to the trial anyway; new ones only fill up its machines' share.
             let share = self.s.taken.iter().filter(|(.., bound)| *bound).count() as f64;
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
@@ -699,16 +698,15 @@
         // One operation may fail alone, or a build be slow yet in time; where hosts know keys, new ones are.
         let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
         // Errors of a few hosts are theirs; a build's show on many.
-        let failing = of_trial().filter(|h| h.health.faults > MARGINS[1]).count();
-        let wide = failing * WIDE >= of_trial().count();
+        let wide = of_trial().filter(|h| h.health.faults > MARGINS[1]).count() * WIDE >= of_trial().count();
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
             let each = slots.filter_map(|slot| firm(Some(slot), mark, ENOUGH[1]));
-            worse |= (mark != 1 || wide)
-                && each.chain(firm(None, mark, ENOUGH[0])).any(|chance| chance > BACK_CHANCE[1]);
+            let mut all = each.chain(firm(None, mark, ENOUGH[0]));
+            worse |= (mark != 1 || wide) && all.any(|chance| chance > BACK_CHANCE[1]);
         }
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
-        // A stage's machines must run and take their part before it is moved on: some builds fail only then.
+        // A stage's machines must run before it is moved on: some builds fail only then.
         let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
         let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
