--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
 const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
-const HOST_SPREAD: [f64; MARKS] = [0.12, 0.0, 0.15]; // of a mark among the hosts of one build
+const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.15]; // of a mark among the hosts of one build
 const WIDE: usize = 3; // one in so many of the trial's hosts must fail before errors speak against the build
 const BACK_FIRM: f64 = 1.0; // s that a build keeps looking worse before the vote, for figures to mix
 const SETTLED: [f64; 3] = [0.9, 1.2, 9.0]; // of a stage's machines listed, s after the last start, of stage
@@ -661,7 +661,6 @@
             self.s.kept_best = up / (up + down).max(1.0);
             self.s.low.retain(|key, _| key.2 == EARLIER);
             self.s.low.values_mut().for_each(|low| low.before = old.map(|_| low.least));
-            // Started into a trial already under way: the others know more than this router's prior.
             self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
@@ -690,7 +689,6 @@
         let live = |since: f64| self.s.heard.values().filter(|heard| heard.0 > since).count();
         let since = now - PEER_LIVES;
         let heard = live(since.max(self.s.stage_since)) >= live(since).min(HEARD_PEERS);
-        // With no earlier machine left, only errors can still be compared.
         let (lives, released) = (self.earlier_lives(), news.phase == Phase::Released);
         let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
