--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -242,6 +242,72 @@
     assert!((4..=20).contains(&admitted), "{admitted}");
 }
 
+#[test]
+fn tries_that_come_again_wait_behind_first_ones_under_pressure() {
+    let mut fake = Fake::new(terms(), 8);
+    fake.run(12.0, |_, _| (Verdict::TimedOut, 0.8));
+    let mut admitted = |again: bool| {
+        let ask = |n: u32| Invocation {
+            id: InvId(format!("{again}-{n}").into()),
+            operation: READ,
+            key: None,
+            time_left: 2.0,
+            work: None,
+            again,
+        };
+        (0..100).filter(|n| sent_to(&fake.feed(Event::Arrived(ask(*n)))).is_some()).count()
+    };
+    let (later, first) = (admitted(true), admitted(false));
+    assert!(later > 0 && first > 0, "{later} and then {first} more");
+}
+
+#[test]
+fn a_zone_out_of_reach_does_not_speak_against_the_build_in_it() {
+    let mut fake = on_trial(ServiceTerms { stage_shares: vec![0.5], ..terms() }, 12);
+    let zone = |id: u32| HostEntry {
+        zone: ZoneId(u32::from(id < 6)),
+        build: if id < 4 { NEW } else { OLD },
+        ..host(id, OLD, None)
+    };
+    fake.list((0..12).map(zone).collect());
+    let far = |h: &HostEntry| h.zone == ZoneId(1);
+    let how = |h: &HostEntry, _| if far(h) { (Verdict::TimedOut, 0.8) } else { (Verdict::Succeeded, 0.1) };
+    assert!(!fake.run(8.0, how).0.contains(&Sense::Back));
+}
+
+#[rstest]
+#[case::keys_are_known(true)]
+#[case::no_keys(false)]
+fn new_hosts_that_know_no_keys_are_no_slow_build(#[case] keys_warm: bool) {
+    let mut fake = on_trial(ServiceTerms { keys_warm, ..terms() }, 8);
+    let (votes, _) = fake.run(8.0, |h, _| (Verdict::Succeeded, if h.build == NEW { 0.3 } else { 0.1 }));
+    assert_eq!(votes.contains(&Sense::Back), !keys_warm);
+}
+
+#[test]
+fn errors_of_a_few_hosts_are_not_the_builds() {
+    let mut fake = on_trial(ServiceTerms { stage_shares: vec![0.5], ..terms() }, 24);
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.9));
+    let build = |id: u32| if id.is_multiple_of(2) { NEW } else { OLD };
+    fake.list((0..24).map(|id| host(id, build(id), None)).collect());
+    let turn = std::cell::Cell::new(0);
+    let how = |h: &HostEntry, _| {
+        turn.set(turn.get() + 1);
+        let fails = h.host.0 < 6 && h.build == NEW && turn.get() % 3 == 0;
+        (if fails { Verdict::Error } else { Verdict::Succeeded }, 0.1)
+    };
+    assert!(!fake.run(8.0, how).0.contains(&Sense::Back));
+}
+
+#[test]
+fn with_no_earlier_host_left_a_passing_slowness_sends_nothing_back() {
+    let mut fake = on_trial_after(0.3, ServiceTerms { stage_shares: vec![1.0], ..terms() }, 8);
+    fake.feed(news(NEW, 1, Phase::OnTrial, 1.0));
+    fake.list((0..8).map(|id| host(id, NEW, None)).collect());
+    let (votes, _) = fake.run(9.0, |_, _| (Verdict::Succeeded, 0.65));
+    assert!(!votes.contains(&Sense::Back), "{votes:?}");
+}
+
 /// The payloads that a router tells, by beating once.
 fn beat(router: &mut Router, now: f64) -> Vec<u8> {
     let mut effects = vec![];
