--- a/src/choice.rs
+++ b/src/choice.rs
@@ -189,7 +189,6 @@
             Event::Ended { inv, dispatch, verdict, took, over, .. } => {
                 self.ended(now, inv, dispatch.0, (verdict, took, over), effects)
             }
-            // A streamed answer that has started belongs to the client.
             Event::ClientLeft { inv } | Event::Streaming { inv, .. } => self.close(&inv),
             Event::Alarm { key } => match self.s.alarms.remove(&key.0) {
                 Some(Task::Swap) => self.beat(now, effects),
@@ -491,8 +490,7 @@
         }
     }
 
-    /// A score adds eta, the router count, to one of an arm's two figures; the earlier arm's weighs as the
-    /// trial's at each time, else its longer past would hide what has befallen all since.
+    /// A score adds eta to one figure; the earlier arm's weighs as the trial's, whose past is short.
     fn score(&mut self, build: BuildId, operation: usize, mark: usize, good: bool, weight: f64) {
         let arm = usize::from(self.s.news.is_some_and(|news| build >= news.build));
         let place = operation % self.s.slots * MARKS + mark;
