--- a/src/choice.rs
+++ b/src/choice.rs
@@ -453,14 +453,13 @@
             health.aside_for = ASIDE[0];
         }
         let (sick, slower) = (health.aside_until > now && !lonely, !lonely && health.pace > SLOWER * alike.1);
-        let odd = slower || !lonely && health.faults > alike.0 + FAULTY / 2.0;
         let late = !served || took > slo;
         if !late {
             self.s.pace = (self.pace(now) + 1.0 / PACE_TIME, now);
         }
         // Answers that come too late shrink what this router keeps open, timely ones widen it while in use;
         // never below what keeps the hosts busy: where all are slow, fewer open would not make them quick.
-        if !sick && !odd && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
+        if !sick && (late || self.s.open as f64 > 0.5 * self.s.open_most) {
             let least = (self.usable().count() as f64 * self.shared(now).0).max(1.0) * OPEN[1];
             let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
             self.s.open_most = (self.s.open_most + step).max(least);
@@ -478,7 +477,7 @@
             return;
         }
         let error = verdict == Verdict::Error;
-        // A cold host is late by nature: that is no evidence.
+        // A cold host is late by nature: its late answers are no evidence, its errors are.
         if !late || error || warmth >= 1.0 {
             self.score(build, operation, 0, !late, 1.0);
         }
@@ -697,6 +696,7 @@
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, or a build be slow yet in time; where hosts know keys, new ones are.
         let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
+        // Errors of a few hosts are theirs; a build's show on many.
         let wide = of_trial().filter(|h| h.health.faults > MARGINS[1]).count() * WIDE >= of_trial().count();
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
             let slots = (0..self.s.slots).filter(|_| mark != 2);
