--- a/src/choice.rs
+++ b/src/choice.rs
@@ -205,6 +205,7 @@
             }
             Event::ListFailed | Event::Tally { .. } | Event::Probed { .. } => {}
         }
+        effects.extend(self.s.notes.drain(..).map(|text| Effect::Note { text }));
     }
 
     fn set_alarm(&mut self, at: f64, task: Task, effects: &mut Vec<Effect>) {
@@ -364,7 +365,6 @@
         let low = self.s.low.get(&(inv.operation, h.entry.kind, EARLIER));
         let quick = low.map_or(0.1 * operation.slo, |low| low.quick * inv.work);
         let wait = (FIRST_WAIT[0] * (inv.slo_at - now)).max(FIRST_WAIT[1] * quick);
-        // A further dispatch is planned while it can still be in time, and while there is room for it.
         let easy = self.s.further >= 1.0 && self.s.open as f64 <= OPEN_PART[1] * self.s.open_most;
         let planned = easy && operation.window > wait && inv.sent.len() + 1 < self.s.most_dispatches;
         let planned = planned && now + wait + quick < end.min(inv.slo_at);
@@ -448,6 +448,10 @@
         // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
         if !lonely && health.faults > FAULTY + alike.0 && health.aside_until <= now {
             (health.aside_until, health.faults) = (now + health.aside_for, FAULTY + alike.0);
+            let (host, seconds) = (to.host.0, health.aside_for);
+            self.s
+                .notes
+                .push(format!("host {host} set aside for {seconds:.0} s: its dispatches come to nothing"));
             health.aside_for = (2.0 * health.aside_for).min(ASIDE[1]);
         } else if served && health.faults < FAULTY / 3.0 {
             health.aside_for = ASIDE[0];
@@ -540,6 +544,10 @@
                 open.push((arm, tier, id, host.entry.size * self.warmth(&host.entry, now)));
             }
         }
+        if open.is_empty() && rooms.values().any(|room| !room) && !std::mem::replace(&mut self.s.spent, true)
+        {
+            self.s.notes.push("exposure exhausted and no other host: throttling".into());
+        }
         let best = open.iter().map(|o| o.1).min()?;
         let key = inv.key.clone().filter(|_| self.s.keys_warm);
         let [(e, we), (t, wt)] = [EARLIER, TRIAL].map(|arm| {
@@ -638,7 +646,6 @@
 
     fn stage(&mut self, now: f64, news: StageNews, effects: &mut Vec<Effect>) {
         if news.answers_vote {
-            // A moot one is asked again when it would be renewed, or after news.
             let counted = matches!(news.verdict, Verdict::Succeeded | Verdict::Moot);
             self.vote(now, if counted { Push::Counted } else { Push::Unsure }, effects);
         }
@@ -666,20 +673,18 @@
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
             self.s.drag_past = if same_build { self.shared(now).1 } else { 1.0 };
-            (self.s.stage_since, self.s.held) = (now - news.age, 0.0);
+            (self.s.stage_since, self.s.held, self.s.spent) = (now - news.age, 0.0, false);
             (self.s.wish, self.s.wish_since) = (Sense::None, now);
             self.vote(now, Push::News, effects);
         }
     }
 
-    /// The chance that the trial's mark is lower by over its margin, by the logistic curve; None if too few.
     fn chance(&self, slot: Option<usize>, mark: usize, enough: f64, part: f64) -> Option<f64> {
         let arms = [EARLIER, TRIAL].map(|arm| self.figures(slot, mark, arm));
         let [(em, ev), (tm, tv)] = arms.map(|[up, down]| {
             let (a, n) = (part * up + 1.0, part * (up + down) + 2.0);
             (a / n, a * (n - a) / (n * n * (n + 1.0)))
         });
-        // Hosts of one build differ, in pace most of all: few of them prove little, however much they serve.
         let hosts = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial).count() as f64;
         let spread = HOST_SPREAD[mark].powi(2) / hosts.max(1.0);
         let z = (em - tm - MARGINS[mark]) / (ev + tv + spread).sqrt();
@@ -744,7 +749,6 @@
         (count > 0.0).then(|| (sum / count).exp())
     }
 
-    /// The drag of the earlier hosts, or of all where none of them is left.
     fn my_drag(&self) -> f64 {
         let on_trial = self.s.news.is_some_and(|news| news.phase == Phase::OnTrial);
         self.drag(usize::from(on_trial && !self.earlier_lives())).unwrap_or(1.0)
--- a/src/record.rs
+++ b/src/record.rs
@@ -152,6 +152,9 @@
     pub(crate) wish_since: f64,
     pub(crate) worse_since: f64,
     pub(crate) held: f64,
+    /// Lines for the operator; whether the exposure was found spent in this stage.
+    pub(crate) notes: Vec<String>,
+    pub(crate) spent: bool,
 }
 
 /// What one router tells another: the build its figures are of, and the figures.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -309,6 +309,39 @@
     assert!(!votes.contains(&Sense::Back), "{votes:?}");
 }
 
+#[rstest]
+#[case::counted(Verdict::Succeeded, 5.0)]
+#[case::moot(Verdict::Moot, 5.0)]
+#[case::full(Verdict::Full, 0.5)]
+#[case::unanswered(Verdict::TimedOut, 0.5)]
+fn a_vote_is_cast_again_as_its_answer_asks(#[case] verdict: Verdict, #[case] after: f64) {
+    let mut fake = on_trial(ServiceTerms { ballot_life: 60.0, ..terms() }, 8);
+    let well = |_: &HostEntry, _| (Verdict::Succeeded, 0.1);
+    while fake.run(0.1, well).0.is_empty() {}
+    let Event::Stage(answer) = news(NEW, 0, Phase::OnTrial, 0.3) else { panic!("news") };
+    fake.feed(Event::Stage(StageNews { verdict, answers_vote: true, ..answer }));
+    assert!(fake.run(after - 0.3, well).0.is_empty());
+    assert_eq!(fake.run(0.7, well).0.first(), Some(&Sense::On));
+}
+
+#[rstest]
+#[case::one_at_a_time(false)]
+#[case::copies_allowed(true)]
+fn two_dispatches_are_out_at_once_only_where_copies_are_allowed(#[case] may_copy: bool) {
+    let mut fake = Fake::new(ServiceTerms { may_copy, ..terms() }, 4);
+    let (_, effects) = fake.ask(READ, None);
+    assert!(sent_to(&effects).is_some());
+    let alarms = effects.iter().filter_map(|effect| match effect {
+        Effect::SetAlarm { at, key } => Some((*at, *key)),
+        _ => None,
+    });
+    let copies = alarms.collect::<Vec<_>>().into_iter().filter(|(at, key)| {
+        fake.now = *at;
+        sent_to(&fake.feed(Event::Alarm { key: *key })).is_some()
+    });
+    assert_eq!(copies.count(), usize::from(may_copy));
+}
+
 /// The payloads that a router tells, by beating once.
 fn beat(router: &mut Router, now: f64) -> Vec<u8> {
     let mut effects = vec![];
