--- a/src/choice.rs
+++ b/src/choice.rs
@@ -152,7 +152,7 @@
             State { operations: operations.collect(), stage_shares: terms.stage_shares, ..State::default() };
         (s.me, s.routers, s.zone) = (terms.me, terms.routers.max(1), terms.zone);
         (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
-        s.renew_every = RENEW_EVERY.min(0.8 * terms.ballot_life);
+        (s.renew_every, s.even) = (RENEW_EVERY.min(0.8 * terms.ballot_life), 1.0);
         (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
         s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
         (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
@@ -167,7 +167,6 @@
         s.slots = terms.operations.len().clamp(1, SLOTS);
         s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
         (s.pace, s.stage_since, s.open_most, s.further) = ((0.0, now), now, OPEN[0], FURTHER[1] / 2.0);
-        s.even = 1.0;
         Router { s, rng: ChaCha8Rng::seed_from_u64(seed) }
     }
 
@@ -251,7 +250,6 @@
         self.s.cold_share + (1.0 - self.s.cold_share) * (age / self.s.cold_time).clamp(0.0, 1.0)
     }
 
-    /// Succeeded dispatches a second: dispatches sent would count an overload too.
     fn pace(&self, now: f64) -> f64 {
         self.s.pace.0 * (-(now - self.s.pace.1) / PACE_TIME).exp()
     }
@@ -448,10 +446,7 @@
         // is for the vote. Also holds against hosts that hang, are unreachable or turn everything away.
         if !lonely && health.faults > FAULTY + alike.0 && health.aside_until <= now {
             (health.aside_until, health.faults) = (now + health.aside_for, FAULTY + alike.0);
-            let (host, seconds) = (to.host.0, health.aside_for);
-            self.s
-                .notes
-                .push(format!("host {host} set aside for {seconds:.0} s: its dispatches come to nothing"));
+            self.s.notes.push(format!("host {} set aside: its dispatches come to nothing", to.host.0));
             health.aside_for = (2.0 * health.aside_for).min(ASIDE[1]);
         } else if served && health.faults < FAULTY / 3.0 {
             health.aside_for = ASIDE[0];
@@ -754,7 +749,6 @@
         self.drag(usize::from(on_trial && !self.earlier_lives())).unwrap_or(1.0)
     }
 
-    /// This router's share of all traffic, and the drag that all see, by their traffic.
     fn shared(&self, now: f64) -> (f64, f64) {
         let mine = (self.s.taken.len() as f64).max(1.0);
         let live = || self.s.heard.values().filter(|heard| now - heard.0 < PEER_LIVES);
