--- a/src/choice.rs
+++ b/src/choice.rs
@@ -708,8 +708,7 @@
         // A stage's machines must run before it is moved on: some builds fail only then.
         let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
         let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
-        let settled =
-            there && now - latest > SETTLED[1] * (1.0 + part) || now - self.s.stage_since > SETTLED[2];
+        let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms alike, which no comparison shows: then the earlier hosts are slower than
         // before. More than its share of machines explains, or a quicker trial, is other trouble.
         let [up, down] = self.figures(None, 0, usize::from(!lives));
