--- a/benchlink/src/codec.rs
+++ b/benchlink/src/codec.rs
@@ -1,41 +1,15 @@
 //! The wire's messages as events, terms and effects, and back. The wire's own names stay here.
 
-use std::collections::BTreeMap;
 use std::fmt::Write;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use kestreltide::interface::*;
+use kestreltide_terms::{Fields, Names, TransportTerms, seconds};
 
-use crate::fields::{Line, micros, seconds};
+use crate::fields::micros;
 
-/// Zones and kinds by name, numbered as they are met.
-#[derive(Default)]
-pub struct Names(BTreeMap<String, u32>);
-
-impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        let next = self.0.len() as u32;
-        *self.0.entry(name.into()).or_insert(next)
-    }
-}
-
-#[derive(Clone, Copy)]
-enum LoadField {
-    Held,
-    Queued,
-    Busy,
-    ServiceMillis,
-    Other,
-}
-
-/// What the messages of one instance need to be understood.
-pub struct Wire {
-    operations: BTreeMap<String, OperationId>,
-    load_fields: Vec<LoadField>,
-}
-
-pub fn decode_entry(line: &Line, names: &mut Names) -> Result<HostEntry, String> {
+pub fn decode_entry(line: &Fields, names: &mut Names) -> Result<HostEntry, String> {
     let started: u64 = line.maybe_whole("since")?.unwrap_or(0);
     let state = match line.text("lifecycle")? {
         "Running" => HostState::Running,
@@ -55,118 +29,7 @@
     })
 }
 
-fn operation_terms(line: &Line, number: usize) -> Result<(String, OperationTerms), String> {
-    let key = |field: &str| format!("request_classes.{number}.{field}");
-    let repeats = match line.text(&key("effect"))? {
-        "repeatable" => Repeats::Idempotent,
-        "by_key" => {
-            let group = match line.text(&key("group"))? {
-                "all" => RepeatGroup::All,
-                "zone" => RepeatGroup::Zone,
-                "cell" => RepeatGroup::Cell,
-                other => return Err(format!("group {other} is not known")),
-            };
-            Repeats::Fingerprinted { group, window: line.time(&key("window"))? }
-        }
-        "once" => Repeats::SideEffecting,
-        other => return Err(format!("effect {other} is not known")),
-    };
-    let stretch = key("aim_stretch");
-    let terms = OperationTerms {
-        slo_time: line.time(&key("slo"))?,
-        slo_stretch: if line.maybe(&stretch).is_some() { line.number(&stretch)? } else { 0.0 },
-        time_limit: line.time(&key("give_up"))?,
-        repeats,
-        billed_value: line.number(&key("credit"))?,
-        late_share: line.number(&key("late_worth"))?,
-        streamed: line.flag(&key("stream"))?,
-    };
-    Ok((line.text(&key("name"))?.into(), terms))
-}
-
-pub fn decode_terms(line: &Line, names: &mut Names) -> Result<(ServiceTerms, Wire), String> {
-    let count: usize = line.whole("request_classes.count")?;
-    let (mut operations, mut by_name) = (Vec::new(), BTreeMap::new());
-    for number in 0..count {
-        let (name, terms) = operation_terms(line, number)?;
-        operations.push(terms);
-        by_name.insert(name, OperationId(number));
-    }
-    let sizes = match line.text("weight_kind")? {
-        "off" => Sizes::Untold,
-        "nominal" => Sizes::Registered,
-        "rough" => Sizes::Rough,
-        "live" => Sizes::Live,
-        other => return Err(format!("weight_kind {other} is not known")),
-    };
-    let gate = match line.text("extra.gate_mode")? {
-        "any" => Gate::Any,
-        "share" => Gate::Share,
-        "timer" => Gate::Clock,
-        other => return Err(format!("extra.gate_mode {other} is not known")),
-    };
-    let list_asked = match line.text("discovery")? {
-        "ask" => true,
-        "push" => false,
-        other => return Err(format!("discovery {other} is not known")),
-    };
-    let load_fields = line.maybe("telemetry.fields").unwrap_or_default().split(',');
-    let wire = Wire {
-        operations: by_name,
-        load_fields: load_fields
-            .map(|field| match field {
-                "rif" => LoadField::Held,
-                "q" => LoadField::Queued,
-                "busy" => LoadField::Busy,
-                "lat_ms" => LoadField::ServiceMillis,
-                _ => LoadField::Other,
-            })
-            .collect(),
-    };
-    let terms = ServiceTerms {
-        me: RouterId(line.whole("me")?),
-        routers: line.whole("group_size")?,
-        zone: line.maybe("my_zone").map(|zone| ZoneId(names.number(zone))),
-        operations,
-        billed_by_work: line.text("worth_by")? == "work",
-        list_asked,
-        ask_every: line.time("guarantees.ask_every")?,
-        sizes,
-        gate,
-        votes_on: line.whole("extra.votes_to_go")?,
-        votes_back: line.whole("extra.back_votes")?,
-        votes_hold: line.whole("extra.stoppers")?,
-        bake: line.time("extra.bake")?,
-        ballot_life: line.time("extra.ballot_ttl")?,
-        vote_wait: line.time("extra.vote_wait")?,
-        stage_shares: line.numbers("extra.rings")?,
-        stage_caps: line.numbers("extra.most_shares")?,
-        exposure_window: line.time("extra.counted_over")?,
-        exposure_spare: line.number("extra.spare_tries")?,
-        exposure_by_operation: line.text("extra.counts")? == "class",
-        guarded_stages: line.whole("extra.guarded_stages")?,
-        keys_bound: line.flag("extra.no_return")?,
-        keys_warm: line.flag("extra.warm_keys")?,
-        in_place: line.text("extra.replace_mode")? == "in_place",
-        dispute_share: line.number("extra.flag_share")?,
-        drain_grace: line.time("guarantees.drain_grace")?,
-        cold_share: line.number("guarantees.cold_share")?,
-        cold_time: line.time("guarantees.cold")?,
-        fall_multiple: line.number("guarantees.fall_multiple")?,
-        fall_time: line.time("guarantees.fall")?,
-        may_probe: line.flag("permissions.may_probe")?,
-        may_tell: line.flag("permissions.peers")?,
-        may_recall: line.flag("permissions.cancel")?,
-        may_copy: line.flag("permissions.second_copies")?,
-        may_advise: line.flag("permissions.retry_after")?,
-        longest_advice: line.time("permissions.max_retry_after")?,
-        most_dispatches: line.whole("permissions.max_attempts")?,
-        tick: line.time("tick")?,
-    };
-    Ok((terms, wire))
-}
-
-fn verdict(line: &Line) -> Result<Verdict, String> {
+fn verdict(line: &Fields) -> Result<Verdict, String> {
     Ok(match line.whole::<u32>("verdict")? {
         0 => Verdict::Succeeded,
         1 => Verdict::Error,
@@ -180,28 +43,14 @@
     })
 }
 
-fn load(line: &Line, fields: &[LoadField]) -> Result<LoadReport, String> {
-    let mut report = LoadReport::default();
-    for (field, value) in fields.iter().zip(line.numbers("telemetry")?) {
-        match field {
-            LoadField::Held => report.held = Some(value),
-            LoadField::Queued => report.queued = Some(value),
-            LoadField::Busy => report.busy = Some(value),
-            LoadField::ServiceMillis => report.service_time = Some(value / 1e3),
-            LoadField::Other => {}
-        }
-    }
-    Ok(report)
-}
-
-fn payload(line: &Line) -> Result<Vec<u8>, String> {
+fn payload(line: &Fields) -> Result<Vec<u8>, String> {
     match line.text("payload")? {
         "-" => Ok(Vec::new()),
         text => BASE64.decode(text).map_err(|_| "payload in PEER is not base64".into()),
     }
 }
 
-pub fn decode_event(line: &Line, wire: &Wire) -> Result<Event, String> {
+pub fn decode_event(line: &Fields, wire: &TransportTerms) -> Result<Event, String> {
     let inv = || line.text("req").map(|id| InvId(id.into()));
     let host = || line.whole("host").map(HostId);
     let dispatch = || line.whole("leg").map(DispatchNo);
@@ -226,7 +75,7 @@
             verdict: verdict(line)?,
             over: line.flag("done_flag")?,
             took: line.time("cost_time")?,
-            load: load(line, &wire.load_fields)?,
+            load: wire.load_in_order(&line.numbers("telemetry")?),
         },
         "HANGUP" => Event::ClientLeft { inv: inv()? },
         "DUE" => Event::Alarm { key: AlarmKey(line.whole("key_back")?) },
@@ -234,7 +83,7 @@
             host: host()?,
             verdict: verdict(line)?,
             took: line.time("cost_time")?,
-            load: load(line, &wire.load_fields)?,
+            load: wire.load_in_order(&line.numbers("telemetry")?),
         },
         "PEER" => Event::Told { from: RouterId(line.whole("src_peer")?), payload: payload(line)? },
         "PHASE_TOLD" => Event::Stage(StageNews {
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -10,14 +10,14 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use codec::{Names, Wire, decode_entry, decode_event, decode_terms, encode};
-use fields::Line;
+use codec::{decode_entry, decode_event, encode};
 use kestreltide::choice::Router;
 use kestreltide::interface::{Effect, Event, HostEntry, ListScope};
+use kestreltide_terms::{Fields, Names, TransportTerms, decode, seconds};
 
 struct Instance {
     router: Router,
-    wire: Wire,
+    wire: TransportTerms,
 }
 
 /// What stays from one line to the next.
@@ -36,7 +36,7 @@
 impl Link {
     /// Takes one line; true at the end of a batch.
     fn take(&mut self, text: &str) -> Result<bool, String> {
-        let line = Line::parse(text)?;
+        let line = fields::parse(text)?;
         if let Some((slot, left, mut read)) = self.filling.take() {
             if line.name != "ENTRY" {
                 return Err(format!("expected {left} more ENTRY lines of list {slot}"));
@@ -54,7 +54,7 @@
             return Ok(false);
         }
         let Some(moment) = self.moment else { return Err("the batch has not begun with SYNC".into()) };
-        let now = fields::seconds(moment);
+        let now = seconds(moment);
         match line.name {
             "EOF_BATCH" => {
                 self.moment = None;
@@ -67,7 +67,7 @@
             }
             "ATTACH" => {
                 let (who, seed) = (line.text("who")?, line.whole("init_seed")?);
-                let (terms, wire) = decode_terms(&line, &mut self.names)?;
+                let (terms, wire) = decode(&line, &mut self.names)?;
                 let start = catch_unwind(AssertUnwindSafe(|| Router::start(terms, seed, now)));
                 match start {
                     Ok(router) => drop(self.instances.insert(who.into(), Instance { router, wire })),
@@ -98,7 +98,7 @@
         }
     }
 
-    fn event(&self, line: &Line, who: &str) -> Result<Event, String> {
+    fn event(&self, line: &Fields, who: &str) -> Result<Event, String> {
         if line.name == "MEMBERS" {
             let scope = match line.text("scope")? {
                 "diff" => ListScope::Changes,
--- /dev/null
+++ b/router/src/limits.rs
@@ -0,0 +1,112 @@
+//! Every limit of the router: sizes, counts and times, filled once at start and handed down.
+
+use kestreltide::interface::ServiceTerms;
+use kestreltide_terms::TransportTerms;
+
+const KIB: usize = 1024;
+const MIB: usize = 1024 * KIB;
+/// Descriptors for all that is neither a client's connection nor one to a host.
+const OWN_DESCRIPTORS: usize = 32;
+/// Of the memory, for what connections may hold; the rest is the program's own.
+const HELD_PART: f64 = 0.5;
+
+/// Sizes in bytes, times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub value: usize,
+    pub words: usize,
+    /// One command or answer: a value and its envelope.
+    pub message: usize,
+    pub line: usize,
+    pub list_answer: usize,
+    pub headers: usize,
+    pub datagram: usize,
+    /// Read from one socket at a time before others get their turn.
+    pub read_step: usize,
+    pub backlog: i32,
+    pub clients: usize,
+    pub host_links: usize,
+    pub idle_links: usize,
+    /// Commands of one client that wait for their answers.
+    pub pipeline: usize,
+    pub invocations: usize,
+    /// Bytes of commands that are kept, and of answers that clients have not read yet.
+    pub held: usize,
+    pub unread: usize,
+    pub hosts: usize,
+    pub alarms: usize,
+    pub votes: usize,
+    pub probes: usize,
+    pub log_lines: usize,
+    pub log_text: usize,
+    pub connect_time: f64,
+    pub idle_time: f64,
+    pub probe_time: f64,
+    pub vote_time: f64,
+    /// A watch is asked to answer after this time at the latest, and given this much more to do it.
+    pub watch_hold: f64,
+    pub watch_spare: f64,
+    /// Without a sign of life for this time the platform's connection is opened anew.
+    pub platform_silence: f64,
+    /// Between tries to reach discovery or the platform, at first and at most.
+    pub retry: [f64; 2],
+    pub accept_again: f64,
+    pub sweep: f64,
+    /// A router that has heard nothing from discovery or the platform serves after this time by what it has.
+    pub ready_wait: f64,
+    pub stuck_client: f64,
+    /// After a planned stop: clients still come for this time.
+    pub stop_serving: f64,
+    pub stop_last: f64,
+}
+
+impl Limits {
+    pub fn new(sockets: usize, memory_mb: usize, terms: &ServiceTerms, transport: &TransportTerms) -> Self {
+        let value = 64 * KIB;
+        let message = value + 4 * KIB;
+        let held = (memory_mb.max(16) as f64 * HELD_PART) as usize * MIB;
+        let open = sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
+        let host_links = open / 2;
+        // Each connection may be in the middle of one whole message.
+        let clients = (open - host_links).min(held / 2 / message).max(1);
+        let longest = terms.operations.iter().map(|o| o.time_limit).fold(0.0, f64::max);
+        Limits {
+            value,
+            words: 8,
+            message,
+            line: 8 * KIB,
+            list_answer: 4 * MIB,
+            headers: 32,
+            datagram: 256,
+            read_step: 64 * KIB,
+            backlog: 1024,
+            clients,
+            host_links,
+            idle_links: host_links / 2,
+            pipeline: 16,
+            invocations: transport.most_open.min(held / 4 / KIB).max(1),
+            held: held / 4,
+            unread: held / 4,
+            hosts: 16 * KIB,
+            alarms: 64 * KIB,
+            votes: 16,
+            probes: 64,
+            log_lines: 1024,
+            log_text: 512,
+            connect_time: transport.connect_time,
+            idle_time: 0.8 * transport.idle_time,
+            probe_time: transport.connect_time,
+            vote_time: terms.vote_wait,
+            watch_hold: 5.0,
+            watch_spare: 1.0,
+            platform_silence: 3.0,
+            retry: [0.05, 1.0],
+            accept_again: 0.05,
+            sweep: 0.5,
+            ready_wait: 3.0,
+            stuck_client: 10.0 * longest,
+            stop_serving: 0.45,
+            stop_last: longest + 0.6,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/program/config.rs
@@ -0,0 +1,103 @@
+//! The configuration file and the environment.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use kestreltide::interface::ServiceTerms;
+use kestreltide_terms::{Fields, Names, TransportTerms, decode};
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
+
+use crate::protocol::platform::StateForm;
+
+#[derive(Deserialize)]
+struct File<'a> {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Sizes,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    platform: Option<Platform>,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+pub struct Sizes {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+#[derive(Deserialize)]
+pub struct Platform {
+    pub address: SocketAddr,
+    pub news: Option<StateForm>,
+}
+
+/// All that a router is told at start.
+pub struct Told<'a> {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Sizes,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    pub platform: Option<Platform>,
+    pub known: Option<&'a RawValue>,
+    pub terms: ServiceTerms,
+    pub transport: TransportTerms,
+    pub names: Names,
+}
+
+pub fn load(path: Option<String>) -> Result<String, String> {
+    let path = path.or_else(|| env::var("PROXY_CONFIG").ok());
+    let path = path.ok_or("no configuration: neither --config nor PROXY_CONFIG names a file")?;
+    fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))
+}
+
+/// The environment goes before the file where both say something.
+fn address(variable: &str, told: SocketAddr) -> Result<SocketAddr, String> {
+    match env::var(variable) {
+        Ok(text) => text.parse().map_err(|_| format!("{variable}={text} is no address and port")),
+        Err(_) => Ok(told),
+    }
+}
+
+pub fn read(text: &str) -> Result<Told<'_>, String> {
+    let reader = &mut serde_json::Deserializer::from_str(text);
+    let file: File = serde_path_to_error::deserialize(reader).map_err(|e| {
+        let (path, why) = (e.path().to_string(), e.inner());
+        if path == "." { why.to_string() } else { format!("{path}: {why}") }
+    })?;
+    let seed = file.seed.trim_start_matches("0x");
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed} is no hexadecimal number"))?;
+    let mut names = Names::default();
+    let (terms, transport) = decode(&Fields::from_json("settings", &file.settings), &mut names)?;
+    if file.limits.sockets == 0 || file.limits.memory_mb == 0 {
+        return Err("limits: sockets and memory_mb must be more than 0".into());
+    }
+    Ok(Told {
+        name: env::var("PROXY_NAME").unwrap_or(file.name),
+        listen: address("PROXY_LISTEN", file.listen)?,
+        discovery: address("PROXY_DISCOVERY", file.discovery)?,
+        seed,
+        limits: file.limits,
+        peer_listen: file.peer_listen,
+        peers: file.peers,
+        peers_all: file.peers_all,
+        platform: file.platform,
+        known: file.known,
+        terms,
+        transport,
+        names,
+    })
+}
--- /dev/null
+++ b/router/src/program/mod.rs
@@ -0,0 +1,141 @@
+//! The command line, the configuration, the log and the loop.
+
+mod config;
+mod logs;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use slog::{error, info};
+
+use crate::limits::Limits;
+use crate::protocol::discovery;
+use crate::routing::{Parties, Routing};
+use crate::transport::{Clock, Net};
+use config::Told;
+
+/// kestreltide splits invocations between an earlier and a trial build of a service, and votes the trial on
+/// or back.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    CheckConfig(CheckConfig),
+    ShowLimits(ShowLimits),
+    Version(Version),
+}
+
+/// run a router until it is told to stop (also what happens without a sub-command)
+#[derive(FromArgs, Default)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// the configuration file (default: $PROXY_CONFIG)
+    #[argh(option, short = 'c')]
+    config: Option<String>,
+    /// how much to log: error, warn, info or debug (default: debug)
+    #[argh(option, short = 'l', from_str_fn(level))]
+    log: Option<slog::Level>,
+}
+
+/// read the configuration as serve would, say what is wrong with it, and end
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check-config")]
+struct CheckConfig {
+    /// the configuration file (default: $PROXY_CONFIG)
+    #[argh(option, short = 'c')]
+    config: Option<String>,
+}
+
+/// print the limits that a configuration leads to
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show-limits")]
+struct ShowLimits {
+    /// the configuration file (default: $PROXY_CONFIG)
+    #[argh(option, short = 'c')]
+    config: Option<String>,
+}
+
+/// print the version
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+pub fn main() -> ExitCode {
+    let line: Line = argh::from_env();
+    let done = match line.command.unwrap_or(Command::Serve(Serve::default())) {
+        Command::Serve(serve) => run(&serve),
+        Command::CheckConfig(CheckConfig { config }) => config::load(config)
+            .and_then(|text| config::read(&text).map(|told| println!("{} is well", told.name))),
+        Command::ShowLimits(ShowLimits { config }) => config::load(config)
+            .and_then(|text| config::read(&text).map(|told| println!("{:#?}", limits(&told)))),
+        Command::Version(Version {}) => {
+            println!("kestreltide {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("kestreltide: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn level(text: &str) -> Result<slog::Level, String> {
+    text.parse().map_err(|()| format!("{text} is no level: error, warn, info or debug"))
+}
+
+fn limits(told: &Told) -> Limits {
+    Limits::new(told.limits.sockets, told.limits.memory_mb, &told.terms, &told.transport)
+}
+
+fn run(serve: &Serve) -> Result<(), String> {
+    let text = config::load(serve.config.clone())?;
+    let told = config::read(&text)?;
+    let clock = Clock::start();
+    let limits = limits(&told);
+    // Before the log's thread starts: signals are blocked for all threads that come after.
+    let net = Net::start().map_err(|e| format!("the event loop cannot start: {e}"))?;
+    let (log, guard) = logs::start(&told.name, serve.log.unwrap_or(slog::Level::Debug), &limits);
+    info!(log, "starting"; "version" => env!("CARGO_PKG_VERSION"), "routers" => told.terms.routers,
+        "me" => told.terms.me.0);
+    let parties = Parties {
+        listen: told.listen,
+        discovery: told.discovery,
+        platform: told.platform.as_ref().map(|platform| platform.address),
+        peer_listen: told.peer_listen,
+        peers: told.peers,
+        peers_all: told.peers_all,
+    };
+    let terms = (told.terms, told.transport);
+    let started = Routing::start(log.clone(), limits, clock, net, terms, told.names, parties, told.seed);
+    let mut routing = started.map_err(|e| format!("listen: {} cannot be listened on: {e}", told.listen))?;
+    if let Some(known) = told.known {
+        let known = discovery::list(known.get().as_bytes()).map_err(|e| format!("known: {e}"))?;
+        routing.remember(&known);
+    }
+    if let Some(news) = told.platform.and_then(|platform| platform.news) {
+        routing.remember_state(&news.state());
+    }
+    routing.begin();
+    let ended = loop {
+        match routing.turn() {
+            Ok(true) => {}
+            Ok(false) => break Ok(()),
+            Err(e) => break Err(format!("the event loop failed: {e}")),
+        }
+    };
+    match &ended {
+        Ok(()) => info!(log, "stopped"),
+        Err(why) => error!(log, "broken"; "why" => why),
+    }
+    drop(guard);
+    ended
+}
--- /dev/null
+++ b/router/src/protocol/client.rs
@@ -0,0 +1,119 @@
+//! What clients ask, and what they are answered.
+
+use std::fmt::Write;
+
+use super::resp::{self, write_command, write_error};
+use super::{Malformed, Read};
+
+const IDEMPOTENT: &[u8] = b"Q.ASK";
+const OTHERS: &[u8] = b"Q.DO";
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command<'a> {
+    Invocation(Asked<'a>),
+    Ping,
+    /// A set-up command that many client libraries send, which changes nothing here.
+    SetUp,
+    Unknown,
+}
+
+/// An invocation as a client has written it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Asked<'a> {
+    /// Sent by the command for idempotent operations.
+    pub idempotent: bool,
+    pub key: &'a str,
+    pub id: &'a [u8],
+    pub operation: &'a str,
+    pub time_millis: u64,
+    pub again: bool,
+    words: Vec<&'a [u8]>,
+}
+
+pub fn read(bytes: &[u8], most: usize, words: usize) -> Read<Command<'_>> {
+    let Some((words, used)) = resp::command(bytes, most, words)? else { return Ok(None) };
+    let name = words[0].to_ascii_uppercase();
+    let command = match name.as_slice() {
+        IDEMPOTENT | OTHERS => Command::Invocation(asked(words, name == IDEMPOTENT)?),
+        b"PING" => Command::Ping,
+        b"CLIENT" | b"SELECT" => Command::SetUp,
+        _ => Command::Unknown,
+    };
+    Ok(Some((command, used)))
+}
+
+fn asked(words: Vec<&[u8]>, idempotent: bool) -> Result<Asked<'_>, Malformed> {
+    let text = |word| std::str::from_utf8(word).map_err(|_| Malformed::new("a word is not UTF-8"));
+    let (key, id, list) = match words.as_slice() {
+        [_, key, id, list] | [_, key, id, list, _] => (text(*key)?, *id, text(*list)?),
+        _ => return Err(Malformed::new("wrong number of words")),
+    };
+    let (mut operation, mut time_millis, mut again) = (None, None, false);
+    for part in list.split(',') {
+        match part.split_once('=').ok_or_else(|| Malformed::new("a part is not name=value"))? {
+            ("c", value) => operation = Some(value),
+            ("d", value) => time_millis = value.parse().ok(),
+            ("r", value) => again = value == "1",
+            _ => {}
+        }
+    }
+    let operation = operation.ok_or_else(|| Malformed::new("no operation (c)"))?;
+    let time_millis = time_millis.ok_or_else(|| Malformed::new("no time (d)"))?;
+    Ok(Asked { idempotent, key, id, operation, time_millis, again, words })
+}
+
+impl Asked<'_> {
+    /// The words, to be kept longer than the buffer they were read into.
+    pub fn keep(&self) -> Kept {
+        let mut bytes = Vec::with_capacity(self.words.iter().map(|word| word.len()).sum());
+        let ends = self.words.iter().map(|word| {
+            bytes.extend_from_slice(word);
+            bytes.len()
+        });
+        let ends = ends.collect();
+        Kept { bytes: bytes.into(), ends }
+    }
+}
+
+/// The words of an invocation's command, one behind another.
+#[derive(Debug)]
+pub struct Kept {
+    bytes: Box<[u8]>,
+    ends: Box<[usize]>,
+}
+
+/// The list of names and values is this word of an invocation's command.
+const LIST: usize = 3;
+
+impl Kept {
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The command as the client sent it, but with this time (`d`).
+    pub fn write(&self, out: &mut Vec<u8>, time_millis: u64) {
+        let starts = std::iter::once(0).chain(self.ends.iter().copied());
+        let mut words: Vec<_> = starts.zip(&self.ends).map(|(from, to)| &self.bytes[from..*to]).collect();
+        let mut list = String::new();
+        if let Some(Ok(text)) = words.get(LIST).map(|word| std::str::from_utf8(word)) {
+            for part in text.split(',') {
+                list.push_str(if list.is_empty() { "" } else { "," });
+                let written = match part.split_once('=') {
+                    Some(("d", _)) => write!(list, "d={time_millis}"),
+                    _ => write!(list, "{part}"),
+                };
+                debug_assert!(written.is_ok());
+            }
+            words[LIST] = list.as_bytes();
+        }
+        write_command(out, &words);
+    }
+}
+
+/// A final answer that says no: trying again is harmless, if wished not before so many milliseconds.
+pub fn write_throttled(out: &mut Vec<u8>, stay_away_millis: Option<u64>) {
+    match stay_away_millis {
+        Some(millis) => write_error(out, &format!("BUSY {millis}")),
+        None => write_error(out, "BUSY"),
+    }
+}
--- /dev/null
+++ b/router/src/protocol/resp.rs
@@ -0,0 +1,137 @@
+//! RESP2: replies, commands, and writing both.
+
+use std::io::Write;
+
+use super::{Malformed, Read};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply<'a> {
+    Simple(&'a [u8]),
+    Error(&'a [u8]),
+    Number(i64),
+    Bulk(Option<&'a [u8]>),
+    Array(Option<Vec<Reply<'a>>>),
+}
+
+/// The longest line that is no bulk string: a number, a status or an error.
+const LINE: usize = 1024;
+/// An answer is an array of plain values.
+const DEPTH: usize = 2;
+
+fn line(bytes: &[u8]) -> Read<&[u8]> {
+    match bytes.iter().take(LINE).position(|byte| *byte == b'\n') {
+        Some(end) if end > 0 && bytes[end - 1] == b'\r' => Ok(Some((&bytes[..end - 1], end + 1))),
+        Some(_) => Err(Malformed::new("a line does not end in CR LF")),
+        None if bytes.len() >= LINE => Err(Malformed::new("a line is too long")),
+        None => Ok(None),
+    }
+}
+
+fn number(text: &[u8]) -> Result<i64, Malformed> {
+    let digits = text.strip_prefix(b"-").unwrap_or(text);
+    let plain = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+    let parsed = std::str::from_utf8(text).ok().filter(|_| plain).and_then(|text| text.parse().ok());
+    parsed.ok_or_else(|| Malformed::new("a length or number is not one"))
+}
+
+/// The bytes of a bulk string of this length and its line end.
+fn bulk(bytes: &[u8], length: i64, most: usize) -> Read<&[u8]> {
+    let length = usize::try_from(length).ok().filter(|length| *length <= most);
+    let length = length.ok_or_else(|| Malformed::new("a bulk string is too long"))?;
+    match bytes.get(length..length + 2) {
+        Some(b"\r\n") => Ok(Some((&bytes[..length], length + 2))),
+        Some(_) => Err(Malformed::new("a bulk string does not end where it says")),
+        None => Ok(None),
+    }
+}
+
+/// A reply with bulk strings and arrays of at most this size.
+pub fn reply(bytes: &[u8], most: usize, words: usize) -> Read<Reply<'_>> {
+    nested(bytes, most, words, DEPTH)
+}
+
+fn nested(bytes: &[u8], most: usize, words: usize, depth: usize) -> Read<Reply<'_>> {
+    let Some(kind) = bytes.first() else { return Ok(None) };
+    if !b"+-:$*".contains(kind) {
+        return Err(Malformed::new("a reply begins with none of the known marks"));
+    }
+    let Some((text, after)) = line(&bytes[1..])? else { return Ok(None) };
+    let mut used = 1 + after;
+    let reply = match kind {
+        b'+' => Reply::Simple(text),
+        b'-' => Reply::Error(text),
+        b':' => Reply::Number(number(text)?),
+        b'$' => match number(text)? {
+            -1 => Reply::Bulk(None),
+            length => {
+                let Some((value, after)) = bulk(&bytes[used..], length, most)? else { return Ok(None) };
+                used += after;
+                Reply::Bulk(Some(value))
+            }
+        },
+        _ => match number(text)? {
+            -1 => Reply::Array(None),
+            count => {
+                let count = usize::try_from(count).ok().filter(|count| *count <= words && depth > 1);
+                let count = count.ok_or_else(|| Malformed::new("an array is too long or too deep"))?;
+                let mut items = Vec::with_capacity(count);
+                for _ in 0..count {
+                    let Some((item, after)) = nested(&bytes[used..], most, words, depth - 1)? else {
+                        return Ok(None);
+                    };
+                    used += after;
+                    items.push(item);
+                }
+                Reply::Array(Some(items))
+            }
+        },
+    };
+    Ok(Some((reply, used)))
+}
+
+/// A command: an array of bulk strings, at least one.
+pub fn command(bytes: &[u8], most: usize, words: usize) -> Read<Vec<&[u8]>> {
+    let Some(kind) = bytes.first() else { return Ok(None) };
+    if *kind != b'*' {
+        return Err(Malformed::new("a command is an array of bulk strings"));
+    }
+    let Some((text, after)) = line(&bytes[1..])? else { return Ok(None) };
+    let mut used = 1 + after;
+    let count = usize::try_from(number(text)?).ok().filter(|count| (1..=words).contains(count));
+    let count = count.ok_or_else(|| Malformed::new("a command has no words or too many"))?;
+    let mut read = Vec::with_capacity(count);
+    for _ in 0..count {
+        match bytes.get(used) {
+            Some(b'$') => {}
+            Some(_) => return Err(Malformed::new("a word of a command is no bulk string")),
+            None => return Ok(None),
+        }
+        let Some((text, after)) = line(&bytes[used + 1..])? else { return Ok(None) };
+        used += 1 + after;
+        let Some((word, after)) = bulk(&bytes[used..], number(text)?, most)? else { return Ok(None) };
+        used += after;
+        read.push(word);
+    }
+    Ok(Some((read, used)))
+}
+
+// Writing to a vector does not fail.
+
+pub fn write_command(out: &mut Vec<u8>, words: &[&[u8]]) {
+    let _ = write!(out, "*{}\r\n", words.len());
+    words.iter().for_each(|word| write_bulk(out, word));
+}
+
+pub fn write_bulk(out: &mut Vec<u8>, value: &[u8]) {
+    let _ = write!(out, "${}\r\n", value.len());
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+pub fn write_simple(out: &mut Vec<u8>, text: &str) {
+    let _ = write!(out, "+{text}\r\n");
+}
+
+pub fn write_error(out: &mut Vec<u8>, text: &str) {
+    let _ = write!(out, "-{text}\r\n");
+}
--- /dev/null
+++ b/router/src/routing/admit.rs
@@ -0,0 +1,59 @@
+//! Admit: an invocation is let in while there is room for it, and gets its id.
+
+use kestreltide::interface::*;
+
+use super::Routing;
+use super::take_in::Waiting;
+use crate::protocol::client::{self, Kept};
+use crate::transport::SocketId;
+
+/// An invocation as it was taken in.
+pub(super) struct Taken {
+    pub(super) operation: OperationId,
+    pub(super) key: Option<KeyId>,
+    pub(super) time_left: f64,
+    pub(super) again: bool,
+    pub(super) kept: Kept,
+}
+
+/// An invocation that owes its client an answer.
+pub(super) struct Admitted {
+    pub(super) client: SocketId,
+    pub(super) kept: Kept,
+    pub(super) dispatches: u32,
+}
+
+impl Routing {
+    pub(super) fn admit(&mut self, client: SocketId, taken: Taken) {
+        let Taken { operation, key, time_left, again, kept } = taken;
+        // Nothing has been dispatched: a client may be told that trying again is harmless.
+        if self.admitted.len() >= self.limits.invocations || self.held + kept.size() > self.limits.held {
+            self.tally.no_room += 1;
+            return self.reply(client, |out| client::write_throttled(out, None));
+        }
+        // The client's own id goes to hosts unchanged; here a number stands for it, which nobody can repeat.
+        self.last_inv += 1;
+        let id = InvId(self.last_inv.to_string().into());
+        self.held += kept.size();
+        self.tally.taken += 1;
+        if let Some(client) = self.clients.get_mut(&client) {
+            client.queue.push_back(Waiting::For(id.clone()));
+        }
+        self.admitted.insert(id.clone(), Admitted { client, kept, dispatches: 0 });
+        self.events.push_back(Event::Arrived(Invocation {
+            id,
+            operation,
+            key,
+            time_left,
+            work: None,
+            again,
+        }));
+    }
+
+    /// The invocation owes no answer any more.
+    pub(super) fn release(&mut self, inv: &InvId) -> Option<Admitted> {
+        let admitted = self.admitted.remove(inv)?;
+        self.held -= admitted.kept.size();
+        Some(admitted)
+    }
+}
--- /dev/null
+++ b/router/src/routing/discovery.rs
@@ -0,0 +1,244 @@
+//! The host list: a watch that is renewed at once, and lists on demand.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use kestreltide::interface::*;
+use slog::{info, warn};
+
+use super::{Due, NEWS, Routing};
+use crate::limits::Limits;
+use crate::protocol::Malformed;
+use crate::protocol::discovery::{self, List};
+use crate::transport::{Fill, SocketId, Stream};
+
+const MILLIS: f64 = 1e3;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// The whole list, to begin a watch with.
+    First,
+    Changes,
+    /// The whole list once, for the decisions.
+    Once,
+}
+
+struct Call {
+    stream: Stream,
+    asked: Asked,
+    number: u64,
+}
+
+pub(super) struct Discovery {
+    at: SocketAddr,
+    /// Lists come only when the decisions ask for them.
+    on_demand: bool,
+    following: bool,
+    rev: Option<u64>,
+    calls: BTreeMap<SocketId, Call>,
+    number: u64,
+    wait: f64,
+    heard: bool,
+}
+
+impl Discovery {
+    pub(super) fn new(at: SocketAddr, on_demand: bool, limits: &Limits) -> Self {
+        let (calls, wait) = (BTreeMap::new(), limits.retry[0]);
+        Discovery { at, on_demand, following: !on_demand, rev: None, calls, number: 0, wait, heard: false }
+    }
+
+    pub(super) fn asked_only(&self) -> bool {
+        self.on_demand
+    }
+
+    pub(super) fn heard(&self) -> bool {
+        self.heard || self.on_demand
+    }
+
+    pub(super) fn owns(&self, id: SocketId) -> bool {
+        self.calls.contains_key(&id)
+    }
+
+    fn watching(&self) -> Option<SocketId> {
+        self.calls.iter().find(|(_, call)| call.asked != Asked::Once).map(|(id, _)| *id)
+    }
+}
+
+impl Routing {
+    /// What this router knew of the hosts before it was started.
+    pub fn remember(&mut self, list: &List) {
+        self.take_list(list, ListScope::Remembered);
+        self.settle();
+    }
+
+    pub(super) fn follow(&mut self, on: bool) {
+        self.discovery.following = on;
+        match self.discovery.watching() {
+            Some(id) if !on => drop(self.drop_call(id)),
+            None if on => self.watch_begin(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn fetch_list(&mut self) {
+        self.call(Asked::Once);
+    }
+
+    pub(super) fn watch_begin(&mut self) {
+        if self.discovery.following && self.discovery.watching().is_none() {
+            self.call(if self.discovery.rev.is_some() { Asked::Changes } else { Asked::First });
+        }
+    }
+
+    fn call(&mut self, asked: Asked) {
+        match Stream::connect(&mut self.net, self.discovery.at, NEWS) {
+            Ok(stream) => {
+                let id = stream.id;
+                self.discovery.calls.insert(id, Call { stream, asked, number: 0 });
+                self.ask(id, asked);
+            }
+            Err(e) => self.call_failed(asked, &e.to_string()),
+        }
+    }
+
+    /// Writes the next question on a connection that has none out.
+    fn ask(&mut self, id: SocketId, asked: Asked) {
+        let (now, at, rev) = (self.clock.now(), self.discovery.at, self.discovery.rev);
+        // What was missed comes first where a watch begins on demand, even if it is nothing.
+        let held = self.discovery.heard || !self.discovery.on_demand;
+        let hold = if held { self.limits.watch_hold } else { 0.0 };
+        let Some(call) = self.discovery.calls.get_mut(&id) else { return };
+        self.discovery.number += 1;
+        (call.asked, call.number) = (asked, self.discovery.number);
+        let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
+        discovery::write_get(call.stream.output(), at, watch);
+        let patience = if watch.is_some() { hold } else { 0.0 } + self.limits.watch_spare;
+        let number = call.number;
+        self.set_due(now + patience, Due::CallOver(id, number));
+        self.discovery_ready(id);
+    }
+
+    pub(super) fn discovery_ready(&mut self, id: SocketId) {
+        let limits = &self.limits;
+        let Some(call) = self.discovery.calls.get_mut(&id) else { return };
+        let flushed = call.stream.is_up().and_then(|up| if up { call.stream.flush() } else { Ok(false) });
+        match flushed {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(e) => return self.call_broke(id, &e.to_string()),
+        }
+        let mut filled = Fill::More;
+        while filled == Fill::More && call.stream.input().len() < limits.list_answer {
+            filled = call.stream.fill(limits.list_answer, limits.read_step);
+        }
+        // Out of the map meanwhile: the list is read from the buffer.
+        let Some(mut call) = self.discovery.calls.remove(&id) else { return };
+        let answer = self.take_response(&call);
+        let ended = filled == Fill::Ended;
+        match answer {
+            Ok(None) if !ended => drop(self.discovery.calls.insert(id, call)),
+            Ok(None) => {
+                let asked = call.asked;
+                call.stream.close(&self.net);
+                self.call_failed(asked, "the connection ended");
+            }
+            Ok(Some((used, stays_open))) => {
+                let asked = call.asked;
+                call.stream.consume(used);
+                if ended || !stays_open || asked == Asked::Once || !self.discovery.following {
+                    call.stream.close(&self.net);
+                    self.watch_begin();
+                } else {
+                    self.discovery.calls.insert(id, call);
+                    self.ask(id, Asked::Changes);
+                }
+            }
+            Err(why) => {
+                let asked = call.asked;
+                call.stream.close(&self.net);
+                self.tally.malformed += 1;
+                self.call_failed(asked, &why.to_string());
+            }
+        }
+    }
+
+    fn take_response(&mut self, call: &Call) -> Result<Option<(usize, bool)>, Malformed> {
+        let (bytes, most) = (call.stream.input(), self.limits.list_answer);
+        let Some((response, used)) = discovery::response(bytes, most, self.limits.headers)? else {
+            return Ok(None);
+        };
+        if response.status != 200 {
+            return Err(Malformed::new(format!("status {}", response.status)));
+        }
+        let list = discovery::list(&response.body)?;
+        let scope = if list.all { ListScope::Whole } else { ListScope::Changes };
+        self.discovery.rev = Some(list.rev);
+        self.discovery.wait = self.limits.retry[0];
+        // On demand each call is answered, be it with nothing.
+        if list.all || !list.targets.is_empty() || self.discovery.on_demand {
+            self.take_list(&list, scope);
+        }
+        self.discovery.heard = true;
+        self.ready_by("news");
+        Ok(Some((used, response.stays_open)))
+    }
+
+    fn take_list(&mut self, list: &List, scope: ListScope) {
+        let mut entries = Vec::with_capacity(list.targets.len());
+        for target in &list.targets {
+            let Some(noted) = self.hosts.note(target, &mut self.names) else {
+                warn!(self.log, "more hosts are listed than can be kept"; "uid" => target.uid.as_ref());
+                continue;
+            };
+            if noted.drop_idle {
+                self.close_idle(noted.entry.host);
+            }
+            entries.push(noted.entry);
+        }
+        if scope != ListScope::Changes {
+            for host in self.hosts.only(&entries) {
+                self.close_idle(host);
+            }
+        }
+        info!(self.log, "hosts"; "rev" => list.rev, "scope" => ?scope, "entries" => entries.len(),
+            "running" => entries.iter().filter(|entry| entry.state == HostState::Running).count());
+        self.events.push_back(Event::Hosts { scope, entries: entries.into() });
+    }
+
+    pub(super) fn close_idle(&mut self, host: HostId) {
+        for id in self.pools.take_all(host) {
+            self.close_link(id);
+        }
+    }
+
+    fn drop_call(&mut self, id: SocketId) -> Option<Asked> {
+        let call = self.discovery.calls.remove(&id)?;
+        call.stream.close(&self.net);
+        Some(call.asked)
+    }
+
+    fn call_broke(&mut self, id: SocketId, why: &str) {
+        if let Some(asked) = self.drop_call(id) {
+            self.call_failed(asked, why);
+        }
+    }
+
+    pub(super) fn call_over(&mut self, id: SocketId, number: u64) {
+        if self.discovery.calls.get(&id).is_some_and(|call| call.number == number) {
+            self.call_broke(id, "no answer came");
+        }
+    }
+
+    /// On demand the decisions hear of it and ask again; else the watch begins again after a while, later
+    /// each time and never in step with other routers.
+    fn call_failed(&mut self, asked: Asked, why: &str) {
+        warn!(self.log, "discovery does not answer"; "why" => why.to_owned());
+        if self.discovery.on_demand {
+            self.discovery.following &= asked == Asked::Once;
+            return self.events.push_back(Event::ListFailed);
+        }
+        let at = self.clock.now() + self.discovery.wait * self.spread();
+        self.discovery.wait = (2.0 * self.discovery.wait).min(self.limits.retry[1]);
+        self.set_due(at, Due::WatchAgain);
+    }
+}
--- /dev/null
+++ b/router/src/routing/mod.rs
@@ -0,0 +1,280 @@
+//! The stages that a request passes, and the parties around them. A request is taken in, admitted, routed,
+//! sent, relayed and booked, each by a unit of its own; only `route` speaks with the decisions.
+
+mod admit;
+mod book;
+mod discovery;
+mod peers;
+mod platform;
+mod relay;
+mod route;
+mod send;
+mod stop;
+mod take_in;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+
+use kestreltide::choice::Router;
+use kestreltide::interface::*;
+use kestreltide_terms::{Names, TransportTerms};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, debug, info};
+
+use crate::limits::Limits;
+use crate::transport::{Alarms, Clock, Listener, Net, Pools, Rank, SocketId};
+use admit::Admitted;
+use book::{Hosts, Tally};
+use discovery::Discovery;
+use peers::Peers;
+use platform::Platform;
+use send::Link;
+use stop::Stop;
+use take_in::Client;
+
+// News first: stale news breaks drains and exposure after a stall. Then answers that are already here, so that
+// they do not lose to time-outs; then clients; alarms come after all that was read.
+const NEWS: Rank = Rank(0);
+const PLATFORM: Rank = Rank(1);
+const PEERS: Rank = Rank(2);
+const HOSTS: Rank = Rank(3);
+const CLIENTS: Rank = Rank(4);
+const LISTENER: Rank = Rank(5);
+
+/// The longest sleep, in seconds, so that a clock that was stopped shows.
+const LONGEST_SLEEP: f64 = 0.25;
+
+/// Where everybody is, and what this router held when it was started.
+pub struct Parties {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub platform: Option<SocketAddr>,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+}
+
+/// What is due at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Due {
+    Decisions(AlarmKey),
+    /// The use of a connection to a host that has this number must be over.
+    UseOver(SocketId, u64),
+    /// By now the connection must be up.
+    ConnectOver(SocketId, u64),
+    AcceptAgain,
+    Sweep,
+    CallOver(SocketId, u64),
+    WatchAgain,
+    PlatformAgain,
+    VoteOver(u64),
+    Ready,
+    StopServing,
+    StopLast,
+}
+
+pub struct Routing {
+    log: Logger,
+    limits: Limits,
+    transport: TransportTerms,
+    idempotent: Vec<bool>,
+    clock: Clock,
+    net: Net,
+    names: Names,
+    decisions: Router,
+    /// For waits only; the decisions have their own.
+    chance: ChaCha8Rng,
+    events: VecDeque<Event>,
+    effects: Vec<Effect>,
+    /// Clients whose further commands may be taken now.
+    resumed: Vec<SocketId>,
+    alarms: Alarms<Due>,
+    listener: Option<Listener>,
+    clients: BTreeMap<SocketId, Client>,
+    admitted: BTreeMap<InvId, Admitted>,
+    held: usize,
+    last_inv: u64,
+    links: BTreeMap<SocketId, Link>,
+    pools: Pools<HostId>,
+    hosts: Hosts,
+    discovery: Discovery,
+    platform: Option<Platform>,
+    peers: Option<Peers>,
+    ready: bool,
+    stop: Stop,
+    tally: Tally,
+    /// What was asked of the last sleep and when it began: how long a command may have waited unread.
+    slept: (f64, f64),
+    stall: f64,
+}
+
+impl Routing {
+    pub fn start(
+        log: Logger, limits: Limits, clock: Clock, mut net: Net,
+        (terms, transport): (ServiceTerms, TransportTerms), names: Names, parties: Parties, seed: u64,
+    ) -> io::Result<Self> {
+        let now = clock.now();
+        let listener = Listener::open(&mut net, parties.listen, limits.backlog, LISTENER)?;
+        let at = listener.address()?;
+        let idempotent = terms.operations.iter().map(|o| o.repeats == Repeats::Idempotent).collect();
+        let discovery = Discovery::new(parties.discovery, terms.list_asked, &limits);
+        let platform = parties.platform.map(|at| Platform::new(at, &limits));
+        let peers = match parties.peer_listen.filter(|_| terms.may_tell) {
+            Some(at) => Some(Peers::open(&mut net, at, parties.peers, parties.peers_all, &limits)?),
+            None => None,
+        };
+        let mut routing = Routing {
+            alarms: Alarms::new(limits.alarms),
+            decisions: Router::start(terms, seed, now),
+            chance: ChaCha8Rng::seed_from_u64(!seed),
+            events: VecDeque::new(),
+            effects: vec![],
+            resumed: vec![],
+            listener: Some(listener),
+            clients: BTreeMap::new(),
+            admitted: BTreeMap::new(),
+            held: 0,
+            last_inv: 0,
+            links: BTreeMap::new(),
+            pools: Pools::new(),
+            hosts: Hosts::new(limits.hosts),
+            ready: false,
+            stop: Stop::No,
+            tally: Tally::default(),
+            slept: (now, 0.0),
+            stall: 0.0,
+            log,
+            limits,
+            transport,
+            idempotent,
+            clock,
+            net,
+            names,
+            discovery,
+            platform,
+            peers,
+        };
+        routing.alarms.set(now + routing.limits.sweep, Due::Sweep);
+        routing.alarms.set(now + routing.limits.ready_wait, Due::Ready);
+        info!(routing.log, "listening"; "at" => %at, "clients" => routing.limits.clients,
+            "host_links" => routing.limits.host_links);
+        Ok(routing)
+    }
+
+    /// Reaches out to discovery and the platform; what the router held before has been told by now.
+    pub fn begin(&mut self) {
+        if !self.discovery.asked_only() {
+            self.watch_begin();
+        }
+        self.platform_begin();
+        self.settle();
+    }
+
+    /// The address that clients connect to.
+    #[cfg(test)]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref().and_then(|listener| listener.address().ok())
+    }
+
+    /// Sleeps until something happens and serves it; false once there is nothing more to do.
+    pub fn turn(&mut self) -> io::Result<bool> {
+        let now = self.clock.now();
+        let next = self.alarms.next().map_or(LONGEST_SLEEP, |at| at - now);
+        self.slept = (now, next.clamp(0.0, LONGEST_SLEEP));
+        let (sockets, stop) = self.net.wait(self.slept.1)?;
+        let woken = self.clock.now();
+        // A sleep that took longer than asked for: commands read now may have waited for the difference.
+        self.stall = (woken - self.slept.0 - self.slept.1).max(0.0);
+        if stop {
+            self.stop_told(woken);
+        }
+        for id in sockets {
+            self.serve(id);
+            self.settle();
+        }
+        // Only what was due before anything was read: answers that are here go before time-outs.
+        while let Some(due) = self.alarms.due(woken) {
+            self.due(due);
+            self.settle();
+        }
+        Ok(!self.stopped())
+    }
+
+    fn serve(&mut self, id: SocketId) {
+        if self.links.contains_key(&id) {
+            self.link_ready(id);
+        } else if self.clients.contains_key(&id) {
+            self.take_in(id);
+        } else if self.listener.as_ref().is_some_and(|listener| listener.id == id) {
+            self.accept();
+        } else if self.discovery.owns(id) {
+            self.discovery_ready(id);
+        } else if self.platform.as_ref().is_some_and(|platform| platform.owns(id)) {
+            self.platform_ready();
+        } else if self.peers.as_ref().is_some_and(|peers| peers.owns(id)) {
+            self.peers_ready();
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Decisions(key) => self.events.push_back(Event::Alarm { key }),
+            Due::UseOver(id, number) => self.use_over(id, number),
+            Due::ConnectOver(id, number) => self.connect_over(id, number),
+            Due::AcceptAgain => self.accept(),
+            Due::Sweep => self.sweep(),
+            Due::CallOver(id, number) => self.call_over(id, number),
+            Due::WatchAgain => self.watch_begin(),
+            Due::PlatformAgain => self.platform_begin(),
+            Due::VoteOver(call) => self.vote_over(call),
+            Due::Ready => self.ready_by("time"),
+            Due::StopServing => self.stop_serving(),
+            Due::StopLast => self.stop_last(),
+        }
+    }
+
+    /// Events until none is left, and the commands of clients that may go on.
+    fn settle(&mut self) {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                self.route(event);
+            } else if let Some(id) = self.resumed.pop() {
+                self.take_in(id);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn set_due(&mut self, at: f64, due: Due) {
+        if !self.alarms.set(at, due) {
+            slog::error!(self.log, "an alarm was dropped, too many are set"; "due" => ?due);
+        }
+    }
+
+    fn ready_by(&mut self, what: &str) {
+        let heard = self.discovery.heard() && self.platform.as_ref().is_none_or(Platform::heard);
+        if !self.ready && (heard || what == "time") {
+            self.ready = true;
+            info!(self.log, "ready"; "by" => what, "hosts" => self.hosts.len());
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.clock.now();
+        self.set_due(now + self.limits.sweep, Due::Sweep);
+        for id in self.pools.take_unused_since(now - self.limits.idle_time) {
+            self.close_link(id);
+        }
+        self.platform_check(now);
+        self.close_stuck(now);
+        let using = self.links.values().map(Link::host).collect();
+        self.hosts.forget_gone(&using);
+        if let Some(line) = self.tally.line(now) {
+            debug!(self.log, "state"; "open" => self.admitted.len(), "clients" => self.clients.len(),
+                "links" => self.links.len(), "idle" => self.pools.len(), "counts" => line);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/routing/peers.rs
@@ -0,0 +1,61 @@
+//! Datagrams between routers.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+
+use kestreltide::interface::*;
+use slog::{debug, info};
+
+use super::{PEERS, Routing};
+use crate::limits::Limits;
+use crate::transport::{Datagrams, Net, SocketId};
+
+pub(super) struct Peers {
+    socket: Datagrams,
+    /// By their numbers.
+    at: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+    numbers: BTreeMap<SocketAddr, RouterId>,
+}
+
+impl Peers {
+    pub(super) fn open(
+        net: &mut Net, listen: SocketAddr, at: Vec<SocketAddr>, all: Option<SocketAddr>, limits: &Limits,
+    ) -> io::Result<Self> {
+        let socket = Datagrams::open(net, listen, limits.datagram, PEERS)?;
+        let numbers = at.iter().enumerate().map(|(number, at)| (*at, RouterId(number as u32))).collect();
+        Ok(Peers { socket, at, all, numbers })
+    }
+
+    pub(super) fn owns(&self, id: SocketId) -> bool {
+        self.socket.id == id
+    }
+}
+
+impl Routing {
+    pub(super) fn tell(&mut self, to: Option<RouterId>, payload: &[u8]) {
+        let Some(peers) = &self.peers else { return };
+        let to = to.map_or(peers.all, |router| peers.at.get(router.0 as usize).copied());
+        let Some(to) = to.filter(|_| payload.len() <= self.limits.datagram) else {
+            return debug!(self.log, "a message to a peer has no way"; "bytes" => payload.len());
+        };
+        if let Err(e) = peers.socket.send(to, payload) {
+            debug!(self.log, "a message to a peer is lost"; "to" => %to, "error" => %e);
+        }
+    }
+
+    pub(super) fn peers_ready(&mut self) {
+        let Some(peers) = &mut self.peers else { return };
+        while let Some((from, payload)) = peers.socket.receive() {
+            let known = peers.numbers.get(&from).filter(|_| payload.len() <= self.limits.datagram);
+            match known {
+                Some(from) => self.events.push_back(Event::Told { from: *from, payload: payload.to_vec() }),
+                None => {
+                    self.tally.malformed += 1;
+                    info!(self.log, "a datagram is from no peer or too long"; "from" => %from);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/routing/platform.rs
@@ -0,0 +1,236 @@
+//! The platform: one connection that follows it and carries this router's votes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use kestreltide::interface::*;
+use rand::RngExt;
+use slog::{debug, info, warn};
+
+use super::{Due, PLATFORM, Routing};
+use crate::limits::Limits;
+use crate::protocol::platform::{self, State, Told};
+use crate::transport::{Fill, SocketId, Stream};
+
+/// A vote that has no answer yet.
+struct Vote {
+    written: bool,
+    what: StageNews,
+}
+
+pub(super) struct Platform {
+    at: SocketAddr,
+    stream: Option<Stream>,
+    votes: BTreeMap<u64, Vote>,
+    call: u64,
+    /// When the last byte came.
+    last: f64,
+    wait: f64,
+    heard: bool,
+}
+
+impl Platform {
+    pub(super) fn new(at: SocketAddr, limits: &Limits) -> Self {
+        let (votes, wait) = (BTreeMap::new(), limits.retry[0]);
+        Platform { at, stream: None, votes, call: 0, last: 0.0, wait, heard: false }
+    }
+
+    pub(super) fn heard(&self) -> bool {
+        self.heard
+    }
+
+    pub(super) fn owns(&self, id: SocketId) -> bool {
+        self.stream.as_ref().is_some_and(|stream| stream.id == id)
+    }
+
+    fn next_call(&mut self) -> u64 {
+        self.call += 1;
+        self.call
+    }
+}
+
+impl Routing {
+    /// What this router knew of the builds before it was started.
+    pub fn remember_state(&mut self, state: &State) {
+        self.events.push_back(Event::Stage(state.news(false)));
+        self.settle();
+    }
+
+    pub(super) fn platform_begin(&mut self) {
+        let now = self.clock.now();
+        let Some(platform) = self.platform.as_mut().filter(|platform| platform.stream.is_none()) else {
+            return;
+        };
+        match Stream::connect(&mut self.net, platform.at, PLATFORM) {
+            Ok(mut stream) => {
+                let call = platform.next_call();
+                platform::write_follow(stream.output(), call);
+                platform.stream = Some(stream);
+                platform.last = now;
+                self.platform_ready();
+            }
+            Err(e) => self.platform_broke(&e.to_string()),
+        }
+    }
+
+    pub(super) fn cast(&mut self, build: BuildId, stage: u32, sense: Sense) {
+        let now = self.clock.now();
+        let what = StageNews {
+            verdict: Verdict::NoConnection,
+            build,
+            stage,
+            phase: Phase::OnTrial,
+            cap: 0.0,
+            age: 0.0,
+            answers_vote: true,
+        };
+        let most = self.limits.votes;
+        let open = |platform: &&mut Platform| platform.stream.is_some() && platform.votes.len() < most;
+        let Some(platform) = self.platform.as_mut().filter(open) else {
+            return self.events.push_back(Event::Stage(what));
+        };
+        let call = platform.next_call();
+        if let Some(stream) = &mut platform.stream {
+            platform::write_vote(stream.output(), call, build, stage, sense);
+        }
+        platform.votes.insert(call, Vote { written: false, what });
+        self.set_due(now + self.limits.vote_time, Due::VoteOver(call));
+        self.platform_ready();
+    }
+
+    pub(super) fn platform_ready(&mut self) {
+        let now = self.clock.now();
+        loop {
+            let Some(platform) = &mut self.platform else { return };
+            let Some(stream) = &mut platform.stream else { return };
+            match stream.is_up().and_then(|up| if up { stream.flush() } else { Ok(false) }) {
+                Ok(true) => platform.votes.values_mut().for_each(|vote| vote.written = true),
+                Ok(false) => return,
+                Err(e) => return self.platform_broke(&e.to_string()),
+            }
+            let filled = stream.fill(self.limits.line + self.limits.read_step, self.limits.read_step);
+            if !stream.input().is_empty() {
+                platform.last = now;
+            }
+            if !self.platform_lines() {
+                return;
+            }
+            match filled {
+                Fill::Ended => return self.platform_broke("the connection ended"),
+                Fill::Drained => return,
+                Fill::More => {}
+            }
+        }
+    }
+
+    /// Takes the lines that are whole; false where the connection was given up.
+    fn platform_lines(&mut self) -> bool {
+        // Out of its place meanwhile: lines are read from the buffer.
+        let Some(platform) = &mut self.platform else { return false };
+        let Some(mut stream) = platform.stream.take() else { return false };
+        let broken = loop {
+            match platform::read(stream.input(), self.limits.line) {
+                Ok(None) => break None,
+                Ok(Some((told, used))) => {
+                    self.platform_told(told);
+                    stream.consume(used);
+                }
+                Err(why) => break Some(why),
+            }
+        };
+        if let Some(platform) = &mut self.platform {
+            platform.stream = Some(stream);
+        }
+        if let Some(why) = &broken {
+            self.tally.malformed += 1;
+            self.platform_broke(&why.to_string());
+        }
+        broken.is_none()
+    }
+
+    fn platform_told(&mut self, told: Told) {
+        let Some(platform) = &mut self.platform else { return };
+        match told {
+            Told::State(state) => {
+                platform.wait = self.limits.retry[0];
+                platform.heard = true;
+                self.news(&state, false);
+                self.ready_by("news");
+            }
+            Told::Result { call, state } => {
+                platform.wait = self.limits.retry[0];
+                if let Some(vote) = platform.votes.remove(&call) {
+                    match state {
+                        Some(state) => self.news(&state, true),
+                        // An answer that cannot be read leaves open whether the vote counts.
+                        None => self.events.push_back(Event::Stage(unread(vote.what))),
+                    }
+                }
+            }
+            Told::Error { call, verdict } => {
+                if let Some(vote) = platform.votes.remove(&call) {
+                    debug!(self.log, "a vote does not count"; "verdict" => ?verdict);
+                    self.events.push_back(Event::Stage(StageNews { verdict, ..vote.what }));
+                } else {
+                    warn!(self.log, "the platform refuses to be followed"; "verdict" => ?verdict);
+                }
+            }
+            Told::Complaint { host, operation, age } => {
+                let operation = self.transport.operations.get(operation.as_ref());
+                if let Some(operation) = operation.copied() {
+                    let host = self.hosts.id(&host);
+                    self.events.push_back(Event::Disputed { host, operation, age });
+                }
+            }
+            Told::SignOfLife => {}
+            Told::Unknown => debug!(self.log, "the platform told something unknown"),
+        }
+    }
+
+    fn news(&mut self, state: &State, answers_vote: bool) {
+        let State { build, stage, phase, cap, age } = *state;
+        info!(self.log, "platform"; "build" => build.0, "stage" => stage, "phase" => ?phase, "cap" => cap,
+            "age" => age, "answers_vote" => answers_vote);
+        self.events.push_back(Event::Stage(state.news(answers_vote)));
+    }
+
+    /// The connection is lost: what was asked on it may have been done once it was written.
+    fn platform_broke(&mut self, why: &str) {
+        warn!(self.log, "the platform's connection is lost"; "why" => why.to_owned());
+        let again = self.clock.now() + self.spread() * self.platform.as_ref().map_or(0.0, |p| p.wait);
+        let Some(platform) = &mut self.platform else { return };
+        platform.wait = (2.0 * platform.wait).min(self.limits.retry[1]);
+        if let Some(stream) = platform.stream.take() {
+            stream.close(&self.net);
+        }
+        for vote in std::mem::take(&mut platform.votes).into_values() {
+            let what = if vote.written { unread(vote.what) } else { vote.what };
+            self.events.push_back(Event::Stage(what));
+        }
+        self.set_due(again, Due::PlatformAgain);
+    }
+
+    pub(super) fn platform_check(&mut self, now: f64) {
+        let silence = self.limits.platform_silence;
+        if self.platform.as_ref().is_some_and(|p| p.stream.is_some() && now - p.last > silence) {
+            self.platform_broke("no sign of life");
+        }
+    }
+
+    pub(super) fn vote_over(&mut self, call: u64) {
+        let Some(platform) = &mut self.platform else { return };
+        if let Some(vote) = platform.votes.remove(&call) {
+            let what = if vote.written { unread(vote.what) } else { vote.what };
+            self.events.push_back(Event::Stage(what));
+        }
+    }
+
+    /// A factor that keeps routers from trying again in step.
+    pub(super) fn spread(&mut self) -> f64 {
+        0.5 + self.chance.random::<f64>()
+    }
+}
+
+fn unread(what: StageNews) -> StageNews {
+    StageNews { verdict: Verdict::TimedOut, ..what }
+}
--- /dev/null
+++ b/router/src/routing/relay.rs
@@ -0,0 +1,77 @@
+//! Relay: answers go to clients, each client's in the order of its commands.
+
+use kestreltide::interface::InvId;
+
+use super::Routing;
+use super::stop::Stop;
+use super::take_in::{Client, Waiting};
+use crate::transport::SocketId;
+
+impl Routing {
+    /// The final answer to an invocation; what it held is let go. False where none was owed.
+    pub(super) fn answer(&mut self, inv: &InvId, write: impl FnOnce(&mut Vec<u8>)) -> bool {
+        let Some(admitted) = self.release(inv) else { return false };
+        let id = admitted.client;
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        let place = client.queue.iter().position(|waiting| matches!(waiting, Waiting::For(of) if of == inv));
+        match place {
+            Some(0) => {
+                write(client.stream.output());
+                client.queue.pop_front();
+            }
+            Some(place) => {
+                let mut bytes = Vec::new();
+                write(&mut bytes);
+                client.queue[place] = Waiting::Answered(bytes);
+            }
+            None => return false,
+        }
+        self.write_and_resume(id);
+        true
+    }
+
+    /// An answer to a command that is no invocation, or that was not let in.
+    pub(super) fn reply(&mut self, id: SocketId, write: impl FnOnce(&mut Vec<u8>)) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.queue.is_empty() {
+            write(client.stream.output());
+        } else {
+            let mut bytes = Vec::new();
+            write(&mut bytes);
+            client.queue.push_back(Waiting::Answered(bytes));
+        }
+        self.write_client(id);
+    }
+
+    fn write_and_resume(&mut self, id: SocketId) {
+        if self.write_client(id) && !self.resumed.contains(&id) {
+            self.resumed.push(id);
+        }
+    }
+
+    /// Writes what may be written now; false where the connection is gone.
+    pub(super) fn write_client(&mut self, id: SocketId) -> bool {
+        let now = self.clock.now();
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        while let Some(Waiting::Answered(bytes)) = client.queue.front_mut() {
+            client.stream.output().append(bytes);
+            client.queue.pop_front();
+        }
+        let Client { stream, queue, closing, stuck, .. } = client;
+        match stream.flush() {
+            Ok(true) => *stuck = None,
+            Ok(false) => *stuck = stuck.or(Some(now)),
+            Err(_) => {
+                self.client_left(id);
+                return false;
+            }
+        }
+        let done = queue.is_empty() && stream.unwritten() == 0;
+        // After a planned stop a connection is closed as soon as all it asked is answered.
+        if done && (*closing || self.stop == Stop::Ending) {
+            self.client_left(id);
+            return false;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/router/src/routing/send.rs
@@ -0,0 +1,284 @@
+//! Send: dispatches and probes go to hosts, one on a connection at a time, and their ends come back.
+
+use kestreltide::interface::*;
+use kestreltide_terms::{Reports, TransportTerms};
+use slog::{debug, warn};
+
+use super::{Due, HOSTS, Routing};
+use crate::protocol::Malformed;
+use crate::protocol::host::{self, Answer};
+use crate::protocol::resp::write_bulk;
+use crate::transport::{Fill, SocketId, Stream};
+
+const MILLIS: f64 = 1e3;
+
+/// A dispatch that is out.
+struct Out {
+    inv: InvId,
+    no: DispatchNo,
+}
+
+enum Use {
+    Idle,
+    Dispatch(Out),
+    Probe,
+}
+
+/// A connection to a host.
+pub(super) struct Link {
+    stream: Stream,
+    host: HostId,
+    at_use: Use,
+    /// Counts the uses, so that an alarm of an earlier one is known.
+    number: u64,
+    since: f64,
+    /// The last byte of the command is written: from then on it may have run.
+    written: bool,
+}
+
+impl Link {
+    pub(super) fn host(&self) -> HostId {
+        self.host
+    }
+}
+
+impl Routing {
+    pub(super) fn send(&mut self, inv: InvId, host: HostId, time_out: f64) {
+        let now = self.clock.now();
+        let Some(admitted) = self.admitted.get_mut(&inv) else { return };
+        let no = DispatchNo(admitted.dispatches);
+        admitted.dispatches += 1;
+        self.tally.dispatches += 1;
+        let Some(id) = self.link_to(host, now) else {
+            return self.ended(Out { inv, no }, host, Verdict::NoConnection, 0.0, LoadReport::default());
+        };
+        // As long as the router will wait, and never told as nothing.
+        let millis = (time_out * MILLIS).ceil().max(1.0) as u64;
+        if let (Some(link), Some(admitted)) = (self.links.get_mut(&id), self.admitted.get(&inv)) {
+            admitted.kept.write(link.stream.output(), millis);
+        }
+        self.begin_use(id, Use::Dispatch(Out { inv, no }), now, time_out);
+    }
+
+    pub(super) fn probe(&mut self, host: HostId) {
+        let now = self.clock.now();
+        let probes = self.links.values().filter(|link| matches!(link.at_use, Use::Probe)).count();
+        let room = probes < self.limits.probes;
+        let Some(id) = room.then(|| self.link_to(host, now)).flatten() else {
+            let load = LoadReport::default();
+            return self.events.push_back(Event::Probed {
+                host,
+                verdict: Verdict::NoConnection,
+                took: 0.0,
+                load,
+            });
+        };
+        if let Some(link) = self.links.get_mut(&id) {
+            host::write_probe(link.stream.output(), self.transport.reports != Reports::Off);
+        }
+        self.begin_use(id, Use::Probe, now, self.limits.probe_time);
+    }
+
+    fn begin_use(&mut self, id: SocketId, at_use: Use, now: f64, time_out: f64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.at_use = at_use;
+        link.number += 1;
+        (link.since, link.written) = (now, false);
+        let number = link.number;
+        if !matches!(link.stream.is_up(), Ok(true)) {
+            self.set_due(now + self.limits.connect_time, Due::ConnectOver(id, number));
+        }
+        self.set_due(now + time_out, Due::UseOver(id, number));
+        self.write_link(id);
+    }
+
+    /// The freshest connection without use, or a new one.
+    fn link_to(&mut self, host: HostId, now: f64) -> Option<SocketId> {
+        if let Some(id) = self.pools.take(host) {
+            return Some(id);
+        }
+        let to = self.hosts.address(host)?;
+        if self.links.len() >= self.limits.host_links {
+            let oldest = self.pools.take_oldest()?;
+            self.close_link(oldest);
+        }
+        let stream = match Stream::connect(&mut self.net, to, HOSTS) {
+            Ok(stream) => stream,
+            Err(e) => {
+                // Out of descriptors, perhaps: one without use makes room for a second try.
+                debug!(self.log, "no connection to a host"; "to" => %to, "error" => %e);
+                let oldest = self.pools.take_oldest()?;
+                self.close_link(oldest);
+                Stream::connect(&mut self.net, to, HOSTS).ok()?
+            }
+        };
+        let id = stream.id;
+        self.tally.links += 1;
+        let link = Link { stream, host, at_use: Use::Idle, number: 0, since: now, written: false };
+        self.links.insert(id, link);
+        Some(id)
+    }
+
+    fn write_link(&mut self, id: SocketId) -> bool {
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        let flushed = link.stream.is_up().and_then(|up| if up { link.stream.flush() } else { Ok(false) });
+        match flushed {
+            Ok(all) => link.written |= all,
+            Err(_) => self.link_broke(id),
+        }
+        self.links.contains_key(&id)
+    }
+
+    pub(super) fn link_ready(&mut self, id: SocketId) {
+        if !self.write_link(id) {
+            return;
+        }
+        loop {
+            let Some(link) = self.links.get_mut(&id) else { return };
+            if !matches!(link.stream.is_up(), Ok(true)) {
+                return;
+            }
+            let filled = link.stream.fill(self.limits.message, self.limits.read_step);
+            self.read_link(id, filled == Fill::Ended);
+            if filled == Fill::Ended {
+                return self.link_broke(id);
+            }
+            if filled == Fill::Drained {
+                return;
+            }
+        }
+    }
+
+    /// Takes the answer that a connection holds, if it is whole.
+    fn read_link(&mut self, id: SocketId, ended: bool) {
+        // Out of the map meanwhile: the value is passed on from the buffer it was read into.
+        let Some(link) = self.links.remove(&id) else { return };
+        let read = self.take_answer(&link);
+        self.links.insert(id, link);
+        match read {
+            Ok(Some(used)) => self.use_done(id, used, ended),
+            Ok(None) => {}
+            Err(why) => {
+                warn!(self.log, "a host's answer is malformed, its connection is closed"; "why" => %why);
+                self.tally.malformed += 1;
+                self.link_broke(id);
+            }
+        }
+    }
+
+    /// Passes on and books what has come; the bytes it took, None where it is not whole.
+    fn take_answer(&mut self, link: &Link) -> Result<Option<usize>, Malformed> {
+        let (value, words) = (self.limits.value, self.limits.words);
+        let (bytes, host) = (link.stream.input(), link.host);
+        let took = self.clock.now() - link.since;
+        match &link.at_use {
+            Use::Idle if bytes.is_empty() => Ok(None),
+            Use::Idle => Err(Malformed::new("nothing was asked")),
+            Use::Dispatch(out) => {
+                let Some((answer, used)) = host::answer(bytes, value, words)? else {
+                    let room = bytes.len() < self.limits.message;
+                    return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
+                };
+                let (verdict, load) = match answer {
+                    Answer::Value { value, load } => {
+                        self.relay_value(&out.inv, value);
+                        (Verdict::Succeeded, load)
+                    }
+                    Answer::Error { load } => (Verdict::Error, load),
+                    Answer::Full { load } => (Verdict::Full, load),
+                    Answer::Refused(line) => {
+                        warn!(self.log, "a host refused the form of a command"; "line" => line.to_owned());
+                        (Verdict::Error, None)
+                    }
+                };
+                let load = load.filter(|_| self.transport.reports == Reports::Inline);
+                let load = load.map(TransportTerms::load_by_name).unwrap_or_default();
+                self.ended(Out { inv: out.inv.clone(), no: out.no }, host, verdict, took, load);
+                Ok(Some(used))
+            }
+            Use::Probe => {
+                let Some(((well, load), used)) = host::probed(bytes, value, words)? else { return Ok(None) };
+                let verdict = if well { Verdict::Succeeded } else { Verdict::Error };
+                let load = load.map(TransportTerms::load_by_name).unwrap_or_default();
+                self.events.push_back(Event::Probed { host, verdict, took, load });
+                Ok(Some(used))
+            }
+        }
+    }
+
+    fn relay_value(&mut self, inv: &InvId, value: &[u8]) {
+        if self.answer(inv, |out| write_bulk(out, value)) {
+            self.tally.succeeded += 1;
+        }
+    }
+
+    /// The connection is without use again, and kept where the host may be used again.
+    fn use_done(&mut self, id: SocketId, used: usize, ended: bool) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.stream.consume(used);
+        link.at_use = Use::Idle;
+        link.number += 1;
+        let clean = link.stream.input().is_empty() && link.stream.unwritten() == 0 && !ended;
+        let wanted = self.hosts.wanted(link.host) && self.pools.len() < self.limits.idle_links;
+        if clean && wanted {
+            self.pools.put(link.host, id, now);
+        } else {
+            self.close_link(id);
+        }
+    }
+
+    /// The connection broke or was never up: what it carried ends by how far its command had come.
+    fn link_broke(&mut self, id: SocketId) {
+        let verdict = |written| if written { Verdict::Reset } else { Verdict::NoConnection };
+        self.end_use(id, verdict);
+    }
+
+    /// Gives up what a connection carries; giving up closes it.
+    fn end_use(&mut self, id: SocketId, verdict: impl Fn(bool) -> Verdict) {
+        let Some(link) = self.links.remove(&id) else { return };
+        let (verdict, took, host) = (verdict(link.written), self.clock.now() - link.since, link.host);
+        match link.at_use {
+            Use::Idle => self.pools.forget(host, id),
+            Use::Dispatch(out) => self.ended(out, host, verdict, took, LoadReport::default()),
+            Use::Probe => {
+                self.events.push_back(Event::Probed { host, verdict, took, load: LoadReport::default() });
+            }
+        }
+        link.stream.close(&self.net);
+    }
+
+    pub(super) fn close_link(&mut self, id: SocketId) {
+        if let Some(link) = self.links.remove(&id) {
+            link.stream.close(&self.net);
+        }
+    }
+
+    pub(super) fn use_over(&mut self, id: SocketId, number: u64) {
+        if self.links.get(&id).is_some_and(|link| link.number == number) {
+            // A command whose last byte was never written has not been begun.
+            self.end_use(id, |written| if written { Verdict::TimedOut } else { Verdict::NoConnection });
+        }
+    }
+
+    pub(super) fn connect_over(&mut self, id: SocketId, number: u64) {
+        let waits = |link: &mut Link| link.number == number && !matches!(link.stream.is_up(), Ok(true));
+        if self.links.get_mut(&id).is_some_and(waits) {
+            self.link_broke(id);
+        }
+    }
+
+    pub(super) fn recall(&mut self, inv: &InvId, no: DispatchNo) {
+        let of = |link: &Link| matches!(&link.at_use, Use::Dispatch(out) if out.inv == *inv && out.no == no);
+        if let Some(id) = self.links.iter().find(|(_, link)| of(link)).map(|(id, _)| *id) {
+            self.end_use(id, |_| Verdict::Recalled);
+        }
+    }
+
+    fn ended(&mut self, out: Out, host: HostId, verdict: Verdict, took: f64, load: LoadReport) {
+        self.tally.count(verdict);
+        let Out { inv, no: dispatch } = out;
+        let over = !self.admitted.contains_key(&inv);
+        self.events.push_back(Event::Ended { inv, dispatch, host, verdict, over, took, load });
+    }
+}
--- /dev/null
+++ b/router/src/transport/mod.rs
@@ -0,0 +1,17 @@
+//! Sockets on calloop, without knowledge of what is spoken on them.
+
+mod alarms;
+mod clock;
+mod datagram;
+mod listener;
+mod net;
+mod pools;
+mod stream;
+
+pub use alarms::Alarms;
+pub use clock::Clock;
+pub use datagram::Datagrams;
+pub use listener::Listener;
+pub use net::{Net, Rank, SocketId};
+pub use pools::Pools;
+pub use stream::{Fill, Stream};
--- /dev/null
+++ b/router/src/transport/pools.rs
@@ -0,0 +1,62 @@
+//! Connections without use, kept by whom they lead to.
+
+use std::collections::BTreeMap;
+
+use super::net::SocketId;
+
+/// For each party the connections without use, the freshest last.
+pub struct Pools<K> {
+    idle: BTreeMap<K, Vec<(SocketId, f64)>>,
+    count: usize,
+}
+
+impl<K: Ord + Copy> Pools<K> {
+    pub fn new() -> Self {
+        Pools { idle: BTreeMap::new(), count: 0 }
+    }
+
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    pub fn put(&mut self, to: K, id: SocketId, now: f64) {
+        self.idle.entry(to).or_default().push((id, now));
+        self.count += 1;
+    }
+
+    /// The freshest: the others may be closed for want of use.
+    pub fn take(&mut self, to: K) -> Option<SocketId> {
+        let (id, _) = self.idle.get_mut(&to)?.pop()?;
+        self.count -= 1;
+        Some(id)
+    }
+
+    pub fn forget(&mut self, to: K, id: SocketId) {
+        self.remove(|key, (other, _)| *key == to && *other == id);
+    }
+
+    pub fn take_all(&mut self, to: K) -> Vec<SocketId> {
+        self.remove(|key, _| *key == to)
+    }
+
+    pub fn take_unused_since(&mut self, time: f64) -> Vec<SocketId> {
+        self.remove(|_, (_, since)| *since <= time)
+    }
+
+    pub fn take_oldest(&mut self) -> Option<SocketId> {
+        let firsts = self.idle.iter().filter_map(|(key, ids)| ids.first().map(|first| (first.1, *key)));
+        let (_, key) = firsts.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        self.count -= 1;
+        self.idle.get_mut(&key).map(|ids| ids.remove(0).0)
+    }
+
+    fn remove(&mut self, unwanted: impl Fn(&K, &(SocketId, f64)) -> bool) -> Vec<SocketId> {
+        let mut taken = Vec::new();
+        for (key, ids) in &mut self.idle {
+            taken.extend(ids.extract_if(.., |idle| unwanted(key, idle)).map(|idle| idle.0));
+        }
+        self.idle.retain(|_, ids| !ids.is_empty());
+        self.count -= taken.len();
+        taken
+    }
+}
