--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -38,7 +38,7 @@
     /// the configuration file (default: $PROXY_CONFIG)
     #[argh(option, short = 'c')]
     config: Option<String>,
-    /// how much to log: error, warn, info or debug (default: debug)
+    /// how much to log: error, warn, info or debug (default: info)
     #[argh(option, short = 'l', from_str_fn(level))]
     log: Option<slog::Level>,
 }
@@ -103,7 +103,7 @@
     let limits = limits(&told);
     // Before the log's thread starts: signals are blocked for all threads that come after.
     let net = Net::start().map_err(|e| format!("the event loop cannot start: {e}"))?;
-    let (log, guard) = logs::start(&told.name, serve.log.unwrap_or(slog::Level::Debug), &limits);
+    let (log, guard) = logs::start(&told.name, serve.log.unwrap_or(slog::Level::Info), &limits);
     info!(log, "starting"; "version" => env!("CARGO_PKG_VERSION"), "routers" => told.terms.routers,
         "me" => told.terms.me.0);
     let parties = Parties {
@@ -114,8 +114,8 @@
         peers: told.peers,
         peers_all: told.peers_all,
     };
-    let terms = (told.terms, told.transport);
-    let started = Routing::start(log.clone(), limits, clock, net, terms, told.names, parties, told.seed);
+    let terms = (told.terms, told.transport, told.names);
+    let started = Routing::start(log.clone(), (limits, clock), net, terms, parties, told.seed);
     let mut routing = started.map_err(|e| format!("listen: {} cannot be listened on: {e}", told.listen))?;
     if let Some(known) = told.known {
         let known = discovery::list(known.get().as_bytes()).map_err(|e| format!("known: {e}"))?;
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -21,7 +21,7 @@
 use kestreltide_terms::{Names, TransportTerms};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use slog::{Logger, debug, info};
+use slog::{Logger, info};
 
 use crate::limits::Limits;
 use crate::transport::{Alarms, Clock, Listener, Net, Pools, Rank, SocketId};
@@ -112,10 +112,10 @@
 
 impl Routing {
     pub fn start(
-        log: Logger, limits: Limits, clock: Clock, mut net: Net,
-        (terms, transport): (ServiceTerms, TransportTerms), names: Names, parties: Parties, seed: u64,
+        log: Logger, (limits, clock): (Limits, Clock), mut net: Net,
+        told: (ServiceTerms, TransportTerms, Names), parties: Parties, seed: u64,
     ) -> io::Result<Self> {
-        let now = clock.now();
+        let (now, (terms, transport, names)) = (clock.now(), told);
         let listener = Listener::open(&mut net, parties.listen, limits.backlog, LISTENER)?;
         let at = listener.address()?;
         let idempotent = terms.operations.iter().map(|o| o.repeats == Repeats::Idempotent).collect();
@@ -273,7 +273,7 @@
         let using = self.links.values().map(Link::host).collect();
         self.hosts.forget_gone(&using);
         if let Some(line) = self.tally.line(now) {
-            debug!(self.log, "state"; "open" => self.admitted.len(), "clients" => self.clients.len(),
+            info!(self.log, "state"; "open" => self.admitted.len(), "clients" => self.clients.len(),
                 "links" => self.links.len(), "idle" => self.pools.len(), "counts" => line);
         }
     }
