--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,7 @@
+//! The real router. Layers, each knowing only those before it: limits, transport, protocol, routing, program.
+
+pub mod limits;
+pub mod program;
+pub mod protocol;
+pub mod routing;
+pub mod transport;
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -21,6 +21,8 @@
     pub list_answer: usize,
     pub headers: usize,
     pub datagram: usize,
+    /// Datagrams taken at one wake.
+    pub datagrams: usize,
     /// Read from one socket at a time before others get their turn.
     pub read_step: usize,
     pub backlog: i32,
@@ -48,7 +50,8 @@
     pub watch_spare: f64,
     /// Without a sign of life for this time the platform's connection is opened anew.
     pub platform_silence: f64,
-    /// Between tries to reach discovery or the platform, at first and at most.
+    /// Between tries to reach discovery or the platform, at first and at most; a connection that has stood
+    /// for the latter is opened anew at once.
     pub retry: [f64; 2],
     pub accept_again: f64,
     pub sweep: f64,
@@ -78,6 +81,7 @@
             list_answer: 4 * MIB,
             headers: 32,
             datagram: 256,
+            datagrams: 1024,
             read_step: 64 * KIB,
             backlog: 1024,
             clients,
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,12 +1,5 @@
-//! `kestreltide`: the real router. Layers, each knowing only those before it: limits, transport, protocol,
-//! routing, program.
-
-mod limits;
-mod program;
-mod protocol;
-mod routing;
-mod transport;
+//! `kestreltide`: see `kestreltide help`.
 
 fn main() -> std::process::ExitCode {
-    program::main()
+    kestreltide_router::program::main()
 }
--- a/router/src/routing/admit.rs
+++ b/router/src/routing/admit.rs
@@ -21,6 +21,8 @@
     pub(super) client: SocketId,
     pub(super) kept: Kept,
     pub(super) dispatches: u32,
+    /// The client is gone, which the decisions are still to hear.
+    pub(super) left: bool,
 }
 
 impl Routing {
@@ -39,7 +41,7 @@
         if let Some(client) = self.clients.get_mut(&client) {
             client.queue.push_back(Waiting::For(id.clone()));
         }
-        self.admitted.insert(id.clone(), Admitted { client, kept, dispatches: 0 });
+        self.admitted.insert(id.clone(), Admitted { client, kept, dispatches: 0, left: false });
         self.events.push_back(Event::Arrived(Invocation {
             id,
             operation,
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -27,6 +27,7 @@
     stream: Stream,
     asked: Asked,
     number: u64,
+    since: f64,
 }
 
 pub(super) struct Discovery {
@@ -94,10 +95,10 @@
         match Stream::connect(&mut self.net, self.discovery.at, NEWS) {
             Ok(stream) => {
                 let id = stream.id;
-                self.discovery.calls.insert(id, Call { stream, asked, number: 0 });
+                self.discovery.calls.insert(id, Call { stream, asked, number: 0, since: self.clock.now() });
                 self.ask(id, asked);
             }
-            Err(e) => self.call_failed(asked, &e.to_string()),
+            Err(e) => self.call_failed(asked, self.clock.now(), &e.to_string()),
         }
     }
 
@@ -138,9 +139,9 @@
         match answer {
             Ok(None) if !ended => drop(self.discovery.calls.insert(id, call)),
             Ok(None) => {
-                let asked = call.asked;
+                let (asked, since) = (call.asked, call.since);
                 call.stream.close(&self.net);
-                self.call_failed(asked, "the connection ended");
+                self.call_failed(asked, since, "the connection ended");
             }
             Ok(Some((used, stays_open))) => {
                 let asked = call.asked;
@@ -154,10 +155,10 @@
                 }
             }
             Err(why) => {
-                let asked = call.asked;
+                let (asked, since) = (call.asked, call.since);
                 call.stream.close(&self.net);
                 self.tally.malformed += 1;
-                self.call_failed(asked, &why.to_string());
+                self.call_failed(asked, since, &why.to_string());
             }
         }
     }
@@ -211,15 +212,15 @@
         }
     }
 
-    fn drop_call(&mut self, id: SocketId) -> Option<Asked> {
+    fn drop_call(&mut self, id: SocketId) -> Option<(Asked, f64)> {
         let call = self.discovery.calls.remove(&id)?;
         call.stream.close(&self.net);
-        Some(call.asked)
+        Some((call.asked, call.since))
     }
 
     fn call_broke(&mut self, id: SocketId, why: &str) {
-        if let Some(asked) = self.drop_call(id) {
-            self.call_failed(asked, why);
+        if let Some((asked, since)) = self.drop_call(id) {
+            self.call_failed(asked, since, why);
         }
     }
 
@@ -230,14 +231,16 @@
     }
 
     /// On demand the decisions hear of it and ask again; else the watch begins again after a while, later
-    /// each time and never in step with other routers.
-    fn call_failed(&mut self, asked: Asked, why: &str) {
+    /// each time and never in step with other routers, but at once where the connection had stood for long.
+    fn call_failed(&mut self, asked: Asked, since: f64, why: &str) {
         warn!(self.log, "discovery does not answer"; "why" => why.to_owned());
         if self.discovery.on_demand {
             self.discovery.following &= asked == Asked::Once;
             return self.events.push_back(Event::ListFailed);
         }
-        let at = self.clock.now() + self.discovery.wait * self.spread();
+        let now = self.clock.now();
+        let stood = now - since >= self.limits.retry[1];
+        let at = now + if stood { 0.0 } else { self.discovery.wait * self.spread() };
         self.discovery.wait = (2.0 * self.discovery.wait).min(self.limits.retry[1]);
         self.set_due(at, Due::WatchAgain);
     }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -45,6 +45,8 @@
 
 /// The longest sleep, in seconds, so that a clock that was stopped shows.
 const LONGEST_SLEEP: f64 = 0.25;
+/// Seconds without a look at the sockets that are worth a line.
+const STALLED: f64 = 0.1;
 
 /// Where everybody is, and what this router held when it was started.
 pub struct Parties {
@@ -103,10 +105,12 @@
     platform: Option<Platform>,
     peers: Option<Peers>,
     ready: bool,
+    /// An alarm is set for clients that could not be accepted.
+    accept_due: bool,
     stop: Stop,
     tally: Tally,
-    /// What was asked of the last sleep and when it began: how long a command may have waited unread.
-    slept: (f64, f64),
+    /// When the last sleep ended, and how long a command that is read now may have waited unread.
+    woken: f64,
     stall: f64,
 }
 
@@ -138,12 +142,13 @@
             held: 0,
             last_inv: 0,
             links: BTreeMap::new(),
-            pools: Pools::new(),
+            pools: Pools::default(),
             hosts: Hosts::new(limits.hosts),
             ready: false,
+            accept_due: false,
             stop: Stop::No,
             tally: Tally::default(),
-            slept: (now, 0.0),
+            woken: now,
             stall: 0.0,
             log,
             limits,
@@ -172,21 +177,19 @@
         self.settle();
     }
 
-    /// The address that clients connect to.
-    #[cfg(test)]
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref().and_then(|listener| listener.address().ok())
-    }
-
     /// Sleeps until something happens and serves it; false once there is nothing more to do.
     pub fn turn(&mut self) -> io::Result<bool> {
         let now = self.clock.now();
         let next = self.alarms.next().map_or(LONGEST_SLEEP, |at| at - now);
-        self.slept = (now, next.clamp(0.0, LONGEST_SLEEP));
-        let (sockets, stop) = self.net.wait(self.slept.1)?;
+        let sleep = next.clamp(0.0, LONGEST_SLEEP);
+        let (sockets, stop) = self.net.wait(sleep)?;
+        // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
-        // A sleep that took longer than asked for: commands read now may have waited for the difference.
-        self.stall = (woken - self.slept.0 - self.slept.1).max(0.0);
+        self.stall = (now - self.woken) + (woken - now - sleep).max(0.0);
+        self.woken = woken;
+        if self.stall > STALLED {
+            slog::warn!(self.log, "this process stood still"; "seconds" => self.stall);
+        }
         if stop {
             self.stop_told(woken);
         }
@@ -223,7 +226,10 @@
             Due::Decisions(key) => self.events.push_back(Event::Alarm { key }),
             Due::UseOver(id, number) => self.use_over(id, number),
             Due::ConnectOver(id, number) => self.connect_over(id, number),
-            Due::AcceptAgain => self.accept(),
+            Due::AcceptAgain => {
+                self.accept_due = false;
+                self.accept();
+            }
             Due::Sweep => self.sweep(),
             Due::CallOver(id, number) => self.call_over(id, number),
             Due::WatchAgain => self.watch_begin(),
@@ -274,7 +280,7 @@
         self.hosts.forget_gone(&using);
         if let Some(line) = self.tally.line(now) {
             info!(self.log, "state"; "open" => self.admitted.len(), "clients" => self.clients.len(),
-                "links" => self.links.len(), "idle" => self.pools.len(), "counts" => line);
+                "links" => self.links.len(), "idle" => self.pools.count(), "counts" => line);
         }
     }
 }
--- a/router/src/routing/peers.rs
+++ b/router/src/routing/peers.rs
@@ -47,7 +47,9 @@
 
     pub(super) fn peers_ready(&mut self) {
         let Some(peers) = &mut self.peers else { return };
-        while let Some((from, payload)) = peers.socket.receive() {
+        // Bounded: a flood leaves the rest to the next one, which it brings by itself.
+        for _ in 0..self.limits.datagrams {
+            let Some((from, payload)) = peers.socket.receive() else { return };
             let known = peers.numbers.get(&from).filter(|_| payload.len() <= self.limits.datagram);
             match known {
                 Some(from) => self.events.push_back(Event::Told { from: *from, payload: payload.to_vec() }),
--- a/router/src/routing/platform.rs
+++ b/router/src/routing/platform.rs
@@ -25,6 +25,7 @@
     call: u64,
     /// When the last byte came.
     last: f64,
+    since: f64,
     wait: f64,
     heard: bool,
 }
@@ -32,7 +33,7 @@
 impl Platform {
     pub(super) fn new(at: SocketAddr, limits: &Limits) -> Self {
         let (votes, wait) = (BTreeMap::new(), limits.retry[0]);
-        Platform { at, stream: None, votes, call: 0, last: 0.0, wait, heard: false }
+        Platform { at, stream: None, votes, call: 0, last: 0.0, since: 0.0, wait, heard: false }
     }
 
     pub(super) fn heard(&self) -> bool {
@@ -66,7 +67,7 @@
                 let call = platform.next_call();
                 platform::write_follow(stream.output(), call);
                 platform.stream = Some(stream);
-                platform.last = now;
+                (platform.last, platform.since) = (now, now);
                 self.platform_ready();
             }
             Err(e) => self.platform_broke(&e.to_string()),
@@ -197,8 +198,11 @@
     /// The connection is lost: what was asked on it may have been done once it was written.
     fn platform_broke(&mut self, why: &str) {
         warn!(self.log, "the platform's connection is lost"; "why" => why.to_owned());
-        let again = self.clock.now() + self.spread() * self.platform.as_ref().map_or(0.0, |p| p.wait);
+        let (now, spread) = (self.clock.now(), self.spread());
         let Some(platform) = &mut self.platform else { return };
+        // At once where the connection had stood for long; else later each time, never in step with others.
+        let stood = platform.stream.is_some() && now - platform.since >= self.limits.retry[1];
+        let again = now + if stood { 0.0 } else { spread * platform.wait };
         platform.wait = (2.0 * platform.wait).min(self.limits.retry[1]);
         if let Some(stream) = platform.stream.take() {
             stream.close(&self.net);
--- a/router/src/routing/route.rs
+++ b/router/src/routing/route.rs
@@ -12,7 +12,9 @@
 impl Routing {
     pub(super) fn route(&mut self, event: Event) {
         let mut effects = std::mem::take(&mut self.effects);
+        let left = if let Event::ClientLeft { inv } = &event { Some(inv.clone()) } else { None };
         self.decisions.handle(self.clock.now(), event, &mut effects);
+        left.map(|inv| self.release(&inv));
         effects.drain(..).for_each(|effect| self.carry_out(effect));
         self.effects = effects;
     }
@@ -32,11 +34,7 @@
             }
             Effect::SetAlarm { at, key } => self.set_due(at, Due::Decisions(key)),
             Effect::Probe { host } => self.probe(host),
-            Effect::CloseIdle { host } => {
-                for id in self.pools.take_all(host) {
-                    self.close_link(id);
-                }
-            }
+            Effect::CloseIdle { host } => self.close_idle(host),
             Effect::Tell { to, payload } => self.tell(to, &payload),
             Effect::Vote { build, stage, sense } => self.cast(build, stage, sense),
             Effect::Follow { on } => self.follow(on),
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -48,7 +48,12 @@
         let Some(admitted) = self.admitted.get_mut(&inv) else { return };
         let no = DispatchNo(admitted.dispatches);
         admitted.dispatches += 1;
+        let left = admitted.left;
         self.tally.dispatches += 1;
+        if left {
+            // Decided before the decisions could hear that the client has left: nothing goes out any more.
+            return self.ended(Out { inv, no }, host, Verdict::Moot, 0.0, LoadReport::default());
+        }
         let Some(id) = self.link_to(host, now) else {
             return self.ended(Out { inv, no }, host, Verdict::NoConnection, 0.0, LoadReport::default());
         };
@@ -197,7 +202,10 @@
                 Ok(Some(used))
             }
             Use::Probe => {
-                let Some(((well, load), used)) = host::probed(bytes, value, words)? else { return Ok(None) };
+                let Some(((well, load), used)) = host::probed(bytes, value, words)? else {
+                    let room = bytes.len() < self.limits.message;
+                    return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
+                };
                 let verdict = if well { Verdict::Succeeded } else { Verdict::Error };
                 let load = load.map(TransportTerms::load_by_name).unwrap_or_default();
                 self.events.push_back(Event::Probed { host, verdict, took, load });
@@ -220,7 +228,7 @@
         link.at_use = Use::Idle;
         link.number += 1;
         let clean = link.stream.input().is_empty() && link.stream.unwritten() == 0 && !ended;
-        let wanted = self.hosts.wanted(link.host) && self.pools.len() < self.limits.idle_links;
+        let wanted = self.hosts.wanted(link.host) && self.pools.count() < self.limits.idle_links;
         if clean && wanted {
             self.pools.put(link.host, id, now);
         } else {
@@ -278,7 +286,7 @@
     fn ended(&mut self, out: Out, host: HostId, verdict: Verdict, took: f64, load: LoadReport) {
         self.tally.count(verdict);
         let Out { inv, no: dispatch } = out;
-        let over = !self.admitted.contains_key(&inv);
+        let over = self.admitted.get(&inv).is_none_or(|admitted| admitted.left);
         self.events.push_back(Event::Ended { inv, dispatch, host, verdict, over, took, load });
     }
 }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -46,7 +46,7 @@
         while self.listener.is_some() {
             // Who waits to be accepted may have written a command already: room is made, nobody is kept out.
             if self.clients.len() >= self.limits.clients && !self.close_idle_client() {
-                return self.set_due(now + self.limits.accept_again, Due::AcceptAgain);
+                return self.accept_again(now);
             }
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
@@ -56,13 +56,20 @@
                     // Out of descriptors: those without use go first; else it is tried again, not at once.
                     if !self.free_descriptor() {
                         warn!(self.log, "no client can be accepted now"; "error" => %e);
-                        return self.set_due(now + self.limits.accept_again, Due::AcceptAgain);
+                        return self.accept_again(now);
                     }
                 }
             }
         }
     }
 
+    fn accept_again(&mut self, now: f64) {
+        if !self.accept_due {
+            self.accept_due = true;
+            self.set_due(now + self.limits.accept_again, Due::AcceptAgain);
+        }
+    }
+
     fn accepted(&mut self, socket: TcpStream, now: f64) {
         match Stream::accepted(&mut self.net, socket, CLIENTS) {
             Ok(stream) => {
@@ -182,8 +189,9 @@
         let Some(client) = self.clients.remove(&id) else { return };
         for waiting in client.queue {
             if let Waiting::For(inv) = waiting
-                && self.release(&inv).is_some()
+                && let Some(admitted) = self.admitted.get_mut(&inv)
             {
+                admitted.left = true;
                 self.tally.left += 1;
                 self.events.push_back(Event::ClientLeft { inv });
             }
--- a/router/src/transport/datagram.rs
+++ b/router/src/transport/datagram.rs
@@ -1,6 +1,6 @@
 //! One datagram socket.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
@@ -28,7 +28,13 @@
     }
 
     pub fn receive(&mut self) -> Option<(SocketAddr, &[u8])> {
-        let (length, from) = self.socket.recv_from(&mut self.buffer).ok()?;
+        let (length, from) = loop {
+            match self.socket.recv_from(&mut self.buffer) {
+                Ok(received) => break received,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return None,
+            }
+        };
         Some((from, &self.buffer[..length]))
     }
 }
--- a/router/src/transport/pools.rs
+++ b/router/src/transport/pools.rs
@@ -10,12 +10,14 @@
     count: usize,
 }
 
-impl<K: Ord + Copy> Pools<K> {
-    pub fn new() -> Self {
+impl<K> Default for Pools<K> {
+    fn default() -> Self {
         Pools { idle: BTreeMap::new(), count: 0 }
     }
+}
 
-    pub fn len(&self) -> usize {
+impl<K: Ord + Copy> Pools<K> {
+    pub fn count(&self) -> usize {
         self.count
     }
 
