--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
+use crate::protocol::discovery::{self, List};
 use crate::protocol::platform::StateForm;
 
 #[derive(Deserialize)]
@@ -52,7 +53,7 @@
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
     pub platform: Option<Platform>,
-    pub known: Option<&'a RawValue>,
+    pub known: Option<List<'a>>,
     pub terms: ServiceTerms,
     pub transport: TransportTerms,
     pub names: Names,
@@ -82,6 +83,8 @@
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed} is no hexadecimal number"))?;
     let mut names = Names::default();
     let (terms, transport) = decode(&Fields::from_json("settings", &file.settings), &mut names)?;
+    let known = file.known.map(|known| discovery::list(known.get().as_bytes())).transpose();
+    let known = known.map_err(|e| format!("known: {e}"))?;
     if file.limits.sockets == 0 || file.limits.memory_mb == 0 {
         return Err("limits: sockets and memory_mb must be more than 0".into());
     }
@@ -95,7 +98,7 @@
         peers: file.peers,
         peers_all: file.peers_all,
         platform: file.platform,
-        known: file.known,
+        known,
         terms,
         transport,
         names,
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -9,7 +9,6 @@
 use slog::{error, info};
 
 use crate::limits::Limits;
-use crate::protocol::discovery;
 use crate::routing::{Parties, Routing};
 use crate::transport::{Clock, Net};
 use config::Told;
@@ -118,7 +117,6 @@
     let started = Routing::start(log.clone(), (limits, clock), net, terms, parties, told.seed);
     let mut routing = started.map_err(|e| format!("listen: {} cannot be listened on: {e}", told.listen))?;
     if let Some(known) = told.known {
-        let known = discovery::list(known.get().as_bytes()).map_err(|e| format!("known: {e}"))?;
         routing.remember(&known);
     }
     if let Some(news) = told.platform.and_then(|platform| platform.news) {
--- /dev/null
+++ b/router/tests/stories.rs
@@ -0,0 +1,303 @@
+//! Short stories of the real router, one for each failure met, against tiny fakes on loopback sockets.
+
+#[path = "../../tests/fake/mod.rs"]
+mod fake;
+
+use std::io::Read;
+use std::net::UdpSocket;
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use fake::*;
+use kestreltide_router::protocol::{client, discovery, host, platform};
+use rstest::rstest;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
+const READ: &str = "c=read,d=5000";
+const SWITCH: &str = "c=switch,d=5000";
+
+/// A router that knows these hosts, whose discovery answers with what the sender is given.
+fn router_with(hosts: &[(&str, std::net::SocketAddr, &str)]) -> (Program, Sender<String>) {
+    let (lists, answers) = channel();
+    let known = list(1, true, hosts);
+    let program = Program::start(BINARY, &config(fake_discovery(answers), &known));
+    (program, lists)
+}
+
+/// A host that answers all at once with a value that names the invocation.
+fn well() -> Option<std::net::SocketAddr> {
+    Some(fake_host(|words| value(&format!("of {}", words[2]))))
+}
+
+#[test]
+fn a_command_reaches_the_host_as_sent_but_for_its_time_and_its_value_the_client_unaltered() {
+    let seen = Arc::new(Mutex::new(vec![]));
+    let record = seen.clone();
+    let at = fake_host(move |words| {
+        record.lock().expect("no panic before").push(words.to_vec());
+        value("a\r\nb")
+    });
+    let (program, _lists) = router_with(&[("a", at, "Ready")]);
+    let answer = program.client().ask(&["Q.DO", "key", "id", "x=1,c=switch,d=5000,k=5c,r=1", "BODY"]);
+    assert_eq!(answer, "a\r\nb");
+    let seen = seen.lock().expect("no panic before");
+    let [words] = seen.as_slice() else { panic!("one dispatch: {seen:?}") };
+    let time = words[3].strip_prefix("x=1,c=switch,d=").and_then(|rest| rest.strip_suffix(",k=5c,r=1"));
+    let time: u32 = time.and_then(|time| time.parse().ok()).expect("the list as it was sent");
+    assert!((1..=5000).contains(&time), "{time}");
+    assert_eq!([&words[0], &words[1], &words[2], &words[4]], ["Q.DO", "key", "id", "BODY"]);
+}
+
+#[test]
+fn pipelined_commands_are_answered_in_their_order() {
+    // The first answer comes only after the second host connection has answered.
+    let (done, wait) = channel::<()>();
+    let (done, wait) = (Mutex::new(done), Mutex::new(wait));
+    let at = fake_host(move |words| {
+        match words[2].as_str() {
+            "one" => drop(wait.lock().expect("no panic before").recv_timeout(PATIENCE)),
+            _ => drop(done.lock().expect("no panic before").send(())),
+        }
+        value(&words[2])
+    });
+    let (program, _lists) = router_with(&[("a", at, "Ready")]);
+    let mut client = program.client();
+    client.send(&["Q.ASK", "k", "one", READ]);
+    client.send(&["Q.ASK", "k", "two", READ]);
+    client.send(&["PING"]);
+    assert_eq!([client.answer(), client.answer()], ["one", "two"]);
+    assert!(client.answer().starts_with("-ERR"), "not ready yet, and after the others");
+}
+
+/// What a host does with every command, and what the client of a side-effecting operation is told: throttled
+/// only where nothing can have run.
+#[rstest]
+#[case::turned_away(Some("-BUSY\r\n"), "-BUSY")]
+#[case::error(Some("-ERR failed\r\n"), "-ERR failed")]
+#[case::refused_form(Some("-SYNTAX\r\n"), "-ERR failed")]
+#[case::no_value(Some("*2\r\n$-1\r\n$-1\r\n"), "-ERR failed")]
+#[case::malformed(Some("?what\r\n"), "-ERR failed")]
+#[case::too_long(Some("*1\r\n$99999999\r\n"), "-ERR failed")]
+#[case::reset_after_the_last_byte(None, "-ERR failed")]
+fn a_side_effecting_invocation_is_throttled_only_where_it_never_ran(
+    #[case] does: Option<&'static str>, #[case] told: &str,
+) {
+    let (program, _lists) = router_with(&[("a", fake_host(move |_| does.map(str::to_owned)), "Ready")]);
+    assert_eq!(program.client().ask(&["Q.DO", "k", "id", SWITCH]), told);
+}
+
+#[test]
+fn a_host_that_cannot_be_reached_never_ran_anything() {
+    let (program, _lists) = router_with(&[("a", nobody(), "Ready")]);
+    assert_eq!(program.client().ask(&["Q.DO", "k", "id", SWITCH]), "-BUSY");
+}
+
+#[test]
+fn a_silent_host_is_given_up_in_time_and_its_connection_closed() {
+    let (closed, seen) = channel();
+    let closed = Mutex::new(closed);
+    let at = party(move |mut stream| {
+        let mut all = vec![];
+        let _ = stream.read_to_end(&mut all);
+        let _ = closed.lock().expect("no panic before").send(all);
+    });
+    let (program, _lists) = router_with(&[("a", at, "Ready")]);
+    assert_eq!(program.client().ask(&["Q.DO", "k", "id", "c=switch,d=300"]), "-ERR failed");
+    assert!(!seen.recv_timeout(PATIENCE).expect("the connection was closed").is_empty());
+}
+
+#[rstest]
+#[case::no_array(b"hello\r\n")]
+#[case::no_operation(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$5\r\nd=100\r\n")]
+#[case::no_time(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$6\r\nc=read\r\n")]
+#[case::unknown_operation(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$9\r\nc=no,d=100\r\n")]
+#[case::wrong_command(b"*4\r\n$4\r\nQ.DO\r\n$1\r\nk\r\n$1\r\ni\r\n$12\r\nc=read,d=100\r\n")]
+#[case::too_many_words(b"*99\r\n")]
+#[case::too_long(b"*5\r\n$4\r\nQ.DO\r\n$1\r\nk\r\n$1\r\ni\r\n$14\r\nc=switch,d=100\r\n$70000\r\n")]
+#[case::negative(b"*1\r\n$-5\r\n")]
+fn a_malformed_command_costs_its_connection_and_no_other(#[case] bytes: &[u8]) {
+    let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
+    let (mut bad, mut good) = (program.client(), program.client());
+    bad.write(bytes);
+    assert!(bad.answer().starts_with("-ERR"));
+    assert_eq!(bad.answer(), "", "the connection is closed");
+    assert_eq!(good.ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
+#[test]
+fn a_router_serves_by_what_it_remembers_and_is_ready_once_discovery_has_told() {
+    let hosts = [("a", well().expect("a host"), "Ready")];
+    let (program, lists) = router_with(&hosts);
+    let mut client = program.client();
+    assert!(client.ask(&["PING"]).starts_with("-ERR"));
+    assert_eq!(client.ask(&["Q.ASK", "k", "id", READ]), "of id");
+    lists.send(list(2, true, &hosts)).expect("discovery lives");
+    program.logged("ready");
+    assert_eq!(client.ask(&["PING"]), "+PONG");
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_that_a_change_says_is_stopping() {
+    let named = |name: &'static str| fake_host(move |_| value(name));
+    let (a, b) = (named("a"), named("b"));
+    let (program, lists) = router_with(&[("a", a, "Ready"), ("b", b, "Ready")]);
+    lists.send(list(2, true, &[("a", a, "Ready"), ("b", b, "Ready")])).expect("discovery lives");
+    lists.send(list(3, false, &[("a", a, "Terminating")])).expect("discovery lives");
+    program.logged("Changes");
+    let mut client = program.client();
+    let answers = (0..20).map(|id| client.ask(&["Q.ASK", "k", &id.to_string(), READ]));
+    assert!(answers.into_iter().all(|answer| answer == "b"));
+}
+
+#[test]
+fn discovery_that_speaks_nonsense_is_asked_again() {
+    let hosts = [("a", well().expect("a host"), "Ready")];
+    let (program, lists) = router_with(&[]);
+    lists.send("no list".into()).expect("discovery lives");
+    program.logged("discovery does not answer");
+    lists.send(list(2, true, &hosts)).expect("discovery lives");
+    program.logged("ready");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
+#[test]
+fn a_planned_stop_serves_who_still_comes_and_ends_once_all_is_answered() {
+    let at = fake_host(|words| {
+        thread::sleep(Duration::from_millis(if words[2] == "slow" { 900 } else { 0 }));
+        value(&words[2])
+    });
+    let (mut program, _lists) = router_with(&[("a", at, "Ready")]);
+    let mut slow = program.client();
+    slow.send(&["Q.ASK", "k", "slow", READ]);
+    program.signal("TERM");
+    program.logged("stopping");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "late", READ]), "late");
+    assert_eq!(slow.answer(), "slow");
+    assert_eq!(slow.answer(), "", "closed once it was idle");
+    assert!(program.child.wait().expect("an end").success());
+}
+
+#[test]
+fn a_command_that_lay_unread_while_the_process_stood_still_has_no_time_left() {
+    let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
+    let mut client = program.client();
+    assert_eq!(client.ask(&["Q.ASK", "k", "before", READ]), "of before");
+    program.signal("STOP");
+    client.send(&["Q.ASK", "k", "during", "c=read,d=500"]);
+    thread::sleep(Duration::from_millis(1500));
+    program.signal("CONT");
+    assert_eq!(client.answer(), "-BUSY");
+}
+
+#[test]
+fn more_clients_than_descriptors_are_served_in_turn() {
+    let (lists, answers) = channel();
+    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
+    let few = config(fake_discovery(answers), &known).replace("\"sockets\":256", "\"sockets\":48");
+    let program = Program::start(BINARY, &few);
+    let mut clients: Vec<_> = (0..40).map(|_| program.client()).collect();
+    // Those without use make room for those that come; who was closed finds out and comes again.
+    let last = clients.last_mut().expect("clients");
+    assert_eq!(last.ask(&["Q.ASK", "k", "id", READ]), "of id");
+    assert_eq!(clients[0].answer(), "", "the first has been without use for longest");
+    drop(lists);
+}
+
+#[test]
+fn the_platform_is_followed_again_after_a_line_that_cannot_be_read() {
+    let state = r#"{"jsonrpc":"2.0","method":"progress","params":{"image":8,"ring":0,"progress":"testing","#;
+    let state = state.to_owned() + r#""ceiling":0.5,"lag_ms":0}}"#;
+    let lines = Mutex::new(vec![state + "\n", "{nonsense}\n".to_owned()]);
+    let at = party(move |mut stream| {
+        let line = lines.lock().expect("no panic before").pop();
+        let _ = std::io::Write::write_all(&mut stream, line.unwrap_or_default().as_bytes());
+        let _ = stream.read_to_end(&mut vec![]);
+    });
+    let (_lists, answers) = channel();
+    let with = format!("\"platform\":{{\"address\":\"{at}\"}},\"settings\"");
+    let text = config(fake_discovery(answers), &list(1, true, &[])).replace("\"settings\"", &with);
+    let program = Program::start(BINARY, &text);
+    program.logged("the platform's connection is lost");
+    assert!(program.logged("OnTrial").contains("build: 8"));
+}
+
+#[test]
+fn a_datagram_from_a_stranger_costs_nothing_but_a_line() {
+    let listen = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port");
+    let (_lists, answers) = channel();
+    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
+    let with = format!("\"peer_listen\":\"{listen}\",\"peers\":[\"{listen}\"],\"settings\"");
+    let text = config(fake_discovery(answers), &known).replace("\"settings\"", &with);
+    let program = Program::start(BINARY, &text.replace("\"peers\":false", "\"peers\":true"));
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    stranger.send_to(&[7; 400], listen).expect("it is sent");
+    program.logged("a datagram is from no peer or too long");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
+#[rstest]
+#[case::missing("\"seed\":\"8c1f30d27a5be964\",", "", "seed")]
+#[case::no_address("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen")]
+#[case::of_another_kind("\"sockets\":256", "\"sockets\":\"many\"", "limits.sockets")]
+#[case::in_the_settings("\"slo\":5000000,", "", "request_classes.0.slo")]
+#[case::unknown_word("\"gate_mode\":\"any\"", "\"gate_mode\":\"some\"", "extra.gate_mode")]
+#[case::known("\"rev\":1", "\"rev\":-1", "known")]
+fn a_bad_configuration_ends_the_program_and_names_the_field(
+    #[case] is: &str, #[case] becomes: &str, #[case] named: &str,
+) {
+    let text = config(nobody(), &list(1, true, &[]));
+    assert!(text.contains(is));
+    for verb in ["serve", "check-config"] {
+        let done = Program::command(BINARY, verb, &text.replace(is, becomes)).output().expect("it runs");
+        assert!(!done.status.success(), "{verb}");
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert!(said.contains(named), "{verb}: {said}");
+    }
+}
+
+/// Bytes come in pieces: nothing is taken for whole before its last byte, and no more is used than it has.
+#[test]
+fn no_message_is_read_before_its_last_byte() {
+    let mut command = vec![];
+    let text = b"*5\r\n$4\r\nQ.DO\r\n$1\r\nk\r\n$1\r\ni\r\n$14\r\nc=switch,d=100\r\n$3\r\na\r\n\r\n";
+    command.extend_from_slice(text);
+    let answer = b"*3\r\n$4\r\n\r\n\r\n\r\n$-1\r\n$9\r\ninflight1\r\n";
+    let state =
+        br#"{"jsonrpc":"2.0","id":3,"result":{"image":4,"ring":1,"progress":"live","ceiling":1,"lag_ms":3}}"#;
+    let state = [state.as_slice(), b"\n"].concat();
+    let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcde";
+    let whole = |bytes: &[u8], read: &dyn Fn(&[u8]) -> Option<usize>| {
+        assert!((0..bytes.len()).all(|length| read(&bytes[..length]).is_none()));
+        assert_eq!(read(&[bytes, b"more"].concat()), Some(bytes.len()));
+    };
+    whole(&command, &|bytes| client::read(bytes, 100, 8).expect("well formed").map(|read| read.1));
+    whole(answer, &|bytes| host::answer(bytes, 100, 8).expect("well formed").map(|read| read.1));
+    whole(&state, &|bytes| platform::read(bytes, 1000).expect("well formed").map(|read| read.1));
+    for response in [chunked.as_slice(), plain] {
+        let read = |bytes: &[u8]| {
+            let read = discovery::response(bytes, 1000, 8).expect("well formed");
+            read.map(|(response, used)| {
+                assert_eq!(&*response.body, b"abcde");
+                used
+            })
+        };
+        whole(response, &read);
+    }
+}
+
+#[rstest]
+#[case::full("too_many_calls", kestreltide::interface::Verdict::Full)]
+#[case::moot("out_of_date", kestreltide::interface::Verdict::Moot)]
+#[case::error("unavailable", kestreltide::interface::Verdict::Error)]
+#[case::wrong("bad_request", kestreltide::interface::Verdict::Error)]
+fn a_vote_that_does_not_count_says_why(
+    #[case] message: &str, #[case] verdict: kestreltide::interface::Verdict,
+) {
+    let line =
+        format!("{{\"jsonrpc\":\"2.0\",\"id\":3,\"error\":{{\"code\":-32602,\"message\":\"{message}\"}}}}\n");
+    let read = platform::read(line.as_bytes(), 1000).expect("well formed");
+    assert_eq!(read.map(|read| read.0), Some(platform::Told::Error { call: 3, verdict }));
+}
