--- a/src/choice.rs
+++ b/src/choice.rs
@@ -717,7 +717,7 @@
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
         let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
         let long = since * drag / DRAG[3] > DRAG_BACK[usize::from(!lives || !came)];
-        worse = worse && (!released || !lives) || harm && long && (came || !released);
+        worse = worse && !released || harm && long && (came || !released);
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
