--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -201,7 +201,9 @@
                 self.close_idle(host);
             }
         }
-        info!(self.log, "hosts"; "rev" => list.rev, "scope" => ?scope, "entries" => entries.len(),
+        let now = self.clock.now();
+        let youngest = entries.iter().filter_map(|entry| entry.started).fold(f64::MIN, f64::max);
+        info!(self.log, "hosts"; "youngest" => (now - youngest).min(f64::from(u32::MAX)), "rev" => list.rev, "scope" => ?scope, "entries" => entries.len(),
             "running" => entries.iter().filter(|entry| entry.state == HostState::Running).count());
         self.events.push_back(Event::Hosts { scope, entries: entries.into() });
     }
