--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -41,8 +41,9 @@
         self.sites.get(&host).map(|site| site.at)
     }
 
-    pub(super) fn wanted(&self, host: HostId) -> bool {
-        self.sites.get(&host).is_some_and(|site| site.state == HostState::Running)
+    /// Whether a connection to this host at this address may be used again.
+    pub(super) fn wanted(&self, host: HostId, at: SocketAddr) -> bool {
+        self.sites.get(&host).is_some_and(|site| site.state == HostState::Running && site.at == at)
     }
 
     /// The same at every router and after every start, but for the rare uids whose hashes meet.
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -1,5 +1,7 @@
 //! Send: dispatches and probes go to hosts, one on a connection at a time, and their ends come back.
 
+use std::net::SocketAddr;
+
 use kestreltide::interface::*;
 use kestreltide_terms::{Reports, TransportTerms};
 use slog::{debug, warn};
@@ -8,7 +10,7 @@
 use crate::protocol::Malformed;
 use crate::protocol::host::{self, Answer};
 use crate::protocol::resp::write_bulk;
-use crate::transport::{Fill, SocketId, Stream};
+use crate::transport::{Fill, SocketId, Stream, out_of_descriptors};
 
 const MILLIS: f64 = 1e3;
 
@@ -28,6 +30,7 @@
 pub(super) struct Link {
     stream: Stream,
     host: HostId,
+    to: SocketAddr,
     at_use: Use,
     /// Counts the uses, so that an alarm of an earlier one is known.
     number: u64,
@@ -110,8 +113,10 @@
         let stream = match Stream::connect(&mut self.net, to, HOSTS) {
             Ok(stream) => stream,
             Err(e) => {
-                // Out of descriptors, perhaps: one without use makes room for a second try.
                 debug!(self.log, "no connection to a host"; "to" => %to, "error" => %e);
+                if !out_of_descriptors(&e) {
+                    return None;
+                }
                 let oldest = self.pools.take_oldest()?;
                 self.close_link(oldest);
                 Stream::connect(&mut self.net, to, HOSTS).ok()?
@@ -119,7 +124,7 @@
         };
         let id = stream.id;
         self.tally.links += 1;
-        let link = Link { stream, host, at_use: Use::Idle, number: 0, since: now, written: false };
+        let link = Link { stream, host, to, at_use: Use::Idle, number: 0, since: now, written: false };
         self.links.insert(id, link);
         Some(id)
     }
@@ -228,7 +233,8 @@
         link.at_use = Use::Idle;
         link.number += 1;
         let clean = link.stream.input().is_empty() && link.stream.unwritten() == 0 && !ended;
-        let wanted = self.hosts.wanted(link.host) && self.pools.count() < self.limits.idle_links;
+        // The host may be gone, or another machine have its id by now.
+        let wanted = self.hosts.wanted(link.host, link.to) && self.pools.count() < self.limits.idle_links;
         if clean && wanted {
             self.pools.put(link.host, id, now);
         } else {
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -10,7 +10,7 @@
 use super::{CLIENTS, Due, Routing};
 use crate::protocol::client::{self, Command, Kept};
 use crate::protocol::{Malformed, resp};
-use crate::transport::{Fill, SocketId, Stream};
+use crate::transport::{Fill, SocketId, Stream, out_of_descriptors};
 
 /// A command that was taken: its answer is to come, or waits for those before it.
 pub(super) enum Waiting {
@@ -53,8 +53,8 @@
                 Ok(Some(socket)) => self.accepted(socket, now),
                 Ok(None) => return,
                 Err(e) => {
-                    // Out of descriptors: those without use go first; else it is tried again, not at once.
-                    if !self.free_descriptor() {
+                    // Those without use make room; else it is tried again, not at once.
+                    if !out_of_descriptors(&e) || !self.free_descriptor() {
                         warn!(self.log, "no client can be accepted now"; "error" => %e);
                         return self.accept_again(now);
                     }
--- a/router/src/transport/mod.rs
+++ b/router/src/transport/mod.rs
@@ -15,3 +15,8 @@
 pub use net::{Net, Rank, SocketId};
 pub use pools::Pools;
 pub use stream::{Fill, Stream};
+
+/// Whether a call failed for want of descriptors: closing something without use helps then, and only then.
+pub fn out_of_descriptors(error: &std::io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -5,6 +5,7 @@
 
 use std::io::Read;
 use std::net::UdpSocket;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -94,6 +95,41 @@
     assert_eq!(program.client().ask(&["Q.DO", "k", "id", SWITCH]), "-BUSY");
 }
 
+#[test]
+fn a_host_that_refuses_connections_costs_no_other_its_own() {
+    let opened = Arc::new(AtomicU32::new(0));
+    let count = opened.clone();
+    let at = party(move |stream| {
+        count.fetch_add(1, Relaxed);
+        answer_each(stream, |_| value("well"));
+    });
+    let (program, _lists) =
+        router_with(&[("a", at, "Ready"), ("b", nobody(), "Ready"), ("c", nobody(), "Ready")]);
+    let mut client = program.client();
+    for id in 0..30 {
+        client.ask(&["Q.ASK", "k", &id.to_string(), READ]);
+    }
+    assert_eq!(opened.load(Relaxed), 1);
+}
+
+#[test]
+fn a_host_that_moved_is_not_met_on_a_connection_to_its_old_address() {
+    let (slow, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let old = fake_host(move |_| {
+        let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+        value("old")
+    });
+    let (program, lists) = router_with(&[("a", old, "Ready")]);
+    let mut client = program.client();
+    client.send(&["Q.ASK", "k", "one", READ]);
+    lists.send(list(2, true, &[("a", fake_host(|_| value("new")), "Ready")])).expect("discovery lives");
+    program.logged("Whole");
+    slow.send(()).expect("the old host lives");
+    assert_eq!(client.answer(), "old");
+    assert_eq!(client.ask(&["Q.ASK", "k", "two", READ]), "new");
+}
+
 #[test]
 fn a_silent_host_is_given_up_in_time_and_its_connection_closed() {
     let (closed, seen) = channel();
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -227,15 +227,18 @@
 
 /// A tiny fake host on a socket: `None` as an answer closes the connection, an empty one keeps silent.
 pub fn fake_host(answer: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static) -> SocketAddr {
-    party(move |stream| {
-        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-        while let Some(words) = words(&mut reader) {
-            match answer(&words) {
-                Some(text) => drop((&stream).write_all(text.as_bytes())),
-                None => return,
-            }
+    party(move |stream| answer_each(stream, &answer))
+}
+
+/// Answers the commands of one connection, one after another.
+pub fn answer_each(stream: TcpStream, answer: impl Fn(&[String]) -> Option<String>) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    while let Some(words) = words(&mut reader) {
+        match answer(&words) {
+            Some(text) => drop((&stream).write_all(text.as_bytes())),
+            None => return,
         }
-    })
+    }
 }
 
 /// A host's answer with a value.
