--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -96,16 +96,21 @@
 }
 
 #[test]
-fn a_host_that_refuses_connections_costs_no_other_its_own() {
+fn a_host_with_an_impossible_address_costs_no_other_its_connections() {
     let opened = Arc::new(AtomicU32::new(0));
     let count = opened.clone();
     let at = party(move |stream| {
         count.fetch_add(1, Relaxed);
         answer_each(stream, |_| value("well"));
     });
-    let (program, _lists) =
-        router_with(&[("a", at, "Ready"), ("b", nobody(), "Ready"), ("c", nobody(), "Ready")]);
+    let (program, lists) = router_with(&[("a", at, "Ready")]);
     let mut client = program.client();
+    client.ask(&["Q.ASK", "k", "first", READ]);
+    // To a broadcast address a connection fails in the call itself, as it does for want of descriptors.
+    let nowhere = ([127, 255, 255, 255], 9).into();
+    let hosts = [("a", at, "Ready"), ("b", nowhere, "Ready"), ("c", nowhere, "Ready")];
+    lists.send(list(2, true, &hosts)).expect("discovery lives");
+    program.logged("Whole");
     for id in 0..30 {
         client.ask(&["Q.ASK", "k", &id.to_string(), READ]);
     }
@@ -114,18 +119,21 @@
 
 #[test]
 fn a_host_that_moved_is_not_met_on_a_connection_to_its_old_address() {
-    let (slow, wait) = channel::<()>();
-    let wait = Mutex::new(wait);
+    let ((taken, met), (slow, wait)) = (channel::<()>(), channel::<()>());
+    let (taken, wait) = (Mutex::new(taken), Mutex::new(wait));
     let old = fake_host(move |_| {
+        let _ = taken.lock().expect("no panic before").send(());
         let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
         value("old")
     });
     let (program, lists) = router_with(&[("a", old, "Ready")]);
     let mut client = program.client();
     client.send(&["Q.ASK", "k", "one", READ]);
+    met.recv_timeout(PATIENCE).expect("the old host has it");
     lists.send(list(2, true, &[("a", fake_host(|_| value("new")), "Ready")])).expect("discovery lives");
     program.logged("Whole");
-    slow.send(()).expect("the old host lives");
+    // From now on it answers at once.
+    drop(slow);
     assert_eq!(client.answer(), "old");
     assert_eq!(client.ask(&["Q.ASK", "k", "two", READ]), "new");
 }
@@ -227,6 +235,23 @@
     assert_eq!(client.answer(), "-BUSY");
 }
 
+#[test]
+fn news_that_came_while_the_process_stood_still_goes_before_the_commands_that_did() {
+    let named = |name: &'static str| fake_host(move |_| value(name));
+    let (a, b) = (named("a"), named("b"));
+    let (program, lists) = router_with(&[("a", a, "Ready"), ("b", b, "Ready")]);
+    lists.send(list(2, true, &[("a", a, "Ready"), ("b", b, "Ready")])).expect("discovery lives");
+    program.logged("Whole");
+    let mut clients: Vec<_> = (0..12).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| assert!(!client.ask(&["PING"]).is_empty()));
+    program.signal("STOP");
+    clients.iter_mut().for_each(|client| client.send(&["Q.ASK", "k", "id", READ]));
+    lists.send(list(3, false, &[("a", a, "Terminating")])).expect("discovery lives");
+    thread::sleep(Duration::from_millis(500));
+    program.signal("CONT");
+    assert!(clients.iter_mut().all(|client| client.answer() == "b"));
+}
+
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn() {
     let (lists, answers) = channel();
