--- a/src/choice.rs
+++ b/src/choice.rs
@@ -142,9 +142,8 @@
         (s.keys_bound, s.keys_warm) = (terms.keys_bound, terms.keys_warm);
         s.dispute_weight = if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 };
         (s.cold_share, s.cold_time) = (terms.cold_share, terms.cold_time.max(GUARD));
-        s.cold_spend = COLD_SPEND.min(0.5 * terms.fall_multiple);
-        (s.may_tell, s.may_copy) = (terms.may_tell, terms.may_copy);
-        s.advice = terms.may_advise.then_some(terms.longest_advice);
+        (s.cold_spend, s.may_tell) = (COLD_SPEND.min(0.5 * terms.fall_multiple), terms.may_tell);
+        (s.may_copy, s.advice) = (terms.may_copy, terms.may_advise.then_some(terms.longest_advice));
         s.most_dispatches = terms.most_dispatches.max(1) as usize;
         s.slots = terms.operations.len().clamp(1, SLOTS);
         s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
@@ -439,14 +438,13 @@
         if !scored || sick || matches!(verdict, Verdict::NoConnection | Verdict::Full) {
             return;
         }
-        let error = verdict == Verdict::Error;
         // A cold host is late by nature: its late answers are no evidence, its errors are.
-        if !late || error || warmth >= 1.0 {
+        if !late || verdict == Verdict::Error || warmth >= 1.0 {
             self.score(build, operation, 0, !late, 1.0);
         }
         // A broken connection is its host's or its link's, not a build's own answer.
         if verdict != Verdict::Reset {
-            self.score(build, operation, 1, !error, 1.0);
+            self.score(build, operation, 1, verdict != Verdict::Error, 1.0);
         }
         let quick = quick.filter(|_| shows).map(|quick| served && time * warmth <= quick);
         quick.into_iter().for_each(|good| self.score(build, operation, 2, good, 1.0));
@@ -477,9 +475,8 @@
 
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
         let inv = self.s.invs.get(id)?;
-        let (first, _) = self.trace(now, inv);
+        let ((first, _), bound) = (self.trace(now, inv), self.bound_to(&inv.key));
         let group = self.s.operations[inv.operation].group;
-        let bound = self.bound_to(&inv.key);
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
         let mut open: Vec<(usize, u8, HostId, f64, bool)> = vec![];
         for host in self.usable() {
@@ -527,16 +524,19 @@
         let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
         let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
         let t = t.filter(|_| !self.s.keys_bound || open <= tight || held <= 1.0 + LEAN * self.s.part * open);
-        let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
+        let (Some(of_e), Some(of_t)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
         if self.s.keys_bound {
             let share = self.s.taken.iter().filter(|(.., bound)| *bound).count() as f64;
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
-        // A won draw goes above the floor, not up to the cap: that would load a build into looking bad.
+        // A won draw goes above the floor, not up to the cap: that would load a build into looking bad. Where
+        // few are let in it goes by all that came while the trial's host has less to do: none idles for full ones.
+        let [le, lt] = [of_e, of_t].map(|id| self.s.hosts.get(&id).map_or(0.0, |host| self.load(host, now)));
+        let let_in = if lt < le { all * self.s.window / self.s.taken.len() as f64 } else { 1.0 };
         let place = self.rng.random::<f64>();
-        let won = place < LEAN * floor && self.draw(TRIAL) > self.draw(EARLIER);
+        let won = place < LEAN * floor / let_in.clamp(GUARD, 1.0) && self.draw(TRIAL) > self.draw(EARLIER);
         if place < floor || won { t } else { e }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -187,6 +187,32 @@
     assert_eq!(votes, []);
 }
 
+/// Late answers of the earlier build hold the bound on open dispatches: what is let in is few.
+#[test]
+fn idle_hosts_of_a_better_trial_get_their_part_of_all_that_comes() {
+    let mut fake = on_trial(terms(), 16);
+    fake.run(6.0, |entry, _| (Verdict::Succeeded, if entry.build == NEW { 0.1 } else { 1.6 }));
+    let (mut out, mut at_trial, mut let_in) = (std::collections::VecDeque::new(), 0, 0);
+    for _ in 0..1000 {
+        fake.now += 0.005;
+        while out.front().is_some_and(|(until, _)| *until <= fake.now) {
+            let (_, id) = out.pop_front().expect("a first");
+            fake.end(&id, 0, Verdict::Succeeded, 1.6);
+        }
+        let (id, effects) = fake.ask(READ, None);
+        let Some(to) = sent_to(&effects) else { continue };
+        let_in += 1;
+        if fake.hosts.iter().any(|h| h.host == to && h.build == NEW) {
+            at_trial += 1;
+            fake.end(&id, 0, Verdict::Succeeded, 0.1);
+        } else {
+            out.push_back((fake.now + 1.6, id));
+        }
+    }
+    assert!(let_in < 700, "few are let in: {let_in}");
+    assert!(at_trial > 220, "a quarter of the machines, a cap of 0.3: {at_trial} of 1000");
+}
+
 #[test]
 fn a_build_that_slows_both_arms_is_not_voted_on() {
     let mut fake = on_trial_after(0.3, terms(), 8);
