--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,7 +148,7 @@
         s.slots = terms.operations.len().clamp(1, SLOTS);
         s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
         s.sight = s.sums.clone();
-        (s.pace, s.sending, s.stage_since) = ((0.0, now), (0.0, now), now);
+        (s.pace, s.sending, s.asked, s.stage_since) = ((0.0, now), (0.0, now), (0.0, now), now);
         (s.share, s.shared_drag, s.further) = (1.0 / f64::from(s.routers), 1.0, FURTHER[1] / 2.0);
         Router { s, rng: ChaCha8Rng::seed_from_u64(seed) }
     }
@@ -282,6 +282,7 @@
         let (key, again, sent) = (inv.key, inv.again, vec![]);
         let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false };
         self.s.invs.insert(inv.id.clone(), record);
+        self.s.asked = Self::rate(self.s.asked, now, 1.0);
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
 
@@ -503,8 +504,7 @@
                 open.push((arm, tier, id, host.entry.size * warmth, warmth < 1.0));
             }
         }
-        // Rule 4: of all routers a cold host gets, by this draw, its fair share of what succeeds and no more,
-        // however few the others are and however many the further dispatches.
+        // Rule 4: of all routers a cold host gets by this draw its fair share of what succeeds, and no more.
         let best = open.iter().map(|o| o.1).min()?;
         let weight = open.iter().filter(|o| o.1 == best).map(|o| o.3).sum::<f64>();
         let [good, all] = [self.s.pace, self.s.sending].map(|rate| Self::rate(rate, now, 1.0).0);
@@ -524,17 +524,17 @@
         let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
         let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
         let t = t.filter(|_| !self.s.keys_bound || open <= tight || held <= 1.0 + LEAN * self.s.part * open);
-        let (Some(of_e), Some(of_t)) = (e, t) else { return e.or(t) };
+        let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
         if self.s.keys_bound {
             let share = self.s.taken.iter().filter(|(.., bound)| *bound).count() as f64;
             let share = share / (self.s.taken.len() as f64).max(1.0);
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
-        // A won draw goes above the floor, not up to the cap: that would load a build into looking bad. Where
-        // few are let in it goes by all that came while the trial's host has less to do: none idles for full ones.
-        let [le, lt] = [of_e, of_t].map(|id| self.s.hosts.get(&id).map_or(0.0, |host| self.load(host, now)));
-        let let_in = if lt < le { all * self.s.window / self.s.taken.len() as f64 } else { 1.0 };
+        // A won draw goes above the floor, not up to the cap: that would load a build into looking bad. While
+        // the trial is far quicker it goes by all that came, not what is let in: slow hosts hold up no idle one.
+        let quicker = self.drag(EARLIER).zip(self.drag(TRIAL)).is_some_and(|(e, t)| e > SLOWER * t);
+        let let_in = if quicker { all / Self::rate(self.s.asked, now, 1.0).0 } else { 1.0 };
         let place = self.rng.random::<f64>();
         let won = place < LEAN * floor / let_in.clamp(GUARD, 1.0) && self.draw(TRIAL) > self.draw(EARLIER);
         if place < floor || won { t } else { e }
--- a/src/record.rs
+++ b/src/record.rs
@@ -122,6 +122,8 @@
     /// Succeeded dispatches a second, and all, fading, as of a time.
     pub(crate) pace: (f64, f64),
     pub(crate) sending: (f64, f64),
+    /// Invocations taken a second, fading, as of a time.
+    pub(crate) asked: (f64, f64),
     /// Of all traffic, this router's share; how much slower hosts are than before, as all see it.
     pub(crate) share: f64,
     /// Share of dispatches lost, on connections in use or new, and on others.
