--- a/src/choice.rs
+++ b/src/choice.rs
@@ -532,7 +532,7 @@
             floor = if share > BOUND_ROOM[0] * floor { 0.0 } else { (floor - share) / (1.0 - share) };
         }
         // A won draw goes above the floor, not up to the cap: that would load a build into looking bad. While
-        // the trial is far quicker it goes by all that came, not what is let in: slow hosts hold up no idle one.
+        // the trial is far quicker it goes by all that came, not what is let in: slow hosts keep none idle.
         let quicker = self.drag(EARLIER).zip(self.drag(TRIAL)).is_some_and(|(e, t)| e > SLOWER * t);
         let let_in = if quicker { all / Self::rate(self.s.asked, now, 1.0).0 } else { 1.0 };
         let place = self.rng.random::<f64>();
