--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -9,6 +9,8 @@
 const OWN_DESCRIPTORS: usize = 32;
 /// Of the memory, for what connections may hold; the rest is the program's own.
 const HELD_PART: f64 = 0.5;
+/// One in so many of the clients' connections is spare.
+const SPARE_PART: usize = 4;
 
 /// Sizes in bytes, times in seconds.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +60,8 @@
     /// A router that has heard nothing from discovery or the platform serves after this time by what it has.
     pub ready_wait: f64,
     pub stuck_client: f64,
+    /// An answer that was not read for this time comes too late for anybody.
+    pub stale_answer: f64,
     /// After a planned stop: clients still come for this time.
     pub stop_serving: f64,
     pub stop_last: f64,
@@ -71,7 +75,10 @@
         let open = sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
         let host_links = open / 2;
         // Each connection may be in the middle of one whole message.
-        let clients = (open - host_links).min(held / 2 / message).max(1);
+        let clients = (open - host_links).min(held / 2 / message).max(2);
+        // Some clients' connections are never held by an open invocation: who comes when all others are is
+        // accepted, read and turned away at once, where it would wait unanswered outside.
+        let busy = (clients - clients.div_ceil(SPARE_PART)).max(1);
         let longest = terms.operations.iter().map(|o| o.time_limit).fold(0.0, f64::max);
         Limits {
             value,
@@ -88,7 +95,7 @@
             host_links,
             idle_links: host_links / 2,
             pipeline: 16,
-            invocations: transport.most_open.min(held / 4 / KIB).max(1),
+            invocations: transport.most_open.min(busy).min(host_links),
             held: held / 4,
             unread: held / 4,
             hosts: 16 * KIB,
@@ -109,6 +116,7 @@
             sweep: 0.5,
             ready_wait: 3.0,
             stuck_client: 10.0 * longest,
+            stale_answer: longest,
             stop_serving: 0.45,
             stop_last: longest + 0.6,
         }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -84,9 +84,11 @@
         }
     }
 
-    /// Closes the client's connection that has been without use for longest.
+    /// Closes the client's connection that has been without use for longest, or one whose answers are stale.
     fn close_idle_client(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, client)| client.is_idle());
+        let stale = self.clock.now() - self.limits.stale_answer;
+        let of_no_use = |client: &Client| client.is_idle() || client.stuck.is_some_and(|since| since < stale);
+        let idle = self.clients.iter().filter(|(_, client)| of_no_use(client));
         let oldest = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(id, _)| *id);
         oldest.map(|id| self.client_left(id)).is_some()
     }
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -266,6 +266,30 @@
     drop(lists);
 }
 
+#[test]
+fn who_comes_while_all_descriptors_are_held_is_turned_away_at_once() {
+    let ((taken, met), (release, wait)) = (channel::<()>(), channel::<()>());
+    let (taken, wait) = (Mutex::new(taken), Mutex::new(wait));
+    let at = fake_host(move |_| {
+        let _ = taken.lock().expect("no panic before").send(());
+        let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+        value("held")
+    });
+    let (_lists, answers) = channel();
+    let few = config(fake_discovery(answers), &list(1, true, &[("a", at, "Ready")]));
+    let program = Program::start(BINARY, &few.replace("\"sockets\":256", "\"sockets\":48"));
+    let mut held: Vec<_> = (0..6).map(|_| program.client()).collect();
+    for client in &mut held {
+        client.send(&["Q.ASK", "k", "held", READ]);
+        met.recv_timeout(PATIENCE).expect("the host has it");
+    }
+    for _ in 0..20 {
+        assert_eq!(program.client().ask(&["Q.DO", "k", "late", SWITCH]), "-BUSY");
+    }
+    drop(release);
+    assert!(held.iter_mut().all(|client| client.answer() == "held"));
+}
+
 #[test]
 fn the_platform_is_followed_again_after_a_line_that_cannot_be_read() {
     let state = r#"{"jsonrpc":"2.0","method":"progress","params":{"image":8,"ring":0,"progress":"testing","#;
