--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -105,10 +105,10 @@
     /// Writes the next question on a connection that has none out.
     fn ask(&mut self, id: SocketId, asked: Asked) {
         let (now, at, rev) = (self.clock.now(), self.discovery.at, self.discovery.rev);
-        // What was missed comes first where a watch begins on demand, even if it is nothing.
-        let held = self.discovery.heard || !self.discovery.on_demand;
-        let hold = if held { self.limits.watch_hold } else { 0.0 };
         let Some(call) = self.discovery.calls.get_mut(&id) else { return };
+        // What was missed comes at once where a watch begins on demand, even if it is nothing.
+        let at_once = self.discovery.on_demand && call.number == 0;
+        let hold = if at_once { 0.0 } else { self.limits.watch_hold };
         self.discovery.number += 1;
         (call.asked, call.number) = (asked, self.discovery.number);
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
@@ -173,6 +173,10 @@
         }
         let list = discovery::list(&response.body)?;
         let scope = if list.all { ListScope::Whole } else { ListScope::Changes };
+        // Two calls may be out: changes from before the list that is known would bring back what has passed.
+        if !list.all && self.discovery.rev.is_some_and(|rev| list.rev < rev) {
+            return Ok(Some((used, response.stays_open)));
+        }
         self.discovery.rev = Some(list.rev);
         self.discovery.wait = self.limits.retry[0];
         // On demand each call is answered, be it with nothing.
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -206,6 +206,32 @@
     assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
 }
 
+#[test]
+fn changes_older_than_the_list_are_not_taken() {
+    let named = |name: &'static str| fake_host(move |_| value(name));
+    let (a, b) = (named("a"), named("b"));
+    let (program, lists) = router_with(&[]);
+    lists.send(list(5, true, &[("a", a, "Ready"), ("b", b, "Ready")])).expect("discovery lives");
+    lists.send(list(4, false, &[("a", a, "Terminating")])).expect("discovery lives");
+    lists.send(list(6, false, &[("b", b, "Terminating")])).expect("discovery lives");
+    program.logged("rev: 6");
+    let mut client = program.client();
+    assert!((0..10).all(|id| client.ask(&["Q.ASK", "k", &id.to_string(), READ]) == "a"));
+}
+
+#[test]
+fn where_lists_come_on_demand_the_module_asks_and_asks_again_after_a_failure() {
+    let (lists, answers) = channel();
+    let text = config(fake_discovery(answers), &list(1, true, &[]));
+    let program = Program::start(BINARY, &text.replace("\"push\"", "\"ask\""));
+    lists.send("no list".into()).expect("discovery lives");
+    program.logged("discovery does not answer");
+    let hosts = [("a", well().expect("a host"), "Ready")];
+    lists.send(list(2, true, &hosts)).expect("discovery lives");
+    program.logged("rev: 2");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
 #[test]
 fn a_planned_stop_serves_who_still_comes_and_ends_once_all_is_answered() {
     let at = fake_host(|words| {
