--- a/router/src/program/logs.rs
+++ b/router/src/program/logs.rs
@@ -8,7 +8,7 @@
 /// The logger, and what keeps its thread; lines beyond the backlog are dropped and counted.
 pub fn start(name: &str, level: Level, limits: &Limits) -> (Logger, AsyncGuard) {
     let lines = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr()));
-    let lines = lines.use_utc_timestamp().build().fuse();
+    let lines = lines.use_utc_timestamp().use_original_order().build().fuse();
     let builder = slog_async::Async::new(LevelFilter::new(lines, level).fuse());
     let builder = builder.chan_size(limits.log_lines).overflow_strategy(OverflowStrategy::DropAndReport);
     let (drain, guard) = builder.build_with_guard();
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -205,10 +205,11 @@
                 self.close_idle(host);
             }
         }
-        let now = self.clock.now();
-        let youngest = entries.iter().filter_map(|entry| entry.started).fold(f64::MIN, f64::max);
-        info!(self.log, "hosts"; "youngest" => (now - youngest).min(f64::from(u32::MAX)), "rev" => list.rev, "scope" => ?scope, "entries" => entries.len(),
-            "running" => entries.iter().filter(|entry| entry.state == HostState::Running).count());
+        let youngest = entries.iter().filter_map(|entry| entry.started).reduce(f64::max);
+        let youngest = youngest.map_or("none".into(), |at| format!("{:.2}", self.clock.now() - at));
+        info!(self.log, "hosts"; "rev" => list.rev, "scope" => ?scope, "entries" => entries.len(),
+            "running" => entries.iter().filter(|entry| entry.state == HostState::Running).count(),
+            "youngest" => youngest);
         self.events.push_back(Event::Hosts { scope, entries: entries.into() });
     }
 
