--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -12,11 +12,21 @@
 /// One in so many of the clients' connections is spare.
 const SPARE_PART: usize = 4;
 
-/// Sizes in bytes, times in seconds.
+/// What a RESP message may hold.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Limits {
+pub struct RespLimits {
+    /// Of one bulk string.
     pub value: usize,
+    /// Of a command or an array.
     pub words: usize,
+    /// A status, an error or a length.
+    pub line: usize,
+}
+
+/// Sizes in bytes, times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub resp: RespLimits,
     /// One command or answer: a value and its envelope.
     pub message: usize,
     pub line: usize,
@@ -42,7 +52,6 @@
     pub votes: usize,
     pub probes: usize,
     pub log_lines: usize,
-    pub log_text: usize,
     pub connect_time: f64,
     pub idle_time: f64,
     pub probe_time: f64,
@@ -57,6 +66,10 @@
     pub retry: [f64; 2],
     pub accept_again: f64,
     pub sweep: f64,
+    /// The longest sleep, so that a clock that stood still shows; and what is worth a line then.
+    pub sleep: f64,
+    pub stalled: f64,
+    pub tell_state: f64,
     /// A router that has heard nothing from discovery or the platform serves after this time by what it has.
     pub ready_wait: f64,
     pub stuck_client: f64,
@@ -81,8 +94,7 @@
         let busy = (clients - clients.div_ceil(SPARE_PART)).max(1);
         let longest = terms.operations.iter().map(|o| o.time_limit).fold(0.0, f64::max);
         Limits {
-            value,
-            words: 8,
+            resp: RespLimits { value, words: 8, line: KIB },
             message,
             line: 8 * KIB,
             list_answer: 4 * MIB,
@@ -103,7 +115,6 @@
             votes: 16,
             probes: 64,
             log_lines: 1024,
-            log_text: 512,
             connect_time: transport.connect_time,
             idle_time: 0.8 * transport.idle_time,
             probe_time: transport.connect_time,
@@ -114,6 +125,9 @@
             retry: [0.05, 1.0],
             accept_again: 0.05,
             sweep: 0.5,
+            sleep: 0.25,
+            stalled: 0.1,
+            tell_state: 10.0,
             ready_wait: 3.0,
             stuck_client: 10.0 * longest,
             stale_answer: longest,
--- a/router/src/protocol/client.rs
+++ b/router/src/protocol/client.rs
@@ -4,6 +4,7 @@
 
 use super::resp::{self, write_command, write_error};
 use super::{Malformed, Read};
+use crate::limits::RespLimits;
 
 const IDEMPOTENT: &[u8] = b"Q.ASK";
 const OTHERS: &[u8] = b"Q.DO";
@@ -30,8 +31,8 @@
     words: Vec<&'a [u8]>,
 }
 
-pub fn read(bytes: &[u8], most: usize, words: usize) -> Read<Command<'_>> {
-    let Some((words, used)) = resp::command(bytes, most, words)? else { return Ok(None) };
+pub fn read<'a>(bytes: &'a [u8], limits: &RespLimits) -> Read<Command<'a>> {
+    let Some((words, used)) = resp::command(bytes, limits)? else { return Ok(None) };
     let name = words[0].to_ascii_uppercase();
     let command = match name.as_slice() {
         IDEMPOTENT | OTHERS => Command::Invocation(asked(words, name == IDEMPOTENT)?),
--- a/router/src/protocol/host.rs
+++ b/router/src/protocol/host.rs
@@ -2,6 +2,7 @@
 
 use super::resp::{self, Reply, write_command};
 use super::{Malformed, Read};
+use crate::limits::RespLimits;
 
 #[derive(Debug, PartialEq, Eq)]
 pub enum Answer<'a> {
@@ -31,8 +32,8 @@
 }
 
 /// The answer to an invocation.
-pub fn answer(bytes: &[u8], most: usize, words: usize) -> Read<Answer<'_>> {
-    let Some((reply, used)) = resp::reply(bytes, most, words)? else { return Ok(None) };
+pub fn answer<'a>(bytes: &'a [u8], limits: &RespLimits) -> Read<Answer<'a>> {
+    let Some((reply, used)) = resp::reply(bytes, limits)? else { return Ok(None) };
     let answer = match reply {
         Reply::Array(Some(items)) => match items.as_slice() {
             [Reply::Bulk(Some(value)), rest @ ..] => {
@@ -59,8 +60,8 @@
 }
 
 /// The answer to a probe: whether the host is well, and its report.
-pub fn probed(bytes: &[u8], most: usize, words: usize) -> Read<(bool, Option<&str>)> {
-    let Some((reply, used)) = resp::reply(bytes, most, words)? else { return Ok(None) };
+pub fn probed<'a>(bytes: &'a [u8], limits: &RespLimits) -> Read<(bool, Option<&'a str>)> {
+    let Some((reply, used)) = resp::reply(bytes, limits)? else { return Ok(None) };
     let answer = match reply {
         Reply::Simple(_) => (true, None),
         Reply::Bulk(report) => (true, report.map(text)),
--- a/router/src/protocol/resp.rs
+++ b/router/src/protocol/resp.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 
 use super::{Malformed, Read};
+use crate::limits::RespLimits;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply<'a> {
@@ -13,16 +14,14 @@
     Array(Option<Vec<Reply<'a>>>),
 }
 
-/// The longest line that is no bulk string: a number, a status or an error.
-const LINE: usize = 1024;
 /// An answer is an array of plain values.
 const DEPTH: usize = 2;
 
-fn line(bytes: &[u8]) -> Read<&[u8]> {
-    match bytes.iter().take(LINE).position(|byte| *byte == b'\n') {
+fn line(bytes: &[u8], most: usize) -> Read<&[u8]> {
+    match bytes.iter().take(most).position(|byte| *byte == b'\n') {
         Some(end) if end > 0 && bytes[end - 1] == b'\r' => Ok(Some((&bytes[..end - 1], end + 1))),
         Some(_) => Err(Malformed::new("a line does not end in CR LF")),
-        None if bytes.len() >= LINE => Err(Malformed::new("a line is too long")),
+        None if bytes.len() >= most => Err(Malformed::new("a line is too long")),
         None => Ok(None),
     }
 }
@@ -45,17 +44,16 @@
     }
 }
 
-/// A reply with bulk strings and arrays of at most this size.
-pub fn reply(bytes: &[u8], most: usize, words: usize) -> Read<Reply<'_>> {
-    nested(bytes, most, words, DEPTH)
+pub fn reply<'a>(bytes: &'a [u8], limits: &RespLimits) -> Read<Reply<'a>> {
+    nested(bytes, limits, DEPTH)
 }
 
-fn nested(bytes: &[u8], most: usize, words: usize, depth: usize) -> Read<Reply<'_>> {
+fn nested<'a>(bytes: &'a [u8], limits: &RespLimits, depth: usize) -> Read<Reply<'a>> {
     let Some(kind) = bytes.first() else { return Ok(None) };
     if !b"+-:$*".contains(kind) {
         return Err(Malformed::new("a reply begins with none of the known marks"));
     }
-    let Some((text, after)) = line(&bytes[1..])? else { return Ok(None) };
+    let Some((text, after)) = line(&bytes[1..], limits.line)? else { return Ok(None) };
     let mut used = 1 + after;
     let reply = match kind {
         b'+' => Reply::Simple(text),
@@ -64,7 +62,9 @@
         b'$' => match number(text)? {
             -1 => Reply::Bulk(None),
             length => {
-                let Some((value, after)) = bulk(&bytes[used..], length, most)? else { return Ok(None) };
+                let Some((value, after)) = bulk(&bytes[used..], length, limits.value)? else {
+                    return Ok(None);
+                };
                 used += after;
                 Reply::Bulk(Some(value))
             }
@@ -72,11 +72,11 @@
         _ => match number(text)? {
             -1 => Reply::Array(None),
             count => {
-                let count = usize::try_from(count).ok().filter(|count| *count <= words && depth > 1);
+                let count = usize::try_from(count).ok().filter(|count| *count <= limits.words && depth > 1);
                 let count = count.ok_or_else(|| Malformed::new("an array is too long or too deep"))?;
                 let mut items = Vec::with_capacity(count);
                 for _ in 0..count {
-                    let Some((item, after)) = nested(&bytes[used..], most, words, depth - 1)? else {
+                    let Some((item, after)) = nested(&bytes[used..], limits, depth - 1)? else {
                         return Ok(None);
                     };
                     used += after;
@@ -90,14 +90,14 @@
 }
 
 /// A command: an array of bulk strings, at least one.
-pub fn command(bytes: &[u8], most: usize, words: usize) -> Read<Vec<&[u8]>> {
+pub fn command<'a>(bytes: &'a [u8], limits: &RespLimits) -> Read<Vec<&'a [u8]>> {
     let Some(kind) = bytes.first() else { return Ok(None) };
     if *kind != b'*' {
         return Err(Malformed::new("a command is an array of bulk strings"));
     }
-    let Some((text, after)) = line(&bytes[1..])? else { return Ok(None) };
+    let Some((text, after)) = line(&bytes[1..], limits.line)? else { return Ok(None) };
     let mut used = 1 + after;
-    let count = usize::try_from(number(text)?).ok().filter(|count| (1..=words).contains(count));
+    let count = usize::try_from(number(text)?).ok().filter(|count| (1..=limits.words).contains(count));
     let count = count.ok_or_else(|| Malformed::new("a command has no words or too many"))?;
     let mut read = Vec::with_capacity(count);
     for _ in 0..count {
@@ -106,9 +106,9 @@
             Some(_) => return Err(Malformed::new("a word of a command is no bulk string")),
             None => return Ok(None),
         }
-        let Some((text, after)) = line(&bytes[used + 1..])? else { return Ok(None) };
+        let Some((text, after)) = line(&bytes[used + 1..], limits.line)? else { return Ok(None) };
         used += 1 + after;
-        let Some((word, after)) = bulk(&bytes[used..], number(text)?, most)? else { return Ok(None) };
+        let Some((word, after)) = bulk(&bytes[used..], number(text)?, limits.value)? else { return Ok(None) };
         used += after;
         read.push(word);
     }
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -95,8 +95,6 @@
     }
 }
 
-/// How often the state is told, in seconds.
-const TELL_EVERY: f64 = 10.0;
 const VERDICTS: [(Verdict, &str); 8] = [
     (Verdict::Succeeded, "succeeded"),
     (Verdict::Error, "error"),
@@ -133,8 +131,8 @@
     }
 
     /// The counts, where it is time to tell them; they begin afresh.
-    pub(super) fn line(&mut self, now: f64) -> Option<String> {
-        if now - self.told < TELL_EVERY {
+    pub(super) fn line(&mut self, now: f64, every: f64) -> Option<String> {
+        if now - self.told < every {
             return None;
         }
         let counts = [
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -43,11 +43,6 @@
 const CLIENTS: Rank = Rank(4);
 const LISTENER: Rank = Rank(5);
 
-/// The longest sleep, in seconds, so that a clock that was stopped shows.
-const LONGEST_SLEEP: f64 = 0.25;
-/// Seconds without a look at the sockets that are worth a line.
-const STALLED: f64 = 0.1;
-
 /// Where everybody is, and what this router held when it was started.
 pub struct Parties {
     pub listen: SocketAddr,
@@ -180,14 +175,14 @@
     /// Sleeps until something happens and serves it; false once there is nothing more to do.
     pub fn turn(&mut self) -> io::Result<bool> {
         let now = self.clock.now();
-        let next = self.alarms.next().map_or(LONGEST_SLEEP, |at| at - now);
-        let sleep = next.clamp(0.0, LONGEST_SLEEP);
+        let next = self.alarms.next().map_or(self.limits.sleep, |at| at - now);
+        let sleep = next.clamp(0.0, self.limits.sleep);
         let (sockets, stop) = self.net.wait(sleep)?;
         // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
         self.stall = (now - self.woken) + (woken - now - sleep).max(0.0);
         self.woken = woken;
-        if self.stall > STALLED {
+        if self.stall > self.limits.stalled {
             slog::warn!(self.log, "this process stood still"; "seconds" => self.stall);
         }
         if stop {
@@ -278,7 +273,7 @@
         self.close_stuck(now);
         let using = self.links.values().map(Link::host).collect();
         self.hosts.forget_gone(&using);
-        if let Some(line) = self.tally.line(now) {
+        if let Some(line) = self.tally.line(now, self.limits.tell_state) {
             info!(self.log, "state"; "open" => self.admitted.len(), "clients" => self.clients.len(),
                 "links" => self.links.len(), "idle" => self.pools.count(), "counts" => line);
         }
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -178,14 +178,13 @@
 
     /// Passes on and books what has come; the bytes it took, None where it is not whole.
     fn take_answer(&mut self, link: &Link) -> Result<Option<usize>, Malformed> {
-        let (value, words) = (self.limits.value, self.limits.words);
         let (bytes, host) = (link.stream.input(), link.host);
         let took = self.clock.now() - link.since;
         match &link.at_use {
             Use::Idle if bytes.is_empty() => Ok(None),
             Use::Idle => Err(Malformed::new("nothing was asked")),
             Use::Dispatch(out) => {
-                let Some((answer, used)) = host::answer(bytes, value, words)? else {
+                let Some((answer, used)) = host::answer(bytes, &self.limits.resp)? else {
                     let room = bytes.len() < self.limits.message;
                     return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
                 };
@@ -207,7 +206,7 @@
                 Ok(Some(used))
             }
             Use::Probe => {
-                let Some(((well, load), used)) = host::probed(bytes, value, words)? else {
+                let Some(((well, load), used)) = host::probed(bytes, &self.limits.resp)? else {
                     let room = bytes.len() < self.limits.message;
                     return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
                 };
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -127,10 +127,10 @@
             let limits = &self.limits;
             let Some(client) = self.clients.get(&id).filter(|client| !client.closing) else { return false };
             // Backpressure: who does not read answers gives no more commands.
-            if client.queue.len() >= limits.pipeline || client.stream.unwritten() > limits.value {
+            if client.queue.len() >= limits.pipeline || client.stream.unwritten() > limits.resp.value {
                 return progress;
             }
-            let read = client::read(client.stream.input(), limits.value, limits.words);
+            let read = client::read(client.stream.input(), &limits.resp);
             let whole = client.stream.input().len() < limits.message;
             let (step, used) = match read {
                 Ok(Some((command, used))) => match self.step(command) {
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use fake::*;
+use kestreltide_router::limits::RespLimits;
 use kestreltide_router::protocol::{client, discovery, host, platform};
 use rstest::rstest;
 
@@ -380,12 +381,13 @@
     let state = [state.as_slice(), b"\n"].concat();
     let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcde";
+    let limits = RespLimits { value: 100, words: 8, line: 100 };
     let whole = |bytes: &[u8], read: &dyn Fn(&[u8]) -> Option<usize>| {
         assert!((0..bytes.len()).all(|length| read(&bytes[..length]).is_none()));
         assert_eq!(read(&[bytes, b"more"].concat()), Some(bytes.len()));
     };
-    whole(&command, &|bytes| client::read(bytes, 100, 8).expect("well formed").map(|read| read.1));
-    whole(answer, &|bytes| host::answer(bytes, 100, 8).expect("well formed").map(|read| read.1));
+    whole(&command, &|bytes| client::read(bytes, &limits).expect("well formed").map(|read| read.1));
+    whole(answer, &|bytes| host::answer(bytes, &limits).expect("well formed").map(|read| read.1));
     whole(&state, &|bytes| platform::read(bytes, 1000).expect("well formed").map(|read| read.1));
     for response in [chunked.as_slice(), plain] {
         let read = |bytes: &[u8]| {
