A standstill that ends with nothing told still shortens the time of what is read next

Seen: two stories failed now and then with ten busy loops beside them. Checked: the process was still at work when the stop signal was sent (the stories now wait until it stands still); a command read late in a turn, and one found right after a signal had ended the sleep with no event, counted as new. At fault: Routing::turn and Routing::step, which took the time since the last look for granted.

--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -69,6 +69,8 @@
     /// The longest sleep, so that a clock that stood still shows; and what is worth a line then.
     pub sleep: f64,
     pub stalled: f64,
+    /// A sleep shorter than this found something that was there before.
+    pub at_once: f64,
     pub tell_state: f64,
     /// A router that has heard nothing from discovery or the platform serves after this time by what it has.
     pub ready_wait: f64,
@@ -127,6 +129,7 @@
             sweep: 0.5,
             sleep: 0.25,
             stalled: 0.1,
+            at_once: 0.01,
             tell_state: 10.0,
             ready_wait: 3.0,
             stuck_client: 10.0 * longest,
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -107,6 +107,7 @@
     /// When the last sleep ended, and how long a command that is read now may have waited unread.
     woken: f64,
     stall: f64,
+    told_nothing: bool,
 }
 
 impl Routing {
@@ -145,6 +146,7 @@
             tally: Tally::default(),
             woken: now,
             stall: 0.0,
+            told_nothing: false,
             log,
             limits,
             transport,
@@ -180,8 +182,11 @@
         let (sockets, stop) = self.net.wait(sleep)?;
         // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
-        self.stall = (now - self.woken) + (woken - now - sleep).max(0.0);
-        self.woken = woken;
+        let stall = (now - self.woken) + (woken - now - sleep).max(0.0);
+        // A signal that ends a standstill can end the sleep with nothing told: what is there at once after that
+        // was there before.
+        let carried = if self.told_nothing && woken - now < self.limits.at_once { self.stall } else { 0.0 };
+        (self.stall, self.woken, self.told_nothing) = (stall.max(carried), woken, sockets.is_empty());
         if self.stall > self.limits.stalled {
             slog::warn!(self.log, "this process stood still"; "seconds" => self.stall);
         }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -168,8 +168,9 @@
         }
         let kept: Kept = asked.keep();
         let key = (!asked.key.is_empty()).then(|| KeyId(asked.key.into()));
-        // A command that lay unread while this process was stopped has less time left than it says.
-        let time_left = (asked.time_millis as f64 / 1e3 - self.stall).max(0.0);
+        // A command that lay unread while this process stood still, be it in this turn, has less time left.
+        let unread = self.stall + self.clock.now() - self.woken;
+        let time_left = (asked.time_millis as f64 / 1e3 - unread).max(0.0);
         Ok(Step::Take(Taken { operation, key, time_left, again: asked.again, kept }))
     }
 
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -255,7 +255,7 @@
     let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
     let mut client = program.client();
     assert_eq!(client.ask(&["Q.ASK", "k", "before", READ]), "of before");
-    program.signal("STOP");
+    program.freeze();
     client.send(&["Q.ASK", "k", "during", "c=read,d=500"]);
     thread::sleep(Duration::from_millis(1500));
     program.signal("CONT");
@@ -271,7 +271,7 @@
     program.logged("Whole");
     let mut clients: Vec<_> = (0..12).map(|_| program.client()).collect();
     clients.iter_mut().for_each(|client| assert!(!client.ask(&["PING"]).is_empty()));
-    program.signal("STOP");
+    program.freeze();
     clients.iter_mut().for_each(|client| client.send(&["Q.ASK", "k", "id", READ]));
     lists.send(list(3, false, &[("a", a, "Terminating")])).expect("discovery lives");
     thread::sleep(Duration::from_millis(500));
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -339,6 +339,15 @@
         assert!(sent.expect("kill is there").success());
     }
 
+    /// Stops the process, and waits until it stands still: it may be at work when the signal is sent.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !fs::read_to_string(&stat).expect("it runs").contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.at).expect("the program listens");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
