--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -203,9 +203,11 @@
     at
 }
 
-/// An address at which nobody listens.
+/// An address at which nobody listens, nor will: all fakes keep to another one of the loopback range.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    let port =
+        TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port");
+    ([127, 77, 0, 1], port.port()).into()
 }
 
 /// The next command or array on a connection, None at its end.
