--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -83,6 +83,9 @@
 }
 
 impl Limits {
+    /// Of the configuration file, which all others are derived from.
+    pub const FILE: usize = 4 * MIB;
+
     pub fn new(sockets: usize, memory_mb: usize, terms: &ServiceTerms, transport: &TransportTerms) -> Self {
         let value = 64 * KIB;
         let message = value + 4 * KIB;
--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -1,7 +1,8 @@
 //! The configuration file and the environment.
 
 use std::env;
-use std::fs;
+use std::fs::File as OnDisk;
+use std::io::Read;
 use std::net::SocketAddr;
 
 use kestreltide::interface::ServiceTerms;
@@ -10,6 +11,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
+use crate::limits::Limits;
 use crate::protocol::discovery::{self, List};
 use crate::protocol::platform::StateForm;
 
@@ -30,7 +32,7 @@
     settings: Value,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Sizes {
     pub memory_mb: usize,
     pub sockets: usize,
@@ -62,7 +64,23 @@
 pub fn load(path: Option<String>) -> Result<String, String> {
     let path = path.or_else(|| env::var("PROXY_CONFIG").ok());
     let path = path.ok_or("no configuration: neither --config nor PROXY_CONFIG names a file")?;
-    fs::read_to_string(&path).map_err(|e| format!("{path} cannot be read: {e}"))
+    let unread = |why: String| format!("{path} cannot be read: {why}");
+    let file = OnDisk::open(&path).map_err(|e| unread(e.to_string()))?;
+    // Neither a pipe without end nor a file beyond all sense may hold up a router that serves.
+    if !file.metadata().is_ok_and(|what| what.is_file() && what.len() <= Limits::FILE as u64) {
+        return Err(unread("it is no file, or far too long".into()));
+    }
+    let mut text = String::new();
+    file.take(Limits::FILE as u64).read_to_string(&mut text).map_err(|e| unread(e.to_string()))?;
+    Ok(text)
+}
+
+/// When a configuration is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum When {
+    Start,
+    /// While running: the environment tells only where discovery was at start.
+    Again,
 }
 
 /// The environment goes before the file where both say something.
@@ -73,7 +91,7 @@
     }
 }
 
-pub fn read(text: &str) -> Result<Told<'_>, String> {
+pub fn read(text: &str, when: When) -> Result<Told<'_>, String> {
     let reader = &mut serde_json::Deserializer::from_str(text);
     let file: File = serde_path_to_error::deserialize(reader).map_err(|e| {
         let (path, why) = (e.path().to_string(), e.inner());
@@ -91,7 +109,10 @@
     Ok(Told {
         name: env::var("PROXY_NAME").unwrap_or(file.name),
         listen: address("PROXY_LISTEN", file.listen)?,
-        discovery: address("PROXY_DISCOVERY", file.discovery)?,
+        discovery: match when {
+            When::Start => address("PROXY_DISCOVERY", file.discovery)?,
+            When::Again => file.discovery,
+        },
         seed,
         limits: file.limits,
         peer_listen: file.peer_listen,
@@ -104,3 +125,52 @@
         names,
     })
 }
+
+/// What cannot change while the program runs.
+pub struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    limits: Sizes,
+    peer_listen: Option<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    platform: bool,
+    terms: ServiceTerms,
+    transport: TransportTerms,
+}
+
+impl Fixed {
+    pub fn of(told: &Told) -> Self {
+        Fixed {
+            name: told.name.clone(),
+            listen: told.listen,
+            limits: told.limits.clone(),
+            peer_listen: told.peer_listen,
+            peers: told.peers.clone(),
+            peers_all: told.peers_all,
+            platform: told.platform.is_some(),
+            terms: told.terms.clone(),
+            transport: told.transport.clone(),
+        }
+    }
+
+    /// The fields that a configuration read again would have to change.
+    pub fn check(&self, told: &Told) -> Result<(), String> {
+        let same = [
+            ("name", self.name == told.name),
+            ("listen", self.listen == told.listen),
+            ("limits", self.limits == told.limits),
+            ("peer_listen", self.peer_listen == told.peer_listen),
+            ("peers", self.peers == told.peers),
+            ("peers_all", self.peers_all == told.peers_all),
+            ("platform", self.platform == told.platform.is_some()),
+            ("settings", self.terms == told.terms && self.transport == told.transport),
+        ];
+        let changed: Vec<_> = same.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect();
+        if changed.is_empty() {
+            Ok(())
+        } else {
+            Err(format!("{}: only a restart changes it", changed.join(", ")))
+        }
+    }
+}
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -6,12 +6,12 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use slog::{error, info};
+use slog::{Logger, error, info, warn};
 
 use crate::limits::Limits;
-use crate::routing::{Parties, Routing};
+use crate::routing::{Parties, Routing, Turn};
 use crate::transport::{Clock, Net};
-use config::Told;
+use config::{Fixed, Told, When};
 
 /// kestreltide splits invocations between an earlier and a trial build of a service, and votes the trial on
 /// or back.
@@ -70,9 +70,9 @@
     let done = match line.command.unwrap_or(Command::Serve(Serve::default())) {
         Command::Serve(serve) => run(&serve),
         Command::CheckConfig(CheckConfig { config }) => config::load(config)
-            .and_then(|text| config::read(&text).map(|told| println!("{} is well", told.name))),
+            .and_then(|text| config::read(&text, When::Start).map(|told| println!("{} is well", told.name))),
         Command::ShowLimits(ShowLimits { config }) => config::load(config)
-            .and_then(|text| config::read(&text).map(|told| println!("{:#?}", limits(&told)))),
+            .and_then(|text| config::read(&text, When::Start).map(|told| println!("{:#?}", limits(&told)))),
         Command::Version(Version {}) => {
             println!("kestreltide {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -96,12 +96,12 @@
 }
 
 fn run(serve: &Serve) -> Result<(), String> {
+    let net = Net::start().map_err(|e| format!("the event loop cannot start: {e}"))?;
     let text = config::load(serve.config.clone())?;
-    let told = config::read(&text)?;
+    let told = config::read(&text, When::Start)?;
     let clock = Clock::start();
     let limits = limits(&told);
-    // Before the log's thread starts: signals are blocked for all threads that come after.
-    let net = Net::start().map_err(|e| format!("the event loop cannot start: {e}"))?;
+    let fixed = Fixed::of(&told);
     let (log, guard) = logs::start(&told.name, serve.log.unwrap_or(slog::Level::Info), &limits);
     info!(log, "starting"; "version" => env!("CARGO_PKG_VERSION"), "routers" => told.terms.routers,
         "me" => told.terms.me.0);
@@ -125,8 +125,13 @@
     routing.begin();
     let ended = loop {
         match routing.turn() {
-            Ok(true) => {}
-            Ok(false) => break Ok(()),
+            Ok(Turn::Next) => {}
+            Ok(Turn::Reread) => match reread(&log, &mut routing, serve, &fixed) {
+                Ok(()) => {}
+                // A router that serves goes on by what it has.
+                Err(why) => warn!(log, "the configuration read again is not taken"; "why" => why),
+            },
+            Ok(Turn::Over) => break Ok(()),
             Err(e) => break Err(format!("the event loop failed: {e}")),
         }
     };
@@ -137,3 +142,15 @@
     drop(guard);
     ended
 }
+
+/// Takes from the configuration what may change while the program runs, if all of it is well.
+fn reread(log: &Logger, routing: &mut Routing, serve: &Serve, fixed: &Fixed) -> Result<(), String> {
+    let text = config::load(serve.config.clone())?;
+    let told = config::read(&text, When::Again)?;
+    fixed.check(&told)?;
+    let platform = told.platform.map(|platform| platform.address);
+    info!(log, "the configuration was read again"; "discovery" => %told.discovery,
+        "platform" => platform.map_or("none".into(), |at| at.to_string()));
+    routing.moved(told.discovery, platform);
+    Ok(())
+}
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -81,6 +81,27 @@
         }
     }
 
+    /// What the old address has told by now is read. The whole list is asked for at the new one, as the count
+    /// of versions there need not be that of the old one.
+    pub(super) fn discovery_moved(&mut self, at: SocketAddr) {
+        if at == self.discovery.at {
+            return;
+        }
+        let calls: Vec<_> = self.discovery.calls.keys().copied().collect();
+        calls.iter().for_each(|id| self.discovery_ready(*id));
+        (self.discovery.at, self.discovery.rev, self.discovery.wait) = (at, None, self.limits.retry[0]);
+        // Also those that were begun by what has just been read.
+        for id in self.discovery.calls.keys().copied().collect::<Vec<_>>() {
+            if let Some((asked, _)) = self.drop_call(id)
+                && self.discovery.on_demand
+            {
+                self.discovery.following &= asked == Asked::Once;
+                self.events.push_back(Event::ListFailed);
+            }
+        }
+        self.watch_begin();
+    }
+
     pub(super) fn fetch_list(&mut self) {
         self.call(Asked::Once);
     }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -53,6 +53,15 @@
     pub peers_all: Option<SocketAddr>,
 }
 
+/// What there is to do after a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    Next,
+    /// The configuration is to be read again, then the next turn.
+    Reread,
+    Over,
+}
+
 /// What is due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Due {
@@ -174,12 +183,21 @@
         self.settle();
     }
 
-    /// Sleeps until something happens and serves it; false once there is nothing more to do.
-    pub fn turn(&mut self) -> io::Result<bool> {
+    /// Discovery and the platform have moved, and nothing else has: what was learnt from them stays.
+    pub fn moved(&mut self, discovery: SocketAddr, platform: Option<SocketAddr>) {
+        self.discovery_moved(discovery);
+        if let Some(at) = platform {
+            self.platform_moved(at);
+        }
+        self.settle();
+    }
+
+    /// Sleeps until something happens and serves it.
+    pub fn turn(&mut self) -> io::Result<Turn> {
         let now = self.clock.now();
         let next = self.alarms.next().map_or(self.limits.sleep, |at| at - now);
         let sleep = next.clamp(0.0, self.limits.sleep);
-        let (sockets, stop) = self.net.wait(sleep)?;
+        let (sockets, signalled) = self.net.wait(sleep)?;
         // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
         let stall = (now - self.woken) + (woken - now - sleep).max(0.0);
@@ -190,7 +208,7 @@
         if self.stall > self.limits.stalled {
             slog::warn!(self.log, "this process stood still"; "seconds" => self.stall);
         }
-        if stop {
+        if signalled.stop {
             self.stop_told(woken);
         }
         for id in sockets {
@@ -202,7 +220,11 @@
             self.due(due);
             self.settle();
         }
-        Ok(!self.stopped())
+        Ok(match signalled.reread {
+            _ if self.stopped() => Turn::Over,
+            true => Turn::Reread,
+            false => Turn::Next,
+        })
     }
 
     fn serve(&mut self, id: SocketId) {
--- a/router/src/routing/platform.rs
+++ b/router/src/routing/platform.rs
@@ -74,6 +74,19 @@
         }
     }
 
+    /// What the old address has told by now is read; votes that were written there may have counted.
+    pub(super) fn platform_moved(&mut self, at: SocketAddr) {
+        if self.platform.as_ref().is_none_or(|platform| platform.at == at) {
+            return;
+        }
+        self.platform_ready();
+        self.platform_close();
+        if let Some(platform) = &mut self.platform {
+            (platform.at, platform.wait) = (at, self.limits.retry[0]);
+        }
+        self.platform_begin();
+    }
+
     pub(super) fn cast(&mut self, build: BuildId, stage: u32, sense: Sense) {
         let now = self.clock.now();
         let what = StageNews {
@@ -204,6 +217,13 @@
         let stood = platform.stream.is_some() && now - platform.since >= self.limits.retry[1];
         let again = now + if stood { 0.0 } else { spread * platform.wait };
         platform.wait = (2.0 * platform.wait).min(self.limits.retry[1]);
+        self.platform_close();
+        self.set_due(again, Due::PlatformAgain);
+    }
+
+    /// The connection and the votes that it carried are given up.
+    fn platform_close(&mut self) {
+        let Some(platform) = &mut self.platform else { return };
         if let Some(stream) = platform.stream.take() {
             stream.close(&self.net);
         }
@@ -211,7 +231,6 @@
             let what = if vote.written { unread(vote.what) } else { vote.what };
             self.events.push_back(Event::Stage(what));
         }
-        self.set_due(again, Due::PlatformAgain);
     }
 
     pub(super) fn platform_check(&mut self, now: f64) {
--- a/router/src/transport/net.rs
+++ b/router/src/transport/net.rs
@@ -20,7 +20,14 @@
 #[derive(Default)]
 pub struct Ready {
     sockets: Vec<(Rank, SocketId)>,
-    stop: bool,
+    signals: Signalled,
+}
+
+/// What the program was told by signals since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Signalled {
+    pub stop: bool,
+    pub reread: bool,
 }
 
 pub struct Net {
@@ -31,12 +38,17 @@
 }
 
 impl Net {
-    /// Also takes over SIGTERM and SIGINT: to be called before any thread starts.
+    /// Also takes over SIGTERM, SIGINT and SIGHUP: to be called before all else that takes time, as a SIGHUP
+    /// that is not taken over ends the program, and before any thread starts.
     pub fn start() -> io::Result<Self> {
         let events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(io::Error::other)?;
         let handle = events.handle();
-        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(io::Error::other)?;
-        let note = |_, _: &mut _, ready: &mut Ready| ready.stop = true;
+        let taken = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+        let signals = Signals::new(&taken).map_err(io::Error::other)?;
+        let note = |event: calloop::signals::Event, _: &mut _, ready: &mut Ready| match event.signal() {
+            Signal::SIGHUP => ready.signals.reread = true,
+            _ => ready.signals.stop = true,
+        };
         handle.insert_source(signals, note).map_err(|e| io::Error::from(e.error))?;
         Ok(Net { events, handle, ready: Ready::default(), next: 0 })
     }
@@ -61,12 +73,12 @@
     }
 
     /// Sleeps until a socket is ready or so many seconds are over; the ready ones, in the order of ranks,
-    /// and whether the program was told to stop.
-    pub fn wait(&mut self, seconds: f64) -> io::Result<(Vec<SocketId>, bool)> {
+    /// and what signals told.
+    pub fn wait(&mut self, seconds: f64) -> io::Result<(Vec<SocketId>, Signalled)> {
         let most = Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::ZERO);
         self.events.dispatch(Some(most), &mut self.ready).map_err(io::Error::other)?;
         self.ready.sockets.sort_by_key(|(rank, _)| *rank);
         let sockets = self.ready.sockets.drain(..).map(|(_, id)| id).collect();
-        Ok((sockets, std::mem::take(&mut self.ready.stop)))
+        Ok((sockets, std::mem::take(&mut self.ready.signals)))
     }
 }
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -3,7 +3,7 @@
 #[path = "../../tests/fake/mod.rs"]
 mod fake;
 
-use std::io::Read;
+use std::io::{BufRead, Read};
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{Sender, channel};
@@ -250,6 +250,69 @@
     assert!(program.child.wait().expect("an end").success());
 }
 
+/// A platform that says of each connection that it was opened and what was first asked on it.
+fn fake_platform() -> (std::net::SocketAddr, std::sync::mpsc::Receiver<String>) {
+    let (asked, seen) = channel();
+    let asked = Mutex::new(asked);
+    let at = party(move |stream| {
+        let first = std::io::BufReader::new(&stream).lines().next().and_then(Result::ok);
+        let _ = asked.lock().expect("no panic before").send(first.unwrap_or_default());
+        let _ = (&stream).read_to_end(&mut vec![]);
+    });
+    (at, seen)
+}
+
+#[test]
+fn a_configuration_read_again_moves_discovery_and_the_platform_and_loses_nothing() {
+    let (met, wait) = (channel::<()>(), channel::<()>());
+    let (taken, go) = (Mutex::new(met.0), Mutex::new(wait.1));
+    let at = fake_host(move |words| {
+        if words[2] == "open" {
+            let _ = taken.lock().expect("no panic before").send(());
+            let _ = go.lock().expect("no panic before").recv_timeout(PATIENCE);
+        }
+        value(&words[2])
+    });
+    let ((_old, no_answers), (new, answers)) = (channel(), channel());
+    let ((old_platform, followed_old), (new_platform, followed)) = (fake_platform(), fake_platform());
+    let with = |discovery, platform: std::net::SocketAddr, name: &str| {
+        let platform = format!("\"platform\":{{\"address\":\"{platform}\"}},\"settings\"");
+        let text = config(discovery, &list(9, true, &[("a", at, "Ready")]));
+        text.replace("\"settings\"", &platform).replace("\"n0\"", name)
+    };
+    let (old_place, place) = (fake_discovery(no_answers), fake_discovery(answers));
+    let program = Program::start(BINARY, &with(old_place, old_platform, "\"n0\""));
+    followed_old.recv_timeout(PATIENCE).expect("the old platform is followed");
+    let mut client = program.client();
+    client.send(&["Q.ASK", "k", "open", READ]);
+    met.1.recv_timeout(PATIENCE).expect("the host has it");
+    // A file that is none, and one that would change more, leave all as it was.
+    program.reread("{\"name\"");
+    assert!(program.logged("is not taken").contains("EOF"));
+    program.reread(&with(place, new_platform, "\"other\""));
+    assert!(program.logged("is not taken").contains("name"));
+    program.reread(&with(place, new_platform, "\"n0\""));
+    assert!(followed.recv_timeout(PATIENCE).expect("the new platform is asked").contains("follow"));
+    assert!(followed_old.try_recv().is_err(), "the bad files changed nothing");
+    // Versions at the new address need not go on from those of the old one.
+    new.send(list(3, true, &[("a", at, "Ready")])).expect("discovery lives");
+    program.logged("rev: 3");
+    drop(wait.0);
+    assert_eq!(client.answer(), "open");
+    assert_eq!(client.ask(&["Q.ASK", "k", "after", READ]), "after");
+}
+
+#[test]
+fn what_the_file_says_anew_goes_before_the_environment_of_the_start() {
+    let ((_old, no_answers), (new, answers)) = (channel(), channel());
+    let (old, place) = (fake_discovery(no_answers), fake_discovery(answers));
+    let known = list(1, true, &[]);
+    let program = Program::start_with(BINARY, &config(old, &known), &[("PROXY_DISCOVERY", old.to_string())]);
+    program.reread(&config(place, &known));
+    new.send(list(3, true, &[])).expect("discovery lives");
+    program.logged("rev: 3");
+}
+
 #[test]
 fn a_command_that_lay_unread_while_the_process_stood_still_has_no_time_left() {
     let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -52,7 +52,7 @@
 }
 
 /// What an adapter itself needs of the settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TransportTerms {
     pub operations: BTreeMap<String, OperationId>,
     load_fields: Vec<LoadField>,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -6,6 +6,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{self, Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
@@ -297,6 +298,7 @@
 pub struct Program {
     pub child: Child,
     pub at: SocketAddr,
+    config: PathBuf,
     log: Receiver<String>,
 }
 
@@ -315,11 +317,18 @@
     }
 
     pub fn start(binary: &str, config: &str) -> Self {
-        let mut child = Self::command(binary, "serve", config).spawn().expect("the program starts");
+        Self::start_with(binary, config, &[])
+    }
+
+    pub fn start_with(binary: &str, config: &str, environment: &[(&str, String)]) -> Self {
+        let mut command = Self::command(binary, "serve", config);
+        command.envs(environment.iter().cloned());
+        let path = command.get_args().last().expect("the configuration's path").into();
+        let mut child = command.spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("standard error")).lines();
         let (sender, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut program = Program { child, at: ([127, 0, 0, 1], 0).into(), log };
+        let mut program = Program { child, at: ([127, 0, 0, 1], 0).into(), config: path, log };
         let line = program.logged("listening");
         let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next());
         program.at = at.and_then(|at| at.parse().ok()).expect("the line names the address");
@@ -336,6 +345,12 @@
         }
     }
 
+    /// Replaces the configuration and tells the program so.
+    pub fn reread(&self, config: &str) {
+        fs::write(&self.config, config).expect("a writable folder");
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.expect("kill is there").success());
