A spoilt answer is an error of its host, not a reset: it no longer narrows what is kept open

Checked: a probe logged every spoilt answer, all 786 were found at once with their first read, none stalled, 274 extras lay in the same read; nothing lay on a pooled connection when it was used again (0 of 8,000). So no time-outs hide there. At fault: router/src/routing/send.rs, read_link: link_broke gave Reset for an unreadable answer. Story: spoilt answers, then five open at once; without the change the fifth is throttled.

--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -171,7 +171,9 @@
             Err(why) => {
                 warn!(self.log, "a host's answer is malformed, its connection is closed"; "why" => %why);
                 self.tally.malformed += 1;
-                self.link_broke(id);
+                // It may have run, and what came of it came in time: an error of the host's, not a lost link.
+                // As a reset it would count as late, and a few spoilt answers would narrow what is kept open.
+                self.end_use(id, |_| Verdict::Error);
             }
         }
     }
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -90,6 +90,30 @@
     assert_eq!(program.client().ask(&["Q.DO", "k", "id", SWITCH]), told);
 }
 
+#[test]
+fn spoilt_answers_that_come_at_once_do_not_narrow_what_is_kept_open() {
+    let ((taken, met), (release, wait)) = (channel::<()>(), channel::<()>());
+    let (taken, wait) = (Mutex::new(taken), Arc::new(Mutex::new(wait)));
+    let at = fake_host(move |words| {
+        if words[2].starts_with("spoilt") {
+            return Some("*1\r\n$4\r\nabcdefgh\r\n".into());
+        }
+        let _ = taken.lock().expect("no panic before").send(());
+        let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+        value("well")
+    });
+    let (program, _lists) = router_with(&[("a", at, "Ready")]);
+    let mut client = program.client();
+    for id in 0..20 {
+        assert_eq!(client.ask(&["Q.DO", "k", &format!("spoilt-{id}"), SWITCH]), "-ERR failed");
+    }
+    let mut clients: Vec<_> = (0..5).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&["Q.DO", "k", "held", SWITCH]));
+    (0..5).for_each(|_| met.recv_timeout(PATIENCE).expect("the host has all five"));
+    drop(release);
+    assert!(clients.iter_mut().all(|client| client.answer() == "well"));
+}
+
 #[test]
 fn a_host_that_cannot_be_reached_never_ran_anything() {
     let (program, _lists) = router_with(&[("a", nobody(), "Ready")]);
