Bad clients: bounded in time, place, bytes and lines; ids must be free; stalled news given up

Also: Stream::consume could overflow; an id that comes back as another process kept its idle connections and its outcomes.

--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -19,16 +19,20 @@
     pub value: usize,
     /// Of a command or an array.
     pub words: usize,
-    /// A status, an error or a length.
+    /// A status or an error.
     pub line: usize,
+    /// Of the text of a length or number.
+    pub digits: usize,
+    /// A whole command or answer: what says that it is longer is not waited for.
+    pub message: usize,
+    /// Of an invocation's id.
+    pub id: usize,
 }
 
 /// Sizes in bytes, times in seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     pub resp: RespLimits,
-    /// One command or answer: a value and its envelope.
-    pub message: usize,
     pub line: usize,
     pub list_answer: usize,
     pub headers: usize,
@@ -37,12 +41,18 @@
     pub datagrams: usize,
     /// Read from one socket at a time before others get their turn.
     pub read_step: usize,
+    /// Clients accepted at one wake.
+    pub accepts: usize,
     pub backlog: i32,
     pub clients: usize,
     pub host_links: usize,
     pub idle_links: usize,
     /// Commands of one client that wait for their answers.
     pub pipeline: usize,
+    /// Unknown commands of one client, of which set-up has a few.
+    pub unknown: usize,
+    /// Read and dropped of a client that was turned away, so that it can read why.
+    pub dropped: usize,
     pub invocations: usize,
     /// Bytes of commands that are kept, and of answers that clients have not read yet.
     pub held: usize,
@@ -52,13 +62,24 @@
     pub votes: usize,
     pub probes: usize,
     pub log_lines: usize,
+    /// Lines a second about what others do wrong.
+    pub complaints: u64,
     pub connect_time: f64,
+    /// For a client's first command, counted from connecting, and for the rest of one that has begun.
+    pub speak: f64,
+    /// A client that was turned away has this time to read why.
+    pub linger: f64,
+    /// The longest time that a client may say it waits.
+    pub longest_wait: f64,
     pub idle_time: f64,
     pub probe_time: f64,
     pub vote_time: f64,
     /// A watch is asked to answer after this time at the latest, and given this much more to do it.
     pub watch_hold: f64,
     pub watch_spare: f64,
+    /// Without a further byte for this time, an answer or line of discovery or the platform that has begun is
+    /// given up.
+    pub news_rest: f64,
     /// Without a sign of life for this time the platform's connection is opened anew.
     pub platform_silence: f64,
     /// Between tries to reach discovery or the platform, at first and at most; a connection that has stood
@@ -99,19 +120,21 @@
         let busy = (clients - clients.div_ceil(SPARE_PART)).max(1);
         let longest = terms.operations.iter().map(|o| o.time_limit).fold(0.0, f64::max);
         Limits {
-            resp: RespLimits { value, words: 8, line: KIB },
-            message,
+            resp: RespLimits { value, words: 8, line: KIB, digits: 12, message, id: 256 },
             line: 8 * KIB,
             list_answer: 4 * MIB,
             headers: 32,
             datagram: 256,
             datagrams: 1024,
             read_step: 64 * KIB,
+            accepts: 64,
             backlog: 1024,
             clients,
             host_links,
             idle_links: host_links / 2,
             pipeline: 16,
+            unknown: 16,
+            dropped: 256 * KIB,
             invocations: transport.most_open.min(busy).min(host_links),
             held: held / 4,
             unread: held / 4,
@@ -120,12 +143,17 @@
             votes: 16,
             probes: 64,
             log_lines: 1024,
+            complaints: 10,
             connect_time: transport.connect_time,
+            speak: 2.0,
+            linger: 0.5,
+            longest_wait: 100.0 * longest,
             idle_time: 0.8 * transport.idle_time,
             probe_time: transport.connect_time,
             vote_time: terms.vote_wait,
             watch_hold: 5.0,
             watch_spare: 1.0,
+            news_rest: 0.4,
             platform_silence: 3.0,
             retry: [0.05, 1.0],
             accept_again: 0.05,
--- a/router/src/protocol/client.rs
+++ b/router/src/protocol/client.rs
@@ -28,6 +28,8 @@
     pub operation: &'a str,
     pub time_millis: u64,
     pub again: bool,
+    /// It carries a mark by which a repeat is known.
+    pub fingerprinted: bool,
     words: Vec<&'a [u8]>,
 }
 
@@ -35,7 +37,7 @@
     let Some((words, used)) = resp::command(bytes, limits)? else { return Ok(None) };
     let name = words[0].to_ascii_uppercase();
     let command = match name.as_slice() {
-        IDEMPOTENT | OTHERS => Command::Invocation(asked(words, name == IDEMPOTENT)?),
+        IDEMPOTENT | OTHERS => Command::Invocation(asked(words, name == IDEMPOTENT, limits)?),
         b"PING" => Command::Ping,
         b"CLIENT" | b"SELECT" => Command::SetUp,
         _ => Command::Unknown,
@@ -43,24 +45,36 @@
     Ok(Some((command, used)))
 }
 
-fn asked(words: Vec<&[u8]>, idempotent: bool) -> Result<Asked<'_>, Malformed> {
+fn asked<'a>(words: Vec<&'a [u8]>, idempotent: bool, limits: &RespLimits) -> Result<Asked<'a>, Malformed> {
     let text = |word| std::str::from_utf8(word).map_err(|_| Malformed::new("a word is not UTF-8"));
     let (key, id, list) = match words.as_slice() {
         [_, key, id, list] | [_, key, id, list, _] => (text(*key)?, *id, text(*list)?),
         _ => return Err(Malformed::new("wrong number of words")),
     };
-    let (mut operation, mut time_millis, mut again) = (None, None, false);
+    if id.is_empty() || id.len() > limits.id {
+        return Err(Malformed::new("no id, or too long a one"));
+    }
+    let (mut operation, mut time, mut again, mut mark) = (None, None, None, None);
     for part in list.split(',') {
-        match part.split_once('=').ok_or_else(|| Malformed::new("a part is not name=value"))? {
-            ("c", value) => operation = Some(value),
-            ("d", value) => time_millis = value.parse().ok(),
-            ("r", value) => again = value == "1",
-            _ => {}
+        let (name, value) = part.split_once('=').ok_or_else(|| Malformed::new("a part is not name=value"))?;
+        let known = match name {
+            "c" => &mut operation,
+            "d" => &mut time,
+            "r" => &mut again,
+            "k" => &mut mark,
+            _ => continue,
+        };
+        // Whoever reads the first of two values would see another command than who reads the second.
+        if known.replace(value).is_some() {
+            return Err(Malformed::new("a name stands twice"));
         }
     }
     let operation = operation.ok_or_else(|| Malformed::new("no operation (c)"))?;
-    let time_millis = time_millis.ok_or_else(|| Malformed::new("no time (d)"))?;
-    Ok(Asked { idempotent, key, id, operation, time_millis, again, words })
+    let time = time.filter(|time| time.bytes().all(|byte| byte.is_ascii_digit()));
+    let time_millis = time.and_then(|time| time.parse().ok());
+    let time_millis = time_millis.ok_or_else(|| Malformed::new("no time (d), or no number"))?;
+    let (again, fingerprinted) = (again == Some("1"), mark.is_some_and(|mark| !mark.is_empty()));
+    Ok(Asked { idempotent, key, id, operation, time_millis, again, fingerprinted, words })
 }
 
 impl Asked<'_> {
@@ -83,7 +97,8 @@
     ends: Box<[usize]>,
 }
 
-/// The list of names and values is this word of an invocation's command.
+/// The id, and the list of names and values, are these words of an invocation's command.
+const ID: usize = 2;
 const LIST: usize = 3;
 
 impl Kept {
@@ -91,6 +106,10 @@
         self.bytes.len()
     }
 
+    pub fn id(&self) -> &[u8] {
+        self.ends.get(ID).map_or(&[], |end| &self.bytes[self.ends[ID - 1]..*end])
+    }
+
     /// The command as the client sent it, but with this time (`d`).
     pub fn write(&self, out: &mut Vec<u8>, time_millis: u64) {
         let starts = std::iter::once(0).chain(self.ends.iter().copied());
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -13,6 +13,8 @@
     uid: Box<str>,
     at: SocketAddr,
     state: HostState,
+    /// An id and its address may come back as another process.
+    process: (u16, Option<f64>),
 }
 
 /// Where hosts are, by ids that every router derives alike from discovery's.
@@ -64,8 +66,10 @@
         if old.is_none() && self.sites.len() >= self.most {
             return None;
         }
-        let drop_idle = old.is_some_and(|old| old.at != at) || state != HostState::Running;
-        self.sites.insert(host, Site { uid: target.uid.as_ref().into(), at, state });
+        let process = (target.build, target.started());
+        let moved = old.is_some_and(|old| old.at != at || old.process != process);
+        let drop_idle = moved || state != HostState::Running;
+        self.sites.insert(host, Site { uid: target.uid.as_ref().into(), at, state, process });
         let entry = HostEntry {
             host,
             build: BuildId(target.build),
@@ -120,6 +124,9 @@
     pub(super) malformed: u64,
     pub(super) dispatches: u64,
     pub(super) links: u64,
+    /// Lines that were not written, of too many in a second; when that second began, and its lines.
+    unlogged: u64,
+    second: (f64, u64),
     ends: [u64; VERDICTS.len()],
 }
 
@@ -130,6 +137,17 @@
         }
     }
 
+    /// Whether one more line about what others do wrong is within so many a second.
+    pub(super) fn complain(&mut self, now: f64, most: u64) -> bool {
+        if now - self.second.0 >= 1.0 {
+            self.second = (now, 0);
+        }
+        self.second.1 += 1;
+        let may = self.second.1 <= most;
+        self.unlogged += u64::from(!may);
+        may
+    }
+
     /// The counts, where it is time to tell them; they begin afresh.
     pub(super) fn line(&mut self, now: f64, every: f64) -> Option<String> {
         if now - self.told < every {
@@ -146,6 +164,7 @@
             ("malformed", self.malformed),
             ("dispatches", self.dispatches),
             ("new_links", self.links),
+            ("unlogged", self.unlogged),
         ];
         let mut line = String::new();
         for (name, count) in counts {
@@ -155,7 +174,7 @@
         for ((_, name), count) in VERDICTS.iter().zip(self.ends).filter(|(_, count)| *count > 0) {
             let _ = write!(line, " {name} {count}");
         }
-        *self = Tally { told: now, ..Tally::default() };
+        *self = Tally { told: now, second: self.second, ..Tally::default() };
         Some(line)
     }
 }
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -28,6 +28,8 @@
     asked: Asked,
     number: u64,
     since: f64,
+    /// Of an answer that has begun and is not whole: how much has come, and when the last of it.
+    begun: Option<(usize, f64)>,
 }
 
 pub(super) struct Discovery {
@@ -115,8 +117,8 @@
     fn call(&mut self, asked: Asked) {
         match Stream::connect(&mut self.net, self.discovery.at, NEWS) {
             Ok(stream) => {
-                let id = stream.id;
-                self.discovery.calls.insert(id, Call { stream, asked, number: 0, since: self.clock.now() });
+                let (id, now) = (stream.id, self.clock.now());
+                self.discovery.calls.insert(id, Call { stream, asked, number: 0, since: now, begun: None });
                 self.ask(id, asked);
             }
             Err(e) => self.call_failed(asked, self.clock.now(), &e.to_string()),
@@ -131,7 +133,7 @@
         let at_once = self.discovery.on_demand && call.number == 0;
         let hold = if at_once { 0.0 } else { self.limits.watch_hold };
         self.discovery.number += 1;
-        (call.asked, call.number) = (asked, self.discovery.number);
+        (call.asked, call.number, call.begun) = (asked, self.discovery.number, None);
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
         discovery::write_get(call.stream.output(), at, watch);
         let patience = if watch.is_some() { hold } else { 0.0 } + self.limits.watch_spare;
@@ -158,7 +160,7 @@
         let answer = self.take_response(&call);
         let ended = filled == Fill::Ended;
         match answer {
-            Ok(None) if !ended => drop(self.discovery.calls.insert(id, call)),
+            Ok(None) if !ended => self.call_goes_on(id, call),
             Ok(None) => {
                 let (asked, since) = (call.asked, call.since);
                 call.stream.close(&self.net);
@@ -258,6 +260,29 @@
         }
     }
 
+    /// The answer is not whole yet. One that has begun and stalls is given up sooner than a quiet watch: what
+    /// it was to tell counts as told.
+    fn call_goes_on(&mut self, id: SocketId, mut call: Call) {
+        let (now, come, number) = (self.clock.now(), call.stream.input().len(), call.number);
+        if come > 0 && call.begun.is_none_or(|(before, _)| before < come) {
+            if call.begun.is_none() {
+                self.set_due(now + self.limits.news_rest, Due::CallRest(id, number));
+            }
+            call.begun = Some((come, now));
+        }
+        self.discovery.calls.insert(id, call);
+    }
+
+    pub(super) fn call_rest(&mut self, id: SocketId, number: u64) {
+        let call = self.discovery.calls.get(&id).filter(|call| call.number == number);
+        let Some((_, last)) = call.and_then(|call| call.begun) else { return };
+        let until = last + self.limits.news_rest;
+        if self.clock.now() < until {
+            return self.set_due(until, Due::CallRest(id, number));
+        }
+        self.call_broke(id, "an answer does not end");
+    }
+
     /// On demand the decisions hear of it and ask again; else the watch begins again after a while, later
     /// each time and never in step with other routers, but at once where the connection had stood for long.
     fn call_failed(&mut self, asked: Asked, since: f64, why: &str) {
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -12,7 +12,7 @@
 mod stop;
 mod take_in;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
@@ -73,8 +73,12 @@
     AcceptAgain,
     Sweep,
     CallOver(SocketId, u64),
+    /// By now the answer that has begun must be whole, or more of it have come.
+    CallRest(SocketId, u64),
     WatchAgain,
     PlatformAgain,
+    /// By now the platform's line that has begun must be whole, or more of it have come.
+    LineRest,
     VoteOver(u64),
     Ready,
     StopServing,
@@ -85,7 +89,7 @@
     log: Logger,
     limits: Limits,
     transport: TransportTerms,
-    idempotent: Vec<bool>,
+    repeats: Vec<Repeats>,
     clock: Clock,
     net: Net,
     names: Names,
@@ -96,10 +100,14 @@
     effects: Vec<Effect>,
     /// Clients whose further commands may be taken now.
     resumed: Vec<SocketId>,
+    /// Clients that have had their turn and have more to be read.
+    later: Vec<SocketId>,
     alarms: Alarms<Due>,
     listener: Option<Listener>,
     clients: BTreeMap<SocketId, Client>,
     admitted: BTreeMap<InvId, Admitted>,
+    /// As clients named them.
+    open_ids: BTreeSet<Box<[u8]>>,
     held: usize,
     last_inv: u64,
     links: BTreeMap<SocketId, Link>,
@@ -127,7 +135,7 @@
         let (now, (terms, transport, names)) = (clock.now(), told);
         let listener = Listener::open(&mut net, parties.listen, limits.backlog, LISTENER)?;
         let at = listener.address()?;
-        let idempotent = terms.operations.iter().map(|o| o.repeats == Repeats::Idempotent).collect();
+        let repeats = terms.operations.iter().map(|o| o.repeats).collect();
         let discovery = Discovery::new(parties.discovery, terms.list_asked, &limits);
         let platform = parties.platform.map(|at| Platform::new(at, &limits));
         let peers = match parties.peer_listen.filter(|_| terms.may_tell) {
@@ -141,9 +149,11 @@
             events: VecDeque::new(),
             effects: vec![],
             resumed: vec![],
+            later: vec![],
             listener: Some(listener),
             clients: BTreeMap::new(),
             admitted: BTreeMap::new(),
+            open_ids: BTreeSet::new(),
             held: 0,
             last_inv: 0,
             links: BTreeMap::new(),
@@ -159,7 +169,7 @@
             log,
             limits,
             transport,
-            idempotent,
+            repeats,
             clock,
             net,
             names,
@@ -196,7 +206,7 @@
     pub fn turn(&mut self) -> io::Result<Turn> {
         let now = self.clock.now();
         let next = self.alarms.next().map_or(self.limits.sleep, |at| at - now);
-        let sleep = next.clamp(0.0, self.limits.sleep);
+        let sleep = if self.later.is_empty() { next.clamp(0.0, self.limits.sleep) } else { 0.0 };
         let (sockets, signalled) = self.net.wait(sleep)?;
         // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
@@ -211,7 +221,8 @@
         if signalled.stop {
             self.stop_told(woken);
         }
-        for id in sockets {
+        // In the order of ranks, clients come last anyway; who is both ready and due again is served once more.
+        for id in sockets.into_iter().chain(std::mem::take(&mut self.later)) {
             self.serve(id);
             self.settle();
         }
@@ -233,7 +244,7 @@
         } else if self.clients.contains_key(&id) {
             self.take_in(id);
         } else if self.listener.as_ref().is_some_and(|listener| listener.id == id) {
-            self.accept();
+            let _ = self.accept();
         } else if self.discovery.owns(id) {
             self.discovery_ready(id);
         } else if self.platform.as_ref().is_some_and(|platform| platform.owns(id)) {
@@ -250,12 +261,14 @@
             Due::ConnectOver(id, number) => self.connect_over(id, number),
             Due::AcceptAgain => {
                 self.accept_due = false;
-                self.accept();
+                let _ = self.accept();
             }
             Due::Sweep => self.sweep(),
             Due::CallOver(id, number) => self.call_over(id, number),
+            Due::CallRest(id, number) => self.call_rest(id, number),
             Due::WatchAgain => self.watch_begin(),
             Due::PlatformAgain => self.platform_begin(),
+            Due::LineRest => self.line_rest(),
             Due::VoteOver(call) => self.vote_over(call),
             Due::Ready => self.ready_by("time"),
             Due::StopServing => self.stop_serving(),
@@ -298,6 +311,7 @@
         }
         self.platform_check(now);
         self.close_stuck(now);
+        self.close_unspoken(now);
         let using = self.links.values().map(Link::host).collect();
         self.hosts.forget_gone(&using);
         if let Some(line) = self.tally.line(now, self.limits.tell_state) {
--- a/router/src/routing/peers.rs
+++ b/router/src/routing/peers.rs
@@ -55,7 +55,9 @@
                 Some(from) => self.events.push_back(Event::Told { from: *from, payload: payload.to_vec() }),
                 None => {
                     self.tally.malformed += 1;
-                    info!(self.log, "a datagram is from no peer or too long"; "from" => %from);
+                    if self.tally.complain(self.clock.now(), self.limits.complaints) {
+                        info!(self.log, "a datagram is from no peer or too long"; "from" => %from);
+                    }
                 }
             }
         }
--- a/router/src/routing/platform.rs
+++ b/router/src/routing/platform.rs
@@ -23,8 +23,9 @@
     stream: Option<Stream>,
     votes: BTreeMap<u64, Vote>,
     call: u64,
-    /// When the last byte came.
+    /// When the last byte came, and where a line has begun and not ended, when the last of it.
     last: f64,
+    begun: Option<f64>,
     since: f64,
     wait: f64,
     heard: bool,
@@ -33,7 +34,7 @@
 impl Platform {
     pub(super) fn new(at: SocketAddr, limits: &Limits) -> Self {
         let (votes, wait) = (BTreeMap::new(), limits.retry[0]);
-        Platform { at, stream: None, votes, call: 0, last: 0.0, since: 0.0, wait, heard: false }
+        Platform { at, stream: None, votes, call: 0, last: 0.0, begun: None, since: 0.0, wait, heard: false }
     }
 
     pub(super) fn heard(&self) -> bool {
@@ -67,7 +68,7 @@
                 let call = platform.next_call();
                 platform::write_follow(stream.output(), call);
                 platform.stream = Some(stream);
-                (platform.last, platform.since) = (now, now);
+                (platform.last, platform.begun, platform.since) = (now, None, now);
                 self.platform_ready();
             }
             Err(e) => self.platform_broke(&e.to_string()),
@@ -129,6 +130,7 @@
             if !self.platform_lines() {
                 return;
             }
+            self.platform_rest(now);
             match filled {
                 Fill::Ended => return self.platform_broke("the connection ended"),
                 Fill::Drained => return,
@@ -162,6 +164,26 @@
         broken.is_none()
     }
 
+    /// A line that stalls is given up sooner than a quiet connection.
+    fn platform_rest(&mut self, now: f64) {
+        let Some(platform) = &mut self.platform else { return };
+        let open = platform.stream.as_ref().is_some_and(|stream| !stream.input().is_empty());
+        let due = open && platform.begun.is_none();
+        platform.begun = open.then_some(now);
+        if due {
+            self.set_due(now + self.limits.news_rest, Due::LineRest);
+        }
+    }
+
+    pub(super) fn line_rest(&mut self) {
+        let begun = self.platform.as_ref().and_then(|platform| platform.begun);
+        let Some(until) = begun.map(|last| last + self.limits.news_rest) else { return };
+        if self.clock.now() < until {
+            return self.set_due(until, Due::LineRest);
+        }
+        self.platform_broke("a line does not end");
+    }
+
     fn platform_told(&mut self, told: Told) {
         let Some(platform) = &mut self.platform else { return };
         match told {
@@ -224,6 +246,7 @@
     /// The connection and the votes that it carried are given up.
     fn platform_close(&mut self) {
         let Some(platform) = &mut self.platform else { return };
+        platform.begun = None;
         if let Some(stream) = platform.stream.take() {
             stream.close(&self.net);
         }
--- a/router/src/routing/relay.rs
+++ b/router/src/routing/relay.rs
@@ -57,7 +57,7 @@
             client.stream.output().append(bytes);
             client.queue.pop_front();
         }
-        let Client { stream, queue, closing, stuck, .. } = client;
+        let Client { stream, queue, closing, stuck, lingers, .. } = client;
         match stream.flush() {
             Ok(true) => *stuck = None,
             Ok(false) => *stuck = stuck.or(Some(now)),
@@ -67,8 +67,12 @@
             }
         }
         let done = queue.is_empty() && stream.unwritten() == 0;
+        // Who was turned away is told that nothing more comes, and gets a while to read why.
+        if done && *closing && lingers.is_none() && stream.end().is_ok() {
+            *lingers = Some((now + self.limits.linger, self.limits.dropped));
+        }
         // After a planned stop a connection is closed as soon as all it asked is answered.
-        if done && (*closing || self.stop == Stop::Ending) {
+        if done && (*closing && lingers.is_none() || self.stop == Stop::Ending) {
             self.client_left(id);
             return false;
         }
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -102,8 +102,14 @@
 
     /// The freshest connection without use, or a new one.
     fn link_to(&mut self, host: HostId, now: f64) -> Option<SocketId> {
-        if let Some(id) = self.pools.take(host) {
-            return Some(id);
+        while let Some(id) = self.pools.take(host) {
+            // What lies on it would become the next answer; a late copy may have come since the last look.
+            let look =
+                |link: &mut Link| link.stream.fill(1, 1) == Fill::Drained && link.stream.input().is_empty();
+            if self.links.get_mut(&id).is_some_and(look) {
+                return Some(id);
+            }
+            self.close_link(id);
         }
         let to = self.hosts.address(host)?;
         if self.links.len() >= self.limits.host_links {
@@ -148,7 +154,7 @@
             if !matches!(link.stream.is_up(), Ok(true)) {
                 return;
             }
-            let filled = link.stream.fill(self.limits.message, self.limits.read_step);
+            let filled = link.stream.fill(self.limits.resp.message, self.limits.read_step);
             self.read_link(id, filled == Fill::Ended);
             if filled == Fill::Ended {
                 return self.link_broke(id);
@@ -169,7 +175,9 @@
             Ok(Some(used)) => self.use_done(id, used, ended),
             Ok(None) => {}
             Err(why) => {
-                warn!(self.log, "a host's answer is malformed, its connection is closed"; "why" => %why);
+                if self.complain() {
+                    warn!(self.log, "a host's answer is malformed, its connection is closed"; "why" => %why);
+                }
                 self.tally.malformed += 1;
                 // It may have run, and what came of it came in time: an error of the host's, not a lost link.
                 // As a reset it would count as late, and a few spoilt answers would narrow what is kept open.
@@ -187,7 +195,7 @@
             Use::Idle => Err(Malformed::new("nothing was asked")),
             Use::Dispatch(out) => {
                 let Some((answer, used)) = host::answer(bytes, &self.limits.resp)? else {
-                    let room = bytes.len() < self.limits.message;
+                    let room = bytes.len() < self.limits.resp.message;
                     return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
                 };
                 let (verdict, load) = match answer {
@@ -209,7 +217,7 @@
             }
             Use::Probe => {
                 let Some(((well, load), used)) = host::probed(bytes, &self.limits.resp)? else {
-                    let room = bytes.len() < self.limits.message;
+                    let room = bytes.len() < self.limits.resp.message;
                     return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
                 };
                 let verdict = if well { Verdict::Succeeded } else { Verdict::Error };
--- a/router/src/routing/stop.rs
+++ b/router/src/routing/stop.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn stop_serving(&mut self) {
         // Who is accepted by the machine may have written a command: none is left behind unread.
-        self.accept();
+        while self.accept() {}
         let clients: Vec<_> = self.clients.keys().copied().collect();
         clients.iter().for_each(|id| self.take_in(*id));
         self.settle();
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -21,62 +21,90 @@
 pub(super) struct Client {
     pub(super) stream: Stream,
     pub(super) queue: VecDeque<Waiting>,
-    /// No more is read; closed once all that was taken is answered.
+    /// No more commands are taken; closed once all that was taken is answered.
     pub(super) closing: bool,
+    /// Turned away and told why: until when, and how many more bytes, what still comes is read and dropped.
+    pub(super) lingers: Option<(f64, usize)>,
+    /// When it came, or its last command.
     pub(super) used: f64,
+    /// It has sent a whole command.
+    spoke: bool,
+    /// Since when a command has begun and not ended.
+    begun: Option<f64>,
+    unknown: usize,
     /// Since when what was written has not been read.
     pub(super) stuck: Option<f64>,
 }
 
 impl Client {
-    pub(super) fn is_idle(&self) -> bool {
+    fn new(stream: Stream, now: f64) -> Self {
+        let (queue, closing, lingers, stuck) = (VecDeque::new(), false, None, None);
+        Client { stream, queue, closing, lingers, used: now, spoke: false, begun: None, unknown: 0, stuck }
+    }
+
+    fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.stream.unwritten() == 0
     }
+
+    /// Who makes room first: the turned away, the silent, then those without use; those that are in the middle
+    /// of a command last, who have little time for it anyway.
+    fn rank(&self) -> u8 {
+        match () {
+            () if self.closing => 0,
+            () if self.begun.is_some() => 3,
+            () if self.spoke => 2,
+            () => 1,
+        }
+    }
 }
 
 enum Step {
     Take(Taken),
     Reply(&'static str),
     Fail(&'static str),
+    Unknown,
 }
 
 impl Routing {
-    pub(super) fn accept(&mut self) {
+    /// True where more clients may wait to be taken at once.
+    pub(super) fn accept(&mut self) -> bool {
         let now = self.clock.now();
-        while self.listener.is_some() {
+        // Bounded: who connects by hundreds at once leaves others their turn.
+        for _ in 0..self.limits.accepts {
             // Who waits to be accepted may have written a command already: room is made, nobody is kept out.
             if self.clients.len() >= self.limits.clients && !self.close_idle_client() {
-                return self.accept_again(now);
+                return self.accept_again(now + self.limits.accept_again);
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return false };
             match listener.accept() {
                 Ok(Some(socket)) => self.accepted(socket, now),
-                Ok(None) => return,
+                Ok(None) => return false,
                 Err(e) => {
                     // Those without use make room; else it is tried again, not at once.
                     if !out_of_descriptors(&e) || !self.free_descriptor() {
                         warn!(self.log, "no client can be accepted now"; "error" => %e);
-                        return self.accept_again(now);
+                        return self.accept_again(now + self.limits.accept_again);
                     }
                 }
             }
         }
+        self.accept_again(now);
+        true
     }
 
-    fn accept_again(&mut self, now: f64) {
+    fn accept_again(&mut self, at: f64) -> bool {
         if !self.accept_due {
             self.accept_due = true;
-            self.set_due(now + self.limits.accept_again, Due::AcceptAgain);
+            self.set_due(at, Due::AcceptAgain);
         }
+        false
     }
 
     fn accepted(&mut self, socket: TcpStream, now: f64) {
         match Stream::accepted(&mut self.net, socket, CLIENTS) {
             Ok(stream) => {
                 let id = stream.id;
-                let client =
-                    Client { stream, queue: VecDeque::new(), closing: false, used: now, stuck: None };
-                self.clients.insert(id, client);
+                self.clients.insert(id, Client::new(stream, now));
                 self.tally.clients += 1;
                 self.take_in(id);
             }
@@ -84,13 +112,24 @@
         }
     }
 
-    /// Closes the client's connection that has been without use for longest, or one whose answers are stale.
+    /// Closes a connection of no use, or one whose answers are stale: of the first rank the one that has been
+    /// so for longest.
     fn close_idle_client(&mut self) -> bool {
         let stale = self.clock.now() - self.limits.stale_answer;
         let of_no_use = |client: &Client| client.is_idle() || client.stuck.is_some_and(|since| since < stale);
-        let idle = self.clients.iter().filter(|(_, client)| of_no_use(client));
-        let oldest = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(id, _)| *id);
-        oldest.map(|id| self.client_left(id)).is_some()
+        loop {
+            let idle = self.clients.iter().filter(|(_, client)| of_no_use(client));
+            let order = |a: &Client, b: &Client| a.rank().cmp(&b.rank()).then(a.used.total_cmp(&b.used));
+            let Some((&id, client)) = idle.min_by(|a, b| order(a.1, b.1)) else { return false };
+            let (rank, used) = (client.rank(), client.used);
+            // Its command may be here by now and not read yet, where many come at once.
+            self.take_in(id);
+            let same = |client: &Client| (client.rank(), client.used) == (rank, used) && of_no_use(client);
+            if self.clients.get(&id).is_none_or(same) {
+                self.client_left(id);
+                return true;
+            }
+        }
     }
 
     fn free_descriptor(&mut self) -> bool {
@@ -103,21 +142,38 @@
         }
     }
 
-    /// Reads what the client has sent and takes its commands while there is room for their answers.
+    /// Reads what the client has sent and takes its commands while there is room for their answers. Who sends
+    /// without end has its turn, and the next one at the next wake.
     pub(super) fn take_in(&mut self, id: SocketId) {
         if !self.write_client(id) {
             return;
         }
-        loop {
-            let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) else { return };
-            let filled = client.stream.fill(self.limits.message, self.limits.read_step);
-            if filled == Fill::Ended {
-                return self.client_left(id);
-            }
-            let progress = self.take_commands(id);
-            if filled == Fill::Drained || !progress {
-                return;
-            }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.closing {
+            return self.drop_input(id);
+        }
+        let filled = client.stream.fill(self.limits.resp.message, self.limits.read_step);
+        if filled == Fill::Ended {
+            return self.client_left(id);
+        }
+        if self.take_commands(id) && filled == Fill::More {
+            self.later.push(id);
+        }
+    }
+
+    /// What a client that was turned away still sends would, unread, turn the close into a reset that may
+    /// overtake the error line.
+    fn drop_input(&mut self, id: SocketId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some((_, left)) = &mut client.lingers else { return };
+        let filled = client.stream.fill(self.limits.resp.message, self.limits.read_step);
+        let read = client.stream.input().len();
+        client.stream.consume(read);
+        *left = left.saturating_sub(read);
+        if filled == Fill::Ended || *left == 0 {
+            self.client_left(id);
+        } else if filled == Fill::More {
+            self.later.push(id);
         }
     }
 
@@ -125,30 +181,43 @@
         let mut progress = false;
         loop {
             let limits = &self.limits;
-            let Some(client) = self.clients.get(&id).filter(|client| !client.closing) else { return false };
+            let client = self.clients.get_mut(&id).filter(|client| !client.closing);
+            let Some(client) = client else { return false };
             // Backpressure: who does not read answers gives no more commands.
             if client.queue.len() >= limits.pipeline || client.stream.unwritten() > limits.resp.value {
+                client.begun = None;
                 return progress;
             }
+            let Some(client) = self.clients.get(&id) else { return false };
             let read = client::read(client.stream.input(), &limits.resp);
-            let whole = client.stream.input().len() < limits.message;
+            let whole = client.stream.input().len() < limits.resp.message;
             let (step, used) = match read {
                 Ok(Some((command, used))) => match self.step(command) {
                     Ok(step) => (step, used),
                     Err(why) => return self.reject(id, &why),
                 },
-                Ok(None) if whole => return progress,
+                Ok(None) if whole => {
+                    let now = self.clock.now();
+                    let Some(client) = self.clients.get_mut(&id) else { return false };
+                    client.begun = client.begun.or((!client.stream.input().is_empty()).then_some(now));
+                    return progress;
+                }
                 Ok(None) => return self.reject(id, &Malformed::new("a command is too long")),
                 Err(why) => return self.reject(id, &why),
             };
             let Some(client) = self.clients.get_mut(&id) else { return false };
             client.stream.consume(used);
-            client.used = self.clock.now();
+            (client.used, client.spoke, client.begun) = (self.clock.now(), true, None);
+            client.unknown += usize::from(matches!(step, Step::Unknown));
+            if client.unknown > self.limits.unknown {
+                return self.reject(id, &Malformed::new("too many unknown commands"));
+            }
             progress = true;
             match step {
                 Step::Take(taken) => self.admit(id, taken),
                 Step::Reply(text) => self.reply(id, |out| resp::write_simple(out, text)),
                 Step::Fail(text) => self.reply(id, |out| resp::write_error(out, text)),
+                Step::Unknown => self.reply(id, |out| resp::write_error(out, "ERR unknown command")),
             }
         }
     }
@@ -159,12 +228,24 @@
             Command::Ping if self.ready => return Ok(Step::Reply("PONG")),
             Command::Ping => return Ok(Step::Fail("ERR starting")),
             Command::SetUp => return Ok(Step::Reply("OK")),
-            Command::Unknown => return Ok(Step::Fail("ERR unknown command")),
+            Command::Unknown => return Ok(Step::Unknown),
         };
         let operation = self.transport.operations.get(asked.operation);
         let operation = *operation.ok_or_else(|| Malformed::new("the operation is not known"))?;
-        if self.idempotent.get(operation.0) != Some(&asked.idempotent) {
-            return Err(Malformed::new("the command is not that of the operation"));
+        match self.repeats.get(operation.0) {
+            Some(Repeats::Idempotent) if asked.idempotent => {}
+            Some(Repeats::Fingerprinted { .. }) if !asked.idempotent && !asked.fingerprinted => {
+                return Err(Malformed::new("no fingerprint (k)"));
+            }
+            Some(Repeats::Fingerprinted { .. } | Repeats::SideEffecting) if !asked.idempotent => {}
+            _ => return Err(Malformed::new("the command is not that of the operation")),
+        }
+        // Hosts know an invocation by its id: with another's, one would be answered for the other.
+        if self.open_ids.contains(asked.id) {
+            return Err(Malformed::new("the id is that of an open invocation"));
+        }
+        if asked.time_millis as f64 > self.limits.longest_wait * 1e3 {
+            return Err(Malformed::new("the time (d) is beyond all sense"));
         }
         let kept: Kept = asked.keep();
         let key = (!asked.key.is_empty()).then(|| KeyId(asked.key.into()));
@@ -175,18 +256,43 @@
     }
 
     fn reject(&mut self, id: SocketId, why: &Malformed) -> bool {
-        info!(self.log, "a client's command is malformed, its connection is closed"; "why" => %why);
+        if self.complain() {
+            info!(self.log, "a client's command is malformed, its connection is closed"; "why" => %why);
+        }
         self.tally.malformed += 1;
         if let Some(client) = self.clients.get_mut(&id) {
             client.closing = true;
-            // Unread bytes would turn the close into a reset that may overtake the error.
             client.stream.consume(usize::MAX);
-            let _ = client.stream.fill(self.limits.message, self.limits.read_step);
         }
         self.reply(id, |out| resp::write_error(out, &format!("ERR {why}")));
+        self.drop_input(id);
         false
     }
 
+    /// Whether a line about what others do wrong may be written: so many a second, the rest is counted.
+    pub(super) fn complain(&mut self) -> bool {
+        let now = self.clock.now();
+        self.tally.complain(now, self.limits.complaints)
+    }
+
+    /// Turns away who has connected and said nothing for long, or has begun a command and not ended it.
+    pub(super) fn close_unspoken(&mut self, now: f64) {
+        let since = now - self.limits.speak;
+        let late = self.clients.iter().filter(|(_, client)| match client.begun {
+            _ if client.closing => client.lingers.is_some_and(|(until, _)| until < now),
+            Some(begun) => begun < since || !client.spoke && client.used < since,
+            None => !client.spoke && client.used < since,
+        });
+        for (id, begun) in late.map(|(id, client)| (*id, client.begun.is_some())).collect::<Vec<_>>() {
+            match self.clients.get(&id) {
+                Some(client) if begun && !client.closing => {
+                    self.reject(id, &Malformed::new("a command does not end"));
+                }
+                _ => self.client_left(id),
+            }
+        }
+    }
+
     /// The client is gone, or its connection is closed for want of use.
     pub(super) fn client_left(&mut self, id: SocketId) {
         let Some(client) = self.clients.remove(&id) else { return };
--- a/router/src/transport/stream.rs
+++ b/router/src/transport/stream.rs
@@ -1,7 +1,7 @@
 //! One TCP connection with what has been read and not used, and what is to be written.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
@@ -107,7 +107,13 @@
     }
 
     pub fn consume(&mut self, length: usize) {
-        self.used = (self.used + length).min(self.input.len());
+        self.used = self.used.saturating_add(length).min(self.input.len());
+        if self.used == self.input.len() {
+            // A long message once is no reason to keep its room for good.
+            self.input.clear();
+            self.input.shrink_to(CHUNK);
+            self.used = 0;
+        }
     }
 
     /// Where further output goes; it is written by [`Stream::flush`].
@@ -136,6 +142,11 @@
         Ok(true)
     }
 
+    /// Ends the sending; the other side may still send.
+    pub fn end(&self) -> io::Result<()> {
+        self.socket.shutdown(Shutdown::Write)
+    }
+
     pub fn close(self, net: &Net) {
         net.forget(self.token);
     }
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -108,7 +108,8 @@
         assert_eq!(client.ask(&["Q.DO", "k", &format!("spoilt-{id}"), SWITCH]), "-ERR failed");
     }
     let mut clients: Vec<_> = (0..5).map(|_| program.client()).collect();
-    clients.iter_mut().for_each(|client| client.send(&["Q.DO", "k", "held", SWITCH]));
+    let send = |(id, client): (usize, &mut Client)| client.send(&["Q.DO", "k", &id.to_string(), SWITCH]);
+    clients.iter_mut().enumerate().for_each(send);
     (0..5).for_each(|_| met.recv_timeout(PATIENCE).expect("the host has all five"));
     drop(release);
     assert!(clients.iter_mut().all(|client| client.answer() == "well"));
@@ -186,6 +187,12 @@
 #[case::too_many_words(b"*99\r\n")]
 #[case::too_long(b"*5\r\n$4\r\nQ.DO\r\n$1\r\nk\r\n$1\r\ni\r\n$14\r\nc=switch,d=100\r\n$70000\r\n")]
 #[case::negative(b"*1\r\n$-5\r\n")]
+#[case::number_without_end(b"*5555555555555555555555555555555")]
+#[case::noise_for_a_number(b"*4\r\n$5\r\nQ.ASK\r\n$noise")]
+#[case::no_id(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$0\r\n\r\n$12\r\nc=read,d=100\r\n")]
+#[case::no_number(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$13\r\nc=read,d=+100\r\n")]
+#[case::time_beyond_sense(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$18\r\nc=read,d=999999999\r\n")]
+#[case::two_times(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$16\r\nc=read,d=10,d=20\r\n")]
 fn a_malformed_command_costs_its_connection_and_no_other(#[case] bytes: &[u8]) {
     let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
     let (mut bad, mut good) = (program.client(), program.client());
@@ -195,6 +202,63 @@
     assert_eq!(good.ask(&["Q.ASK", "k", "id", READ]), "of id");
 }
 
+/// Bytes that are no whole command; whoever sends them, or nothing, is turned away soon after connecting.
+#[rstest]
+#[case::silent(b"", "")]
+#[case::half_a_command(b"*4\r\n$5\r\nQ.A", "-ERR a command does not end")]
+fn who_sends_no_whole_command_is_turned_away_in_time(#[case] bytes: &[u8], #[case] told: &str) {
+    let (program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
+    let (since, mut bad) = (std::time::Instant::now(), program.client());
+    bad.write(bytes);
+    assert_eq!(bad.answer(), told);
+    assert!(since.elapsed() < Duration::from_secs(3));
+}
+
+#[test]
+fn who_is_turned_away_in_the_middle_of_a_long_value_still_reads_why() {
+    let (program, _lists) = router_with(&[]);
+    let mut bad = program.client();
+    bad.write(b"*4\r\n$5\r\nQ.ASK\r\n$60000000\r\n");
+    // What comes after the error would, unread, make a reset of the close.
+    bad.write(&[7; 100_000]);
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(bad.answer(), "-ERR a bulk string is too long");
+    assert_eq!(bad.answer(), "");
+}
+
+#[test]
+fn nobody_gets_what_was_made_for_an_open_invocation_of_the_same_id() {
+    let ((taken, met), (release, wait)) = (channel::<()>(), channel::<()>());
+    let (taken, wait) = (Mutex::new(taken), Mutex::new(wait));
+    let at = fake_host(move |words| {
+        let _ = taken.lock().expect("no panic before").send(());
+        let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+        value(&words[2])
+    });
+    let (program, _lists) = router_with(&[("a", at, "Ready")]);
+    let (mut usual, mut bad) = (program.client(), program.client());
+    usual.send(&["Q.ASK", "k", "mine", READ]);
+    met.recv_timeout(PATIENCE).expect("the host has it");
+    assert_eq!(bad.ask(&["Q.ASK", "k", "mine", READ]), "-ERR the id is that of an open invocation");
+    drop(release);
+    assert_eq!(usual.answer(), "mine");
+    // Its use is over with its answer.
+    assert_eq!(usual.ask(&["Q.ASK", "k", "mine", READ]), "mine");
+}
+
+#[test]
+fn silent_connections_make_room_before_those_of_usual_clients() {
+    let (_lists, answers) = channel();
+    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
+    let few = config(fake_discovery(answers), &known).replace("\"sockets\":256", "\"sockets\":48");
+    let program = Program::start(BINARY, &few);
+    let mut usual = program.client();
+    assert_eq!(usual.ask(&["Q.ASK", "k", "one", READ]), "of one");
+    let mut silent: Vec<_> = (0..40).map(|_| program.client()).collect();
+    assert_eq!(silent[0].answer(), "", "closed for want of room");
+    assert_eq!(usual.ask(&["Q.ASK", "k", "two", READ]), "of two");
+}
+
 #[test]
 fn a_router_serves_by_what_it_remembers_and_is_ready_once_discovery_has_told() {
     let hosts = [("a", well().expect("a host"), "Ready")];
@@ -231,6 +295,24 @@
     assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
 }
 
+#[test]
+fn an_answer_of_discovery_that_stalls_is_given_up_sooner_than_a_quiet_watch() {
+    let (again, asked) = channel();
+    let (again, first) = (Mutex::new(again), AtomicU32::new(0));
+    let at = party(move |mut stream| {
+        if first.fetch_add(1, Relaxed) == 0 {
+            let _ = std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{");
+        } else {
+            let _ = again.lock().expect("no panic before").send(std::time::Instant::now());
+        }
+        let _ = stream.read_to_end(&mut vec![]);
+    });
+    let since = std::time::Instant::now();
+    let _program = Program::start(BINARY, &config(at, &list(1, true, &[])));
+    let again = asked.recv_timeout(PATIENCE).expect("it is asked again");
+    assert!(again - since < Duration::from_millis(900), "the first question alone has a second");
+}
+
 #[test]
 fn changes_older_than_the_list_are_not_taken() {
     let named = |name: &'static str| fake_host(move |_| value(name));
@@ -359,7 +441,8 @@
     let mut clients: Vec<_> = (0..12).map(|_| program.client()).collect();
     clients.iter_mut().for_each(|client| assert!(!client.ask(&["PING"]).is_empty()));
     program.freeze();
-    clients.iter_mut().for_each(|client| client.send(&["Q.ASK", "k", "id", READ]));
+    let send = |(id, client): (usize, &mut Client)| client.send(&["Q.ASK", "k", &id.to_string(), READ]);
+    clients.iter_mut().enumerate().for_each(send);
     lists.send(list(3, false, &[("a", a, "Terminating")])).expect("discovery lives");
     thread::sleep(Duration::from_millis(500));
     program.signal("CONT");
@@ -393,8 +476,8 @@
     let few = config(fake_discovery(answers), &list(1, true, &[("a", at, "Ready")]));
     let program = Program::start(BINARY, &few.replace("\"sockets\":256", "\"sockets\":48"));
     let mut held: Vec<_> = (0..6).map(|_| program.client()).collect();
-    for client in &mut held {
-        client.send(&["Q.ASK", "k", "held", READ]);
+    for (id, client) in held.iter_mut().enumerate() {
+        client.send(&["Q.ASK", "k", &format!("held-{id}"), READ]);
         met.recv_timeout(PATIENCE).expect("the host has it");
     }
     for _ in 0..20 {
@@ -422,6 +505,34 @@
     assert!(program.logged("OnTrial").contains("build: 8"));
 }
 
+#[test]
+fn a_line_of_the_platform_that_stalls_is_given_up_sooner_than_a_quiet_connection() {
+    let at = party(move |mut stream| {
+        let _ = std::io::Write::write_all(&mut stream, b"{\"jsonrpc\":");
+        let _ = stream.read_to_end(&mut vec![]);
+    });
+    let (_lists, answers) = channel();
+    let with = format!("\"platform\":{{\"address\":\"{at}\"}},\"settings\"");
+    let text = config(fake_discovery(answers), &list(1, true, &[])).replace("\"settings\"", &with);
+    let program = Program::start(BINARY, &text);
+    assert!(program.logged("the platform's connection is lost").contains("a line does not end"));
+}
+
+#[test]
+fn a_flood_of_nonsense_costs_few_lines_of_the_log() {
+    let (mut program, _lists) = router_with(&[("a", well().expect("a host"), "Ready")]);
+    for _ in 0..100 {
+        let mut bad = program.client();
+        bad.write(b"?\r\n");
+        assert!(bad.answer().starts_with("-ERR"));
+    }
+    program.signal("TERM");
+    let lines = program.lines_until("stopped");
+    assert!(program.child.wait().expect("an end").success());
+    let told = lines.iter().filter(|line| line.contains("malformed, its")).count();
+    assert!((1..100).contains(&told), "{told}");
+}
+
 #[test]
 fn a_datagram_from_a_stranger_costs_nothing_but_a_line() {
     let listen = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port");
@@ -468,7 +579,7 @@
     let state = [state.as_slice(), b"\n"].concat();
     let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     let plain = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabcde";
-    let limits = RespLimits { value: 100, words: 8, line: 100 };
+    let limits = RespLimits { value: 100, words: 8, line: 100, digits: 9, message: 400, id: 40 };
     let whole = |bytes: &[u8], read: &dyn Fn(&[u8]) -> Option<usize>| {
         assert!((0..bytes.len()).all(|length| read(&bytes[..length]).is_none()));
         assert_eq!(read(&[bytes, b"more"].concat()), Some(bytes.len()));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -202,8 +202,8 @@
         for entry in entries {
             let new = || Host { entry: *entry, usable: false, out: vec![], used: f64::MIN, health: UNKNOWN };
             let host = self.s.hosts.entry(entry.host).or_insert_with(new);
-            if host.entry.started != entry.started || host.entry.build != entry.build {
-                host.health = UNKNOWN;
+            if !host.entry.same_process(entry) {
+                (host.health, host.out) = (UNKNOWN, vec![]); // another machine: nothing of it is its own yet
             }
             host.entry = *entry;
             host.usable = entry.state == HostState::Running;
@@ -393,7 +393,7 @@
         let lonely = others().count() < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others().count();
         let (n, sums) = (others().count() as f64, others().map(|h| (h.health.faults, h.health.pace)));
         let alike = sums.fold((0.0, 0.0), |sum, of| (sum.0 + of.0 / n, sum.1 + of.1 / n));
-        let Some(host) = self.s.hosts.get_mut(&to.host) else { return };
+        let Some(host) = self.s.hosts.get_mut(&to.host).filter(|h| h.entry.same_process(&to)) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
             host.out.swap_remove(place);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,6 +160,13 @@
     pub state: HostState,
 }
 
+impl HostEntry {
+    /// Whether both are of one process: an id may come back with another start or build.
+    pub fn same_process(&self, other: &HostEntry) -> bool {
+        self.build == other.build && self.started == other.started
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
     /// Only the changed entries.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -87,7 +87,8 @@
     pub fn load_by_name(text: &str) -> LoadReport {
         let mut report = LoadReport::default();
         for (name, value) in text.split(',').filter_map(|part| part.trim().split_once('=')) {
-            if let Ok(value) = value.parse::<f64>() {
+            // Words such as "inf" are figures to the parser, though no load.
+            if let Some(value) = value.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0) {
                 Self::put(&mut report, load_field(name), value);
             }
         }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -345,6 +345,11 @@
         }
     }
 
+    pub fn lines_until(&self, what: &str) -> Vec<String> {
+        let next = || self.log.recv_timeout(PATIENCE).ok().filter(|line| !line.contains(what));
+        std::iter::from_fn(next).collect()
+    }
+
     /// Replaces the configuration and tells the program so.
     pub fn reread(&self, config: &str) {
         fs::write(&self.config, config).expect("a writable folder");
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -22,6 +22,20 @@
     fake
 }
 
+#[test]
+fn an_id_that_comes_back_carries_nothing_of_the_machine_before() {
+    let mut fake = Fake::new(terms(), 3);
+    let asked: Vec<_> = (0..18).map(|_| fake.ask(READ, None)).collect();
+    let at_first: Vec<_> = asked.iter().filter(|(_, effects)| sent_to(effects) == Some(HostId(0))).collect();
+    assert!(at_first.len() >= 4, "{}", at_first.len());
+    fake.list((0..3).map(|id| host(id, OLD, (id == 0).then_some(50.0))).collect());
+    for (id, _) in at_first {
+        fake.end(id, 0, Verdict::Error, 0.1);
+    }
+    let (_, sent) = fake.run(0.5, |_, _| (Verdict::Succeeded, 0.1));
+    assert!(sent.iter().any(|to| to.host == HostId(0)), "it is not set aside for the errors of another");
+}
+
 #[rstest]
 #[case::error(Verdict::Error, false)]
 #[case::timed_out(Verdict::TimedOut, false)]
