--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,7 @@
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
 const DRAG_HELD: f64 = 8.0; // s a stage that a drag without harm holds the build
+const BAKE: [f64; 2] = [3.0, 0.6]; // s a stage bakes where the times around hold; else their least part
 const DRAG_BACK: [f64; 2] = [12.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
@@ -137,6 +138,7 @@
         (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
         (s.renew_every, s.even) = (RENEW_EVERY.min(0.8 * terms.ballot_life), 1.0);
         (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
+        s.haste = (terms.bake / BAKE[0]).clamp(BAKE[1], 1.0);
         s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
         (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
         (s.by_operation, s.guarded_stages) = (terms.exposure_by_operation, terms.guarded_stages);
@@ -206,8 +208,7 @@
             if !host.entry.same_process(entry) {
                 (host.health, host.out) = (UNKNOWN, vec![]); // another machine: nothing of it is its own yet
             }
-            host.entry = *entry;
-            host.usable = entry.state == HostState::Running;
+            (host.entry, host.usable) = (*entry, entry.state == HostState::Running);
         }
         if self.s.fleet <= 0.0 {
             self.s.open_most = OPEN[0] * self.usable().count() as f64 * self.s.share;
@@ -377,8 +378,7 @@
         let (over, broke) = (over || inv.over, f64::from(u8::from(verdict == Verdict::Reset)));
         (self.s.open, self.s.further) = (self.s.open - 1, self.s.further + broke);
         self.learn(now, operation, sent, verdict, took, work);
-        let build = sent.to.build;
-        let binds = verdict == Verdict::Succeeded && self.s.keys_bound;
+        let (build, binds) = (sent.to.build, verdict == Verdict::Succeeded && self.s.keys_bound);
         if binds && matches!(self.phase(build), Phase::OnTrial | Phase::Released) {
             key.map(|key| self.s.bound.entry(key).and_modify(|b| *b = build.max(*b)).or_insert(build));
         }
@@ -712,16 +712,16 @@
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * part;
         let dragging = alike && grown && !self.s.drag_other && drag > DRAG[usize::from(!lives)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
-        let since = now - self.s.drag_since;
+        let (since, held) = (now - self.s.drag_since, self.s.haste * DRAG_HELD);
         let harm = kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2];
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
-        let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
-        let long = since * drag / DRAG[3] > DRAG_BACK[usize::from(!lives || !came)];
+        let came = self.s.drag_since < latest + held / 2.0;
+        let long = since * drag / DRAG[3] > self.s.haste * DRAG_BACK[usize::from(!lives || !came)];
         worse = worse && !released || harm && long && (came || !released);
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if dragging && (harm || since.min(now - latest) < DRAG_HELD) => Look::Dragging,
+            _ if dragging && (harm || since.min(now - latest) < held) => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
@@ -770,8 +770,7 @@
             self.s.held += SWAP_EVERY;
             wish = if self.s.held > HOLD_MOST { Sense::None } else { wish };
         }
-        let since = if wish == self.s.wish { self.s.wish_since } else { now };
-        (self.s.wish, self.s.wish_since) = (wish, since);
+        (self.s.wish, self.s.wish_since) = (wish, if wish == self.s.wish { self.s.wish_since } else { now });
         // While a wish of the voters stays unmet the next stand in: some may be dead or cut off.
         let beyond = f64::from((self.s.rank + 1).saturating_sub(self.s.voters));
         let late = (beyond * f64::from(VOTERS) / f64::from(self.s.voters)).ceil() * STAND_IN;
--- a/src/record.rs
+++ b/src/record.rs
@@ -98,6 +98,8 @@
     pub(crate) by_clock: bool,
     pub(crate) voters: u32,
     pub(crate) renew_every: f64,
+    /// How short the stages are, of those that the times of drags are for.
+    pub(crate) haste: f64,
     pub(crate) first_cap: f64,
     pub(crate) window: f64,
     pub(crate) spare: f64,
