--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -269,7 +269,7 @@
 fn a_build_that_slows_both_arms_goes_back_sooner_where_stages_are_shorter() {
     let back_after = |bake| {
         let mut fake = on_trial_after(0.3, ServiceTerms { bake, ..terms() }, 8);
-        let slow = |_: &HostEntry, _| (Verdict::Succeeded, 0.85);
+        let slow = |_: &HostEntry, _| (Verdict::Succeeded, 0.75);
         (1..200).find(|_| fake.run(0.1, slow).0.contains(&Sense::Back)).expect("a vote back")
     };
     let (long, short) = (back_after(3.0), back_after(1.8));
