--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,8 @@
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
 const DRAG_HELD: f64 = 8.0; // s a stage that a drag without harm holds the build
-const BAKE: [f64; 2] = [3.0, 0.6]; // s a stage bakes where the times around hold; else their least part
 const DRAG_BACK: [f64; 2] = [12.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
+const BAKE: [f64; 2] = [3.0, 0.6]; // s a stage bakes where these times hold; their least part, where less
 const RELENT: f64 = 0.04; // a swap period, of the way down to a lower level; five seconds in all
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
 const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
@@ -712,16 +712,16 @@
         let grown = drag > 1.0 + DRAG_GROWS * (self.s.drag_past - 1.0) && drag < 1.0 + DRAG_SPAN * part;
         let dragging = alike && grown && !self.s.drag_other && drag > DRAG[usize::from(!lives)];
         self.s.drag_since = if dragging { self.s.drag_since } else { now };
-        let (since, held) = (now - self.s.drag_since, self.s.haste * DRAG_HELD);
+        let since = now - self.s.drag_since;
         let harm = kept < self.s.kept_best - MARGINS[0] || lives && drag > DRAG[2];
         // With no earlier host left, going back stops all for a while: it must outlast common troubles.
-        let came = self.s.drag_since < latest + held / 2.0;
+        let came = self.s.drag_since < latest + DRAG_HELD / 2.0;
         let long = since * drag / DRAG[3] > self.s.haste * DRAG_BACK[usize::from(!lives || !came)];
         worse = worse && !released || harm && long && (came || !released);
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if dragging && (harm || since.min(now - latest) < held) => Look::Dragging,
+            _ if dragging && (harm || since.min(now - latest) < DRAG_HELD) => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
