--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -45,6 +45,8 @@
     pub accepts: usize,
     pub backlog: i32,
     pub clients: usize,
+    /// Clients that have asked once and stay without use.
+    pub stayers: usize,
     pub host_links: usize,
     pub idle_links: usize,
     /// Commands of one client that wait for their answers.
@@ -67,6 +69,8 @@
     pub connect_time: f64,
     /// For a client's first command, counted from connecting, and for the rest of one that has begun.
     pub speak: f64,
+    /// Without use for this time, a client that has asked once stays.
+    pub stay: f64,
     /// A client that was turned away has this time to read why.
     pub linger: f64,
     /// The longest time that a client may say it waits.
@@ -130,6 +134,7 @@
             accepts: 64,
             backlog: 1024,
             clients,
+            stayers: (clients / 3).max(1),
             host_links,
             idle_links: host_links / 2,
             pipeline: 16,
@@ -146,6 +151,7 @@
             complaints: 10,
             connect_time: transport.connect_time,
             speak: 2.0,
+            stay: 0.25,
             linger: 0.5,
             longest_wait: 100.0 * longest,
             idle_time: 0.8 * transport.idle_time,
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -27,8 +27,8 @@
     pub(super) lingers: Option<(f64, usize)>,
     /// When it came, or its last command.
     pub(super) used: f64,
-    /// It has sent a whole command.
-    spoke: bool,
+    /// Whole commands that it has sent.
+    asked: usize,
     /// Since when a command has begun and not ended.
     begun: Option<f64>,
     unknown: usize,
@@ -39,20 +39,20 @@
 impl Client {
     fn new(stream: Stream, now: f64) -> Self {
         let (queue, closing, lingers, stuck) = (VecDeque::new(), false, None, None);
-        Client { stream, queue, closing, lingers, used: now, spoke: false, begun: None, unknown: 0, stuck }
+        Client { stream, queue, closing, lingers, used: now, asked: 0, begun: None, unknown: 0, stuck }
     }
 
     fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.stream.unwritten() == 0
     }
 
-    /// Who makes room first: the turned away, the silent, then those without use; those that are in the middle
-    /// of a command last, who have little time for it anyway.
+    /// Who makes room first: the turned away, the silent and who has asked but once, then those that came back;
+    /// those that are in the middle of a command last, who have little time for it anyway.
     fn rank(&self) -> u8 {
         match () {
             () if self.closing => 0,
             () if self.begun.is_some() => 3,
-            () if self.spoke => 2,
+            () if self.asked > 1 => 2,
             () => 1,
         }
     }
@@ -75,6 +75,7 @@
             if self.clients.len() >= self.limits.clients && !self.close_idle_client() {
                 return self.accept_again(now + self.limits.accept_again);
             }
+            self.close_stayer(now);
             let Some(listener) = &self.listener else { return false };
             match listener.accept() {
                 Ok(Some(socket)) => self.accepted(socket, now),
@@ -132,6 +133,18 @@
         }
     }
 
+    /// Some clients ask once and keep their connection for good: all of them together may hold as many as their
+    /// side can open, and none be left to ask on.
+    fn close_stayer(&mut self, now: f64) {
+        let since = now - self.limits.stay;
+        let stays = |client: &Client| client.asked == 1 && client.used < since && client.is_idle();
+        let stayers = self.clients.iter().filter(|(_, client)| stays(client) && client.begun.is_none());
+        if stayers.clone().count() >= self.limits.stayers {
+            let oldest = stayers.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(id, _)| *id);
+            oldest.into_iter().for_each(|id| self.client_left(id));
+        }
+    }
+
     fn free_descriptor(&mut self) -> bool {
         match self.pools.take_oldest() {
             Some(id) => {
@@ -207,7 +220,7 @@
             };
             let Some(client) = self.clients.get_mut(&id) else { return false };
             client.stream.consume(used);
-            (client.used, client.spoke, client.begun) = (self.clock.now(), true, None);
+            (client.used, client.asked, client.begun) = (self.clock.now(), client.asked + 1, None);
             client.unknown += usize::from(matches!(step, Step::Unknown));
             if client.unknown > self.limits.unknown {
                 return self.reject(id, &Malformed::new("too many unknown commands"));
@@ -280,8 +293,8 @@
         let since = now - self.limits.speak;
         let late = self.clients.iter().filter(|(_, client)| match client.begun {
             _ if client.closing => client.lingers.is_some_and(|(until, _)| until < now),
-            Some(begun) => begun < since || !client.spoke && client.used < since,
-            None => !client.spoke && client.used < since,
+            Some(begun) => begun < since || client.asked == 0 && client.used < since,
+            None => client.asked == 0 && client.used < since,
         });
         for (id, begun) in late.map(|(id, client)| (*id, client.begun.is_some())).collect::<Vec<_>>() {
             match self.clients.get(&id) {
