--- a/src/choice.rs
+++ b/src/choice.rs
@@ -721,7 +721,8 @@
         match pooled {
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
-            _ if harm && drag > DRAG[0] || dragging && since.min(now - latest) < DRAG_HELD => Look::Dragging,
+            _ if dragging && (harm || since.min(now - latest) < DRAG_HELD) => Look::Dragging,
+            _ if harm && drag > DRAG[0] && now - latest < self.s.haste * DRAG_HELD => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -265,6 +265,17 @@
     assert!(!votes.contains(&Sense::On) && votes.last() == Some(&Sense::Back), "{votes:?}");
 }
 
+#[test]
+fn a_stage_is_not_moved_on_at_once_while_the_earlier_hosts_are_slow_and_late() {
+    let mut fake = on_trial_after(0.3, terms(), 8);
+    let burst = |h: &HostEntry, _| (Verdict::Succeeded, if h.build == OLD { 0.85 } else { 0.3 });
+    assert!(
+        !fake.run(4.0, burst).0.contains(&Sense::On),
+        "the trial's few hosts are quicker, that says little"
+    );
+    assert!(fake.run(6.0, burst).0.contains(&Sense::On), "nor does a lasting trouble keep a build for good");
+}
+
 #[test]
 fn a_build_that_slows_both_arms_goes_back_sooner_where_stages_are_shorter() {
     let back_after = |bake| {
