Weights and revisions reach the decisions, narrowing only; ids of hosts are 64 bits

Need: operators' weights and states are to narrow what the module chooses, an invocation is to be finished under the revision it came under, and ids are to be the same in every thread (32-bit hashes of 16,384 names meet in 3 of 100 lists). Change: Event::Operators; hosts know the revision they came with, invocations the set they came under; the two hosts are drawn by weight and compared by dispatches over weight; a cold host's weight counts as far as it carries it (src/narrow.rs). Ids and names of zones and kinds are FNV-1a of 64 bits in the router, and names are no longer kept for good.

--- a/benchlink/src/codec.rs
+++ b/benchlink/src/codec.rs
@@ -20,9 +20,9 @@
     Ok(HostEntry {
         host: HostId(line.whole("host")?),
         build: BuildId(line.number("runs")? as u16),
-        zone: ZoneId(names.number(line.text("locality")?)),
+        zone: names.zone(line.text("locality")?),
         cell: CellId(line.whole("block")?),
-        kind: KindId(names.number(line.text("family_type")?)),
+        kind: names.kind(line.text("family_type")?),
         size: line.number("heft")?,
         started: (started > 0).then(|| seconds(started)),
         state,
--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -99,7 +99,7 @@
     })?;
     let seed = file.seed.trim_start_matches("0x");
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed} is no hexadecimal number"))?;
-    let mut names = Names::default();
+    let mut names = Names::Named;
     let (terms, transport) = decode(&Fields::from_json("settings", &file.settings), &mut names)?;
     let known = file.known.map(|known| discovery::list(known.get().as_bytes())).transpose();
     let known = known.map_err(|e| format!("known: {e}"))?;
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -50,8 +50,7 @@
 
     /// The same at every router and after every start, but for the rare uids whose hashes meet.
     pub(super) fn id(&self, uid: &str) -> HostId {
-        let hash = |hash: u32, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-        let mut id = HostId(uid.bytes().fold(0x811c_9dc5, hash));
+        let mut id = HostId::named(uid);
         while self.sites.get(&id).is_some_and(|site| *site.uid != *uid) {
             id.0 = id.0.wrapping_add(1);
         }
@@ -73,9 +72,9 @@
         let entry = HostEntry {
             host,
             build: BuildId(target.build),
-            zone: ZoneId(names.number(&target.az)),
+            zone: names.zone(&target.az),
             cell: CellId(target.pod_group),
-            kind: KindId(names.number(&target.model)),
+            kind: names.kind(&target.model),
             size: target.capacity_hint,
             started: target.started(),
             state,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,7 @@
 use rand_distr::{Beta, Distribution};
 
 use crate::interface::*;
+use crate::narrow::{Weighed, in_force};
 use crate::record::*;
 
 const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
@@ -147,7 +148,7 @@
         (s.cold_share, s.cold_time) = (terms.cold_share, terms.cold_time.max(GUARD));
         (s.cold_spend, s.may_tell) = (COLD_SPEND.min(0.5 * terms.fall_multiple), terms.may_tell);
         (s.may_copy, s.advice) = (terms.may_copy, terms.may_advise.then_some(terms.longest_advice));
-        s.most_dispatches = terms.most_dispatches.max(1) as usize;
+        (s.fall_multiple, s.most_dispatches) = (terms.fall_multiple, terms.most_dispatches.max(1) as usize);
         s.slots = terms.operations.len().clamp(1, SLOTS);
         s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
         s.sight = s.sums.clone();
@@ -164,6 +165,10 @@
         }
         match event {
             Event::Hosts { scope, entries } => self.list(now, scope, &entries),
+            Event::Operators { set, entries } => {
+                self.s.set = set;
+                self.list(now, ListScope::Changes, &entries);
+            }
             Event::ListFailed if self.s.list_asked => {
                 // A subscription that broke would count as told; ask again soon, spread and slower each time.
                 let wait = self.s.follow_wait * (0.5 + self.rng.random::<f64>());
@@ -203,13 +208,19 @@
             self.s.hosts.values_mut().for_each(|h| h.usable = false);
         }
         for entry in entries {
-            let new = || Host { entry: *entry, usable: false, out: vec![], used: f64::MIN, health: UNKNOWN };
+            let since = self.s.set.revision;
+            let (out, used, health, weight) = (vec![], f64::MIN, UNKNOWN, 1.0);
+            let new = || Host { entry: *entry, usable: false, out, used, health, since, weight };
             let host = self.s.hosts.entry(entry.host).or_insert_with(new);
-            if !host.entry.same_process(entry) {
+            let same = host.entry.same_process(entry);
+            if !same {
                 (host.health, host.out) = (UNKNOWN, vec![]); // another machine: nothing of it is its own yet
             }
+            // Invocations of an earlier revision do not go to what came with a later one.
+            host.since = if same && host.usable { host.since } else { since };
             (host.entry, host.usable) = (*entry, entry.state == HostState::Running);
         }
+        self.weigh(now);
         if self.s.fleet <= 0.0 {
             self.s.open_most = OPEN[0] * self.usable().count() as f64 * self.s.share;
         }
@@ -217,6 +228,24 @@
         self.s.hosts.retain(|_, h| h.usable || !h.out.is_empty() || now - h.used < REMEMBERED);
     }
 
+    /// A host that has just started has its weight only as far as it carries it, whenever it was set.
+    fn weights(&self, now: f64, set: &OperatorSet) -> BTreeMap<HostId, f64> {
+        let weighed = |h: &HostEntry| {
+            let (weight, warmth) = (set.weight(h.host), self.warmth(h, now));
+            Weighed { size: h.size, weight, warmth }
+        };
+        let (ids, hosts): (Vec<_>, Vec<_>) = self.usable().map(|h| (h.entry.host, weighed(&h.entry))).unzip();
+        ids.into_iter().zip(in_force(&hosts, self.s.fall_multiple)).collect()
+    }
+
+    fn weigh(&mut self, now: f64) {
+        let none = self.s.set.weights.is_empty();
+        let weights = if none { BTreeMap::new() } else { self.weights(now, &self.s.set) };
+        let weighed = self.s.hosts.iter_mut().filter(|_| !none || self.s.weighed);
+        weighed.for_each(|(id, host)| host.weight = weights.get(id).copied().unwrap_or(1.0));
+        self.s.weighed = !none;
+    }
+
     fn usable(&self) -> impl Iterator<Item = &Host> {
         self.s.hosts.values().filter(|h| h.usable)
     }
@@ -282,7 +311,8 @@
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, operation, bound));
         let (key, again, sent) = (inv.key, inv.again, vec![]);
-        let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false };
+        let set = self.s.set.clone();
+        let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false, set };
         self.s.invs.insert(inv.id.clone(), record);
         self.s.asked = Self::rate(self.s.asked, now, 1.0);
         self.dispatch_or_end(now, &inv.id, false, effects);
@@ -465,22 +495,24 @@
         cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
     }
 
-    fn load(&self, host: &Host, now: f64) -> f64 {
+    fn load(&self, host: &Host, weight: f64, now: f64) -> f64 {
         let far = if self.s.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
         // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
         let longest = self.s.operations.iter().map(|o| o.slo).fold(GUARD, f64::max);
         let silent = ((now - host.out.iter().copied().fold(now, f64::min)) / (SILENT * longest)).max(1.0);
         let speed = host.entry.size.max(GUARD) * self.warmth(&host.entry, now);
-        (host.out.len() as f64 + 1.0 + far) * host.health.pace.max(0.5) * silent / speed
+        (host.out.len() as f64 / weight + 1.0 + far) * host.health.pace.max(0.5) * silent / speed
     }
 
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
         let inv = self.s.invs.get(id)?;
         let ((first, _), bound) = (self.trace(now, inv), self.bound_to(&inv.key));
         let group = self.s.operations[inv.operation].group;
+        // An invocation is decided under the revision it came under; what was taken out since, is out.
+        let own = (inv.set.revision != self.s.set.revision).then(|| self.weights(now, &inv.set));
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
-        let mut open: Vec<(usize, u8, HostId, f64, bool)> = vec![];
-        for host in self.usable() {
+        let mut open: Vec<(usize, u8, HostId, f64, bool, f64)> = vec![];
+        for host in self.usable().filter(|host| host.since <= inv.set.revision) {
             let build = host.entry.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
@@ -501,7 +533,8 @@
                 let tier = if tried { 2 } else { u8::from(doubtful) };
                 let arm = usize::from(self.phase(build) == Phase::OnTrial);
                 let warmth = self.warmth(&host.entry, now);
-                open.push((arm, tier, id, host.entry.size * warmth, warmth < 1.0));
+                let weight = own.as_ref().map_or(host.weight, |own| own.get(&id).copied().unwrap_or(1.0));
+                open.push((arm, tier, id, weight * host.entry.size * warmth, warmth < 1.0, weight));
             }
         }
         // Rule 4: of all routers a cold host gets by this draw its fair share of what succeeds, and no more.
@@ -516,7 +549,7 @@
         let key = inv.key.clone().filter(|_| self.s.keys_warm);
         let [(e, we), (t, wt)] = [EARLIER, TRIAL].map(|arm| {
             let hosts = || open.iter().filter(|o| o.0 == arm && o.1 == best);
-            let ids: Vec<_> = hosts().map(|o| o.2).collect();
+            let ids: Vec<_> = hosts().map(|o| (o.2, o.5)).collect();
             (self.lesser(&ids, &key, now), hosts().map(|o| o.3).sum::<f64>())
         });
         // When tight, the trial holds its machines' part of what is open: bound keys come again and again.
@@ -547,18 +580,20 @@
 
     /// The lesser in-flight of two random hosts; the key's hash names them where hosts know keys. A router
     /// keeps to as many pairs as its traffic keeps connected and known: hosts accept few connections.
-    fn lesser(&mut self, hosts: &[HostId], key: &Option<KeyId>, now: f64) -> Option<HostId> {
+    fn lesser(&mut self, hosts: &[(HostId, f64)], key: &Option<KeyId>, now: f64) -> Option<HostId> {
         let hash = key.as_ref().map(|key| key.0.bytes().fold(0, |h, b| mix(h ^ u64::from(b))));
         let salt = hash.unwrap_or_else(|| self.rng.random());
         let (all, of_me) = (hosts.len() as f64, f64::from(self.s.routers) * self.s.share);
         let pairs = CONNECTED * all * (1.0 + of_me) / (4.0 * f64::from(self.s.routers));
         let mine = mix(u64::from(self.s.me.0) + 1) ^ (salt % pairs.max(1.0) as u64);
         let salt = if pairs < all { mine } else { salt };
-        let place = |id: &&HostId| mix(salt ^ u64::from(id.0));
-        let one = hosts.iter().min_by_key(place);
-        let two = hosts.iter().filter(|id| Some(*id) != one).min_by_key(place);
-        let known = one.into_iter().chain(two).filter_map(|id| self.s.hosts.get(id));
-        let loads = known.map(|host| (self.load(host, now), host.entry.host));
+        // The least of such draws is a host's with a chance in proportion to its weight.
+        let place = |of: &(HostId, f64)| -(-(mix(salt ^ of.0.0) as f64) / 2f64.powi(64)).ln_1p() / of.1;
+        let by_place = |a: &&(HostId, f64), b: &&(HostId, f64)| place(a).total_cmp(&place(b));
+        let one = hosts.iter().min_by(by_place);
+        let two = hosts.iter().filter(|of| Some(*of) != one).min_by(by_place);
+        let known = one.into_iter().chain(two).filter_map(|of| Some((self.s.hosts.get(&of.0)?, of.1)));
+        let loads = known.map(|(host, weight)| (self.load(host, weight, now), host.entry.host));
         loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
@@ -567,6 +602,7 @@
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
+        self.weigh(now);
         (self.s.part, self.s.trial_hosts) = self.trial_part();
         let part = self.s.part;
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,7 +12,20 @@
 pub struct KeyId(pub Arc<str>);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HostId(pub u32);
+pub struct HostId(pub u64);
+
+impl HostId {
+    /// The id of a host by its name (FNV-1a, 64 bits): the same at every router, in every thread and after
+    /// every start, without anybody having to hand out numbers.
+    pub fn named(name: &str) -> Self {
+        HostId(named(name))
+    }
+}
+
+fn named(name: &str) -> u64 {
+    let hash = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, hash)
+}
 
 /// A build; a later one has a higher number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,14 +40,32 @@
 pub struct OperationId(pub usize);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ZoneId(pub u32);
+pub struct ZoneId(pub u64);
+
+impl ZoneId {
+    /// By its name, as [`HostId::named`].
+    pub fn named(name: &str) -> Self {
+        ZoneId(named(name))
+    }
+}
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u32);
 
 /// A kind of machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct KindId(pub u32);
+pub struct KindId(pub u64);
+
+impl KindId {
+    /// By its name, as [`HostId::named`].
+    pub fn named(name: &str) -> Self {
+        KindId(named(name))
+    }
+}
+
+/// A set of operators' wishes in force, by its number; 0 before there was any.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(pub u64);
 
 /// The place of a dispatch among those of its invocation, from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -167,6 +198,22 @@
     }
 }
 
+/// What operators want weighed, as one whole. Weights are only a narrowing: they share out what the decisions
+/// let a host have.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorSet {
+    pub revision: Revision,
+    /// In ascending order of hosts; those that are not in it weigh 1.
+    pub weights: Box<[(HostId, f64)]>,
+}
+
+impl OperatorSet {
+    pub fn weight(&self, host: HostId) -> f64 {
+        let place = self.weights.binary_search_by_key(&host, |weight| weight.0);
+        place.map_or(1.0, |place| self.weights[place].1)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
     /// Only the changed entries.
@@ -247,6 +294,11 @@
         scope: ListScope,
         entries: Arc<[HostEntry]>,
     },
+    /// A new revision is in force, with the entries that it changes.
+    Operators {
+        set: Arc<OperatorSet>,
+        entries: Arc<[HostEntry]>,
+    },
     ListFailed,
     Arrived(Invocation),
     Streaming {
--- /dev/null
+++ b/src/narrow.rs
@@ -0,0 +1,56 @@
+//! What the weights that operators set come to when they are used. A weight shares out traffic between hosts;
+//! that of a host which has just started counts only as far as the host can carry it, whatever was well when
+//! the weight was set. Pure arithmetic, the same for the check of a new set and for its use.
+
+/// Of what makes a cold host fall over, the part that a weight may use up: two hosts are compared for each
+/// dispatch, so one may get twice its share before its load shows.
+pub const HEADROOM: f64 = 0.5;
+
+/// Steps towards the level that all weights are measured by. Each is safe to stop at; three come within a
+/// hundredth where one host in ten is cold.
+const STEPS: usize = 3;
+
+/// One host's part in it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weighed {
+    pub size: f64,
+    /// As operators set it.
+    pub weight: f64,
+    /// The part of its work that it can do by now; 1 once it is warm.
+    pub warmth: f64,
+}
+
+/// How many times its fair share a host may be given by weight alone: any number when warm, and before that
+/// what leaves room below the fall, but always the fair share itself.
+pub fn carried(warmth: f64, fall_multiple: f64) -> f64 {
+    if warmth >= 1.0 { f64::INFINITY } else { (HEADROOM * fall_multiple * warmth).max(1.0) }
+}
+
+/// How many times its fair share a host gets by its weight among others, as the weights stand.
+pub fn share(host: &Weighed, among: &[Weighed]) -> f64 {
+    let size: f64 = among.iter().map(|other| other.size).sum();
+    let weights: f64 = among.iter().map(|other| other.size * other.weight).sum();
+    if weights > 0.0 && size > 0.0 { host.weight * size / weights } else { 1.0 }
+}
+
+/// What each weight counts for, 1 being an even share: no cold host's exceeds what it may carry, measured by
+/// the level of all weights as they count themselves.
+pub fn in_force(hosts: &[Weighed], fall_multiple: f64) -> Vec<f64> {
+    let size: f64 = hosts.iter().map(|host| host.size).sum();
+    let first = hosts.first().map_or(1.0, |host| host.weight);
+    if size <= 0.0 || hosts.iter().all(|host| host.weight == first) {
+        return vec![1.0; hosts.len()];
+    }
+    // From below: a level that is too low only narrows. At the least weight every host counts alike, and warm
+    // hosts count in full whatever the level is.
+    let least = hosts.iter().map(|host| host.weight).fold(f64::INFINITY, f64::min);
+    let warm = hosts.iter().filter(|host| host.warmth >= 1.0);
+    let mut level = least.max(warm.map(|host| host.size * host.weight).sum::<f64>() / size);
+    let counts = |host: &Weighed, level: f64| host.weight.min(level * carried(host.warmth, fall_multiple));
+    let mean = |level: f64| hosts.iter().map(|host| host.size * counts(host, level)).sum::<f64>() / size;
+    for _ in 0..STEPS {
+        level = mean(level).max(level);
+    }
+    let all = mean(level);
+    hosts.iter().map(|host| counts(host, level) / all).collect()
+}
--- a/src/record.rs
+++ b/src/record.rs
@@ -2,6 +2,7 @@
 //! every decision, table and tuned value is in `choice.rs`.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use crate::interface::*;
 
@@ -40,6 +41,10 @@
     pub(crate) out: Vec<f64>,
     pub(crate) used: f64,
     pub(crate) health: Health,
+    /// The revision that it came with, or came back with.
+    pub(crate) since: Revision,
+    /// What its weight counts for now, 1 being an even share.
+    pub(crate) weight: f64,
 }
 
 #[derive(Clone, Copy)]
@@ -66,6 +71,8 @@
     pub(crate) limit: f64,
     pub(crate) sent: Vec<Sent>,
     pub(crate) over: bool,
+    /// What operators had set when it came.
+    pub(crate) set: Arc<OperatorSet>,
 }
 
 /// Low quantiles of times, for each unit of expected work.
@@ -111,6 +118,7 @@
     pub(crate) cold_share: f64,
     pub(crate) cold_time: f64,
     pub(crate) cold_spend: f64,
+    pub(crate) fall_multiple: f64,
     pub(crate) may_tell: bool,
     pub(crate) may_copy: bool,
     pub(crate) advice: Option<f64>,
@@ -118,6 +126,9 @@
     pub(crate) slots: usize,
     pub(crate) tick: f64,
     // Seen since.
+    pub(crate) set: Arc<OperatorSet>,
+    /// Some host's weight may be other than 1.
+    pub(crate) weighed: bool,
     pub(crate) hosts: BTreeMap<HostId, Host>,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) alarms: BTreeMap<u64, Task>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -8,18 +8,38 @@
 pub use fields::{Fields, seconds};
 use kestreltide::interface::*;
 
-/// Zones and kinds by name, numbered as they are met.
-#[derive(Default)]
-pub struct Names(BTreeMap<String, u32>);
+/// Zones and kinds by name.
+pub enum Names {
+    /// Numbered as they are met: small numbers for a party that tells few of them.
+    Met(BTreeMap<String, u64>),
+    /// By what the names themselves say, so that every thread comes to the same and nothing is kept.
+    Named,
+}
 
 impl Names {
-    pub fn number(&mut self, name: &str) -> u32 {
-        if let Some(number) = self.0.get(name) {
-            return *number;
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        match self {
+            Names::Met(met) => ZoneId(Self::number(met, name)),
+            Names::Named => ZoneId::named(name),
         }
-        let next = self.0.len() as u32;
-        self.0.insert(name.into(), next);
-        next
+    }
+
+    pub fn kind(&mut self, name: &str) -> KindId {
+        match self {
+            Names::Met(met) => KindId(Self::number(met, name)),
+            Names::Named => KindId::named(name),
+        }
+    }
+
+    fn number(met: &mut BTreeMap<String, u64>, name: &str) -> u64 {
+        let next = met.len() as u64;
+        *met.entry(name.into()).or_insert(next)
+    }
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        Names::Met(BTreeMap::new())
     }
 }
 
@@ -171,7 +191,7 @@
     let terms = ServiceTerms {
         me: RouterId(fields.whole("me")?),
         routers: fields.whole("group_size")?,
-        zone: fields.maybe("my_zone").map(|zone| ZoneId(names.number(zone))),
+        zone: fields.maybe("my_zone").map(|zone| names.zone(zone)),
         operations,
         billed_by_work: fields.text("worth_by")? == "work",
         list_asked,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -80,7 +80,7 @@
     }
 }
 
-pub fn host(id: u32, build: BuildId, started: Option<f64>) -> HostEntry {
+pub fn host(id: u64, build: BuildId, started: Option<f64>) -> HostEntry {
     let (zone, cell, kind) = (ZoneId(0), CellId(0), KindId(0));
     let state = HostState::Running;
     HostEntry { host: HostId(id), build, zone, cell, kind, size: 1.0, started, state }
@@ -108,7 +108,7 @@
 
 impl Fake {
     /// A router that knows so many warm hosts of the old build, which is released.
-    pub fn new(terms: ServiceTerms, hosts: u32) -> Self {
+    pub fn new(terms: ServiceTerms, hosts: u64) -> Self {
         let router = Router::start(terms, 11, 100.0);
         let mut fake = Fake { router, now: 100.0, taken: 0, hosts: vec![], alarms: vec![] };
         fake.list((0..hosts).map(|id| host(id, OLD, None)).collect());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -8,16 +8,16 @@
 use rstest::rstest;
 
 /// Every fourth host already runs the new build, started long before.
-fn on_trial(terms: ServiceTerms, hosts: u32) -> Fake {
+fn on_trial(terms: ServiceTerms, hosts: u64) -> Fake {
     on_trial_after(0.1, terms, hosts)
 }
 
 /// The same, after the hosts have answered in this time.
-fn on_trial_after(took: f64, terms: ServiceTerms, hosts: u32) -> Fake {
+fn on_trial_after(took: f64, terms: ServiceTerms, hosts: u64) -> Fake {
     let mut fake = Fake::new(terms, hosts);
     fake.run(4.0, |_, _| (Verdict::Succeeded, took));
     fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
-    let build = |id: u32| if id.is_multiple_of(4) { NEW } else { OLD };
+    let build = |id: u64| if id.is_multiple_of(4) { NEW } else { OLD };
     fake.list((0..hosts).map(|id| host(id, build(id), None)).collect());
     fake
 }
@@ -303,7 +303,7 @@
 fn a_sick_host_is_set_aside_and_does_not_speak_for_its_build() {
     let mut fake = on_trial(ServiceTerms { stage_shares: vec![0.5], ..terms() }, 12);
     fake.feed(news(NEW, 0, Phase::OnTrial, 0.9));
-    let build = |id: u32| if id.is_multiple_of(2) { NEW } else { OLD };
+    let build = |id: u64| if id.is_multiple_of(2) { NEW } else { OLD };
     fake.list((0..12).map(|id| host(id, build(id), None)).collect());
     let sick = |h: &HostEntry| h.host == HostId(4);
     let how = |h: &HostEntry, _| (if sick(h) { Verdict::Reset } else { Verdict::Succeeded }, 0.1);
@@ -368,7 +368,7 @@
     // Too many hosts for any to be met often: none has failed enough yet to be set aside.
     let mut fake = on_trial(ServiceTerms { stage_shares: vec![0.5], ..terms() }, 200);
     fake.feed(news(NEW, 0, Phase::OnTrial, 0.9));
-    let build = |id: u32| if id.is_multiple_of(2) { NEW } else { OLD };
+    let build = |id: u64| if id.is_multiple_of(2) { NEW } else { OLD };
     fake.list((0..200).map(|id| host(id, build(id), None)).collect());
     let few = |h: &HostEntry| h.host.0 < 50 && h.build == NEW;
     // The earlier hosts are late, so that errors alone could speak against the trial.
--- /dev/null
+++ b/tests/weights.rs
@@ -0,0 +1,180 @@
+//! Stories of what operators set, as the decisions meet it: weights only share out what hosts may have, and an
+//! invocation is finished under the revision that it came under.
+
+mod fake;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use fake::*;
+use kestreltide::interface::*;
+use kestreltide::narrow::{Weighed, carried, in_force, share};
+use rstest::rstest;
+
+fn set(revision: u64, weights: &[(u64, f64)]) -> Arc<OperatorSet> {
+    let weights = weights.iter().map(|(host, weight)| (HostId(*host), *weight)).collect();
+    Arc::new(OperatorSet { revision: Revision(revision), weights })
+}
+
+fn operators(revision: u64, weights: &[(u64, f64)], entries: &[HostEntry]) -> Event {
+    Event::Operators { set: set(revision, weights), entries: entries.into() }
+}
+
+fn shares(sent: &[HostEntry]) -> BTreeMap<u64, f64> {
+    let mut counts = BTreeMap::new();
+    sent.iter().for_each(|to| *counts.entry(to.host.0).or_insert(0.0) += 1.0 / sent.len() as f64);
+    counts
+}
+
+/// Asks at a steady pace while each answer takes a while, so that several are always open; whom it was sent to.
+fn busy(fake: &mut Fake, seconds: f64) -> Vec<HostEntry> {
+    let (mut open, mut sent, until) = (VecDeque::new(), vec![], fake.now + seconds);
+    while fake.now < until {
+        fake.run(0.01, well);
+        let (id, effects) = fake.ask(READ, None);
+        if let Some(to) = sent_to(&effects) {
+            sent.extend(fake.hosts.iter().find(|host| host.host == to).copied());
+            open.push_back(id);
+        }
+        if open.len() > 5 {
+            open.pop_front().map(|id| fake.end(&id, 0, Verdict::Succeeded, 0.1));
+        }
+    }
+    while let Some(id) = open.pop_front() {
+        fake.end(&id, 0, Verdict::Succeeded, 0.1);
+    }
+    sent
+}
+
+fn well(_: &HostEntry, _: OperationId) -> (Verdict, f64) {
+    (Verdict::Succeeded, 0.1)
+}
+
+#[rstest]
+#[case::half(0.5, 0.14)]
+#[case::tenth(0.1, 0.03)]
+#[case::double(2.0, 0.40)]
+fn a_host_gets_traffic_by_its_weight(#[case] weight: f64, #[case] expected: f64) {
+    let mut fake = Fake::new(terms(), 4);
+    fake.feed(operators(1, &[(0, weight)], &[]));
+    let sent = busy(&mut fake, 40.0);
+    let got = shares(&sent).get(&0).copied().unwrap_or(0.0);
+    // Two hosts are drawn by weight and compared: a light one gets between its part and twice it.
+    assert!((0.6 * expected..2.1 * expected).contains(&got), "{got} of {expected}");
+}
+
+#[test]
+fn weights_move_neither_the_cap_nor_the_votes() {
+    let run = |weights: &[(u64, f64)]| {
+        let mut fake = Fake::new(ServiceTerms { exposure_spare: 0.0, ..terms() }, 4);
+        fake.run(4.0, well);
+        fake.feed(news(NEW, 0, Phase::OnTrial, 0.1));
+        fake.list((0..4).map(|id| host(id, if id == 0 { NEW } else { OLD }, None)).collect());
+        fake.feed(operators(1, weights, &[]));
+        let (votes, sent) = fake.run(12.0, well);
+        (votes.contains(&Sense::On), shares(&sent).get(&0).copied().unwrap_or(0.0))
+    };
+    let (votes, at_cap) = run(&[(0, 100.0)]);
+    assert!(votes && at_cap <= 0.1, "{votes} {at_cap}");
+    let (votes, little) = run(&[(0, 0.1)]);
+    assert!(votes && little < 0.06, "a lighter trial gets less, and is voted on as before: {votes} {little}");
+}
+
+#[test]
+fn a_host_that_restarts_under_a_heavy_weight_gets_no_more_than_it_can_carry_until_it_is_warm() {
+    let mut fake = Fake::new(terms(), 10);
+    fake.feed(operators(1, &[(0, 20.0)], &[]));
+    let before = busy(&mut fake, 8.0);
+    let now = fake.now;
+    let entries = [host(0, OLD, Some(now))].into();
+    fake.feed(Event::Hosts { scope: ListScope::Changes, entries });
+    fake.hosts[0] = host(0, OLD, Some(now));
+    // Half a second after its start it does 0.475 of its work: three times that is where it falls.
+    let cold = busy(&mut fake, 0.5);
+    busy(&mut fake, 3.6);
+    let warm = busy(&mut fake, 8.0);
+    let of = |sent: &[HostEntry]| 10.0 * shares(sent).get(&0).copied().unwrap_or(0.0);
+    assert!(of(&before) > 3.0 && of(&warm) > 3.0, "{} {}", of(&before), of(&warm));
+    assert!(of(&cold) < 3.0 * 0.475, "{}", of(&cold));
+}
+
+/// Which host a second dispatch of an invocation of the first revision goes to, once the second is in force.
+#[rstest]
+#[case::a_host_that_came_later(&[host(1, OLD, None), host(2, OLD, None)], &[1])]
+#[case::one_that_was_taken_out(&[HostEntry { state: HostState::Stopping, ..host(1, OLD, None) }, host(2, OLD, None)], &[])]
+#[case::one_that_came_back(&[HostEntry { state: HostState::Stopping, ..host(1, OLD, None) }, host(1, OLD, None)], &[])]
+fn a_further_dispatch_keeps_to_the_revision_that_its_invocation_came_under(
+    #[case] changes: &[HostEntry], #[case] may: &[u64],
+) {
+    let mut met = 0;
+    for _ in 0..20 {
+        let mut fake = Fake::new(terms(), 0);
+        fake.feed(operators(1, &[], &[host(0, OLD, None), host(1, OLD, None)]));
+        let (id, effects) = fake.ask(READ, None);
+        if sent_to(&effects) != Some(HostId(0)) {
+            continue;
+        }
+        met += 1;
+        fake.feed(operators(
+            2,
+            &[],
+            &[&[HostEntry { state: HostState::Gone, ..host(0, OLD, None) }], changes].concat(),
+        ));
+        let next = sent_to(&fake.end(&id, 0, Verdict::NoConnection, 0.0));
+        assert_eq!(next.map(|host| host.0), may.first().copied());
+        let (_, effects) = fake.ask(READ, None);
+        let of_new = sent_to(&effects).map(|host| host.0);
+        assert!(
+            of_new.is_some_and(|host| host != 0),
+            "what comes now is decided under the second: {of_new:?}"
+        );
+    }
+    assert!(met > 0);
+}
+
+#[test]
+fn a_further_dispatch_is_weighed_as_its_invocation_was() {
+    let count = |weights: &[(u64, f64)]| {
+        let mut to_last = 0;
+        for seed in 0..400 {
+            let mut fake = Fake::new(terms(), 3);
+            (0..seed % 7).for_each(|_| drop(fake.ask(READ, None)));
+            fake.feed(operators(1, weights, &[]));
+            let (id, _) = fake.ask(READ, None);
+            fake.feed(operators(2, &[], &[]));
+            let next = sent_to(&fake.end(&id, 0, Verdict::NoConnection, 0.0));
+            to_last += u32::from(next == Some(HostId(2)));
+        }
+        to_last
+    };
+    // Where all are sent alike under the second revision, the first one's weight still shows.
+    let (light, even) = (count(&[(2, 0.01)]), count(&[]));
+    assert!(light * 4 < even, "{light} {even}");
+}
+
+fn weighed(weight: f64, warmth: f64) -> Weighed {
+    Weighed { size: 1.0, weight, warmth }
+}
+
+/// Fleets in which a cold host's weight is heavy by itself, by what others weigh, or with others.
+#[rstest]
+#[case::alone(vec![weighed(50.0, 0.4), weighed(1.0, 1.0), weighed(1.0, 1.0)])]
+#[case::others_light(vec![weighed(1.0, 0.4), weighed(0.01, 1.0), weighed(0.01, 1.0)])]
+#[case::others_light_and_cold(vec![weighed(1.0, 0.4), weighed(0.01, 0.4), weighed(0.01, 0.4), weighed(1.0, 1.0)])]
+#[case::all_cold(vec![weighed(9.0, 0.4), weighed(1.0, 0.5), weighed(0.1, 0.6)])]
+#[case::many_heavy([vec![weighed(100.0, 0.4); 10], vec![weighed(1.0, 1.0); 90]].concat())]
+fn no_cold_host_counts_for_more_than_it_carries(#[case] hosts: Vec<Weighed>) {
+    let count = in_force(&hosts, 3.0);
+    let mean = count.iter().sum::<f64>() / count.len() as f64;
+    assert!((mean - 1.0).abs() < 1e-9, "an even share is 1: {mean}");
+    for (host, count) in hosts.iter().zip(&count) {
+        assert!(*count <= carried(host.warmth, 3.0) + 1e-9, "{count} of {host:?}");
+        assert!(*count <= share(host, &hosts).max(carried(host.warmth, 3.0)) + 1e-9 || host.warmth >= 1.0);
+    }
+}
+
+#[test]
+fn even_weights_are_no_weights() {
+    assert_eq!(in_force(&[weighed(7.0, 0.4), weighed(7.0, 1.0)], 3.0), [1.0, 1.0]);
+    assert_eq!(in_force(&[], 3.0), [0.0; 0]);
+}
