--- /dev/null
+++ b/datastore/src/check.rs
@@ -0,0 +1,365 @@
+//! The checks of a candidate against the terms and the rules. Each looks at the whole and names all that it
+//! finds; none changes anything.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kestreltide::interface::*;
+use kestreltide::narrow::{self, Weighed};
+
+use crate::fault::{Fault, Faults, Rule};
+use crate::merge::{Listed, merge};
+use crate::tree::{AdminState, Difference, HostName, Leaf, Path, Tree, Value};
+
+/// Hosts that a router keeps at most.
+pub const HOSTS_MOST: usize = 16 * 1024;
+/// Seconds that a start may lie ahead: clocks of machines differ a little.
+const CLOCK_SPAN: f64 = 1.0;
+/// Seconds after which a candidate that waits for news is looked at again.
+const LOOK_AGAIN: f64 = 0.2;
+/// Times its share before: less is rounding.
+const GREW: f64 = 1.0001;
+
+/// What of the terms the checks go by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RuleTerms {
+    pub routers: u32,
+    pub cold_share: f64,
+    pub cold_time: f64,
+    pub fall_multiple: f64,
+}
+
+impl From<&ServiceTerms> for RuleTerms {
+    fn from(terms: &ServiceTerms) -> Self {
+        RuleTerms {
+            routers: terms.routers.max(1),
+            cold_share: terms.cold_share,
+            cold_time: terms.cold_time,
+            fall_multiple: terms.fall_multiple,
+        }
+    }
+}
+
+impl RuleTerms {
+    /// The part of its work that a host can do so long after its start.
+    pub fn warmth(&self, started: Option<f64>, now: f64) -> f64 {
+        let age = started.map_or(f64::INFINITY, |started| (now - started).max(0.0));
+        let part = if self.cold_time > 0.0 { (age / self.cold_time).min(1.0) } else { 1.0 };
+        self.cold_share + (1.0 - self.cold_share) * part
+    }
+}
+
+/// What the router knows that operators do not set.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    pub now: f64,
+    /// What discovery lists; `None` where it is not asked.
+    pub discovery: Option<Arc<[Listed]>>,
+    /// Discovery has told its list, or is not asked.
+    pub heard: bool,
+    pub news: Option<StageNews>,
+}
+
+/// Processes that operators have drained, by name: when each had started, or was drained where nobody knows.
+pub type Drained = BTreeMap<HostName, f64>;
+/// Since when hosts are listed whose start nobody tells.
+pub type Seen = BTreeMap<HostName, f64>;
+
+/// Everything a check may look at.
+pub struct Context<'a> {
+    pub terms: &'a RuleTerms,
+    pub facts: &'a Facts,
+    pub old: &'a Tree,
+    pub new: &'a Tree,
+    pub drained: &'a Drained,
+    /// All hosts as they count, before and after, in the order of names.
+    was: BTreeMap<Arc<str>, Listed>,
+    is: BTreeMap<Arc<str>, Listed>,
+    changes: &'a [Difference],
+}
+
+/// All hosts as they count under a tree.
+pub fn merged(tree: &Tree, seen: &Seen, facts: &Facts) -> BTreeMap<Arc<str>, Listed> {
+    let listed = facts.discovery.as_deref().unwrap_or_default();
+    let mut all = BTreeMap::new();
+    for told in listed {
+        let name: Result<HostName, _> = told.name.parse();
+        let set = name.as_ref().ok().and_then(|name| tree.hosts.get(name));
+        let host = match (name, set) {
+            (Ok(name), Some(set)) => merge(&name, Some(told), Some(set), None),
+            _ => Some(told.clone()),
+        };
+        all.extend(host.map(|host| (told.name.clone(), host)));
+    }
+    for (name, set) in &tree.hosts {
+        if !all.contains_key(name.as_str()) {
+            let host = merge(name, None, Some(set), seen.get(name).copied());
+            all.extend(host.map(|host| (name.shared(), host)));
+        }
+    }
+    all
+}
+
+impl<'a> Context<'a> {
+    pub fn new(
+        terms: &'a RuleTerms, facts: &'a Facts, (old, old_seen): (&'a Tree, &Seen),
+        (new, new_seen): (&'a Tree, &Seen), drained: &'a Drained, changes: &'a [Difference],
+    ) -> Self {
+        let (was, is) = (merged(old, old_seen, facts), merged(new, new_seen, facts));
+        Context { terms, facts, old, new, drained, was, is, changes }
+    }
+
+    /// Nothing but less: hosts taken out, drained or no longer listed.
+    fn only_narrows(&self) -> bool {
+        let out = |state: &Option<Value>| matches!(state, Some(Value::State(state)) if *state != AdminState::InService);
+        self.changes.iter().all(|change| match &change.path {
+            Path::Host(name, _) if !self.new.hosts.contains_key(name) => true,
+            Path::Host(_, Leaf::State) => out(&change.new),
+            _ => false,
+        })
+    }
+
+    fn weighed(&self, tree: &Tree, hosts: &BTreeMap<Arc<str>, Listed>) -> (Vec<Arc<str>>, Vec<Weighed>) {
+        let serving = hosts.iter().filter(|(_, host)| host.serves());
+        let weight = |name: &Arc<str>| {
+            let name: Option<HostName> = name.parse().ok();
+            name.and_then(|name| tree.hosts.get(&name)?.weight).unwrap_or(1.0)
+        };
+        let weighed = serving.map(|(name, host)| {
+            let warmth = self.terms.warmth(host.started, self.facts.now);
+            (name.clone(), Weighed { size: host.size, weight: weight(name), warmth })
+        });
+        weighed.unzip()
+    }
+}
+
+type Check = fn(&Context, &mut Faults);
+
+/// Every check, in the order in which their faults are shown.
+const CHECKS: [Check; 9] = [
+    entries_whole,
+    hosts_kept,
+    addresses_apart,
+    starts_behind,
+    drained_stay_out,
+    builds_wanted,
+    places_left,
+    removal_small,
+    cold_hosts_carried,
+];
+
+/// All faults of a candidate.
+pub fn check(context: &Context) -> Faults {
+    let mut faults = Faults::default();
+    if context.facts.discovery.is_some() && !context.facts.heard {
+        let fault = Fault::new("hosts", "discovery has not told its list yet", "nothing", "a list");
+        faults.push(fault.passing(context.facts.now + LOOK_AGAIN));
+        return faults;
+    }
+    CHECKS.iter().for_each(|check| check(context, &mut faults));
+    faults
+}
+
+/// An entry of its own has all that an entry needs; what is no entry speaks of a host that is listed.
+fn entries_whole(context: &Context, faults: &mut Faults) {
+    let needed = [Leaf::Endpoint, Leaf::Zone, Leaf::Kind, Leaf::Build];
+    let missing = context.new.hosts.iter().filter(|(name, _)| !context.is.contains_key(name.as_str()));
+    for (name, set) in missing {
+        if needed.iter().all(|leaf| set.get(*leaf).is_none()) {
+            let what = "no such host is listed, by discovery or here";
+            let fault =
+                Fault::new(format!("hosts/{name}"), what, "no entry", "endpoint, zone, kind and build");
+            faults.push(match context.facts.discovery {
+                // It may be listed yet.
+                Some(_) => fault.passing(context.facts.now + LOOK_AGAIN),
+                None => fault,
+            });
+        } else {
+            for leaf in needed.iter().filter(|leaf| set.get(**leaf).is_none()) {
+                let path = Path::Host(name.clone(), *leaf);
+                faults.push(Fault::new(path, "is missing in an entry", "nothing", leaf.takes()));
+            }
+        }
+    }
+}
+
+fn hosts_kept(context: &Context, faults: &mut Faults) {
+    let hosts = context.is.len();
+    if hosts > HOSTS_MOST {
+        faults.push(Fault::new(
+            "hosts",
+            "are more than a router keeps",
+            hosts,
+            format!("{HOSTS_MOST} at most"),
+        ));
+    }
+}
+
+/// One host an address, one number a name: else an answer, or what is known of it, would be another's.
+fn addresses_apart(context: &Context, faults: &mut Faults) {
+    let mut at: BTreeMap<SocketAddr, &Listed> = BTreeMap::new();
+    let mut numbers: BTreeMap<HostId, &Listed> = BTreeMap::new();
+    for host in context.is.values() {
+        let other = numbers.insert(host.id(), host);
+        if let Some(other) = other {
+            let what = format!("its name leads to the same number as {}", other.name);
+            faults.push(Fault::new(format!("hosts/{}", host.name), what, &host.name, "another name"));
+        }
+        if host.state == HostState::Gone {
+            continue;
+        }
+        if let Some(other) = at.insert(host.endpoint, host) {
+            let path = format!("hosts/{}/endpoint", host.name);
+            let what = format!("is the address of {} too", other.name);
+            faults
+                .push(Fault::new(path, what, host.endpoint, "an address of its own").by(Rule::NoEffectTwice));
+        }
+    }
+}
+
+fn starts_behind(context: &Context, faults: &mut Faults) {
+    let latest = context.facts.now + CLOCK_SPAN;
+    for (name, set) in &context.new.hosts {
+        if let Some(started) = set.started.filter(|started| *started > latest) {
+            let what = format!("lies {:.1} s ahead", started - context.facts.now);
+            let fault =
+                Fault::new(Path::Host(name.clone(), Leaf::Started), what, started, "a time that has been");
+            faults.push(fault.passing(started));
+        }
+    }
+}
+
+/// Rule 3: a host that was drained comes back as another process only.
+fn drained_stay_out(context: &Context, faults: &mut Faults) {
+    for (name, drained) in context.drained {
+        let Some(host) = context.is.get(name.as_str()).filter(|host| host.serves()) else { continue };
+        if host.started.is_none_or(|started| started <= *drained) {
+            let path = Path::Host(name.clone(), Leaf::State);
+            let what = "it was drained and has not started anew since";
+            let given = host.started.map_or("no start".into(), |started| format!("started {started}"));
+            let taken = format!("a start after {drained}, or the host left draining");
+            faults.push(Fault::new(path, what, given, taken).by(Rule::DrainsKept));
+        }
+    }
+}
+
+/// Rule 5: nothing is put to a build that the platform has taken back.
+fn builds_wanted(context: &Context, faults: &mut Faults) {
+    let gone = |news: &StageNews| matches!(news.phase, Phase::GoingBack | Phase::Withdrawn);
+    let Some(news) = context.facts.news.filter(gone) else { return };
+    for (name, host) in context.is.iter().filter(|(_, host)| host.serves() && host.build == news.build) {
+        let before = context.was.get(name).is_some_and(|was| was.serves() && was.build == host.build);
+        if !before {
+            let what = "the platform has taken this build back";
+            let fault = Fault::new(format!("hosts/{name}/build"), what, host.build.0, "an earlier build");
+            faults.push(fault.by(Rule::ExposureCapped));
+        }
+    }
+}
+
+/// A zone, the released build and the one on trial keep hosts in service.
+fn places_left(context: &Context, faults: &mut Faults) {
+    let (_, least_zone, least_build) = context.old.guards.in_force();
+    let count = |hosts: &BTreeMap<Arc<str>, Listed>, of: &dyn Fn(&Listed) -> bool| {
+        hosts.values().filter(|host| host.serves() && of(host)).count()
+    };
+    let mut left = |path: &str, named: String, least: u32, of: &dyn Fn(&Listed) -> bool| {
+        let (was, is) = (count(&context.was, of), count(&context.is, of));
+        if is < was && is < least as usize {
+            let given = format!("{is} of {was} left");
+            let taken = format!("{least} at least, or a lower {path} set before");
+            faults.push(Fault::new(
+                "hosts",
+                format!("{named} would be left without hosts enough"),
+                given,
+                taken,
+            ));
+        }
+    };
+    let zones: BTreeSet<_> = context.was.values().map(|host| host.zone.clone()).collect();
+    for zone in zones {
+        let of = |host: &Listed| host.zone == zone;
+        left("guards/least-hosts-zone", format!("zone {zone}"), least_zone, &of);
+    }
+    let builds: BTreeSet<_> = context.was.values().map(|host| host.build).collect();
+    let earlier = |news: &StageNews| builds.range(..news.build).next_back().copied();
+    let wanted = match &context.facts.news {
+        Some(news) if news.phase == Phase::OnTrial => vec![Some(news.build), earlier(news)],
+        Some(news) if news.phase == Phase::Released => vec![Some(news.build)],
+        Some(news) => vec![earlier(news)],
+        None => builds.iter().map(|build| Some(*build)).collect(),
+    };
+    for build in wanted.into_iter().flatten() {
+        let of = |host: &Listed| host.build == build;
+        left("guards/least-hosts-build", format!("build {}", build.0), least_build, &of);
+    }
+}
+
+/// A list that lost most of its lines is an accident.
+fn removal_small(context: &Context, faults: &mut Faults) {
+    let (most, ..) = context.old.guards.in_force();
+    let before = context.was.values().filter(|host| host.serves());
+    let (was, gone) = before.fold((0u32, 0u32), |(was, gone), host| {
+        let stays = context.is.get(&host.name).is_some_and(Listed::serves);
+        (was + 1, gone + u32::from(!stays))
+    });
+    let share = f64::from(gone) / f64::from(was.max(1));
+    // The last host of a thin list is the other guards' matter.
+    if share > most && (gone > 1 || most <= 0.0) {
+        let given = format!("{gone} of {was}");
+        let taken = format!("{most} of them at most, or a higher guards/largest-removal set before");
+        faults.push(Fault::new("hosts", "too many are taken out of service at once", given, taken));
+    }
+}
+
+/// Rule 4. The service's traffic is reckoned as all that the hosts can do; a host's fair share of it is what it
+/// can do itself when warm, and its weight over the mean of all weights is how many times that it is sent by
+/// all routers together. Just started it can do its warmth of it, and falls at the fall multiple of that.
+fn cold_hosts_carried(context: &Context, faults: &mut Faults) {
+    if context.only_narrows() {
+        // Nothing may hold up a drain; what it does to the others is guarded when weights are used.
+        return;
+    }
+    let terms = context.terms;
+    let (names, now) = context.weighed(context.new, &context.is);
+    let (names_before, before) = context.weighed(context.old, &context.was);
+    let earlier = |name: &Arc<str>| {
+        let place = names_before.binary_search(name).ok()?;
+        Some(narrow::share(&before[place], &before))
+    };
+    if now.iter().all(|host| host.weight == 1.0) {
+        return;
+    }
+    for (name, host) in names.iter().zip(&now).filter(|(_, host)| host.warmth < 1.0) {
+        let falls = terms.fall_multiple * host.warmth;
+        let share = narrow::share(host, &now);
+        // A fair share is what every host gets without weights.
+        if share <= falls.max(1.0) || earlier(name).is_some_and(|earlier| share <= GREW * earlier) {
+            continue;
+        }
+        let routers = f64::from(terms.routers);
+        let who = match share / routers > falls {
+            _ if terms.routers == 1 => "this router".into(),
+            true => "this router alone".into(),
+            false => format!("all {} routers together, though none alone,", terms.routers),
+        };
+        let started = context.is.get(name).and_then(|host| host.started).unwrap_or(context.facts.now);
+        let warm =
+            ((share / terms.fall_multiple).min(1.0) - terms.cold_share) / (1.0 - terms.cold_share).max(1e-9);
+        let passes = started + terms.cold_time * warm.clamp(0.0, 1.0);
+        let what = format!(
+            "{who} would send the host {share:.2} times its fair share; it started {:.1} s ago, can do {:.2} of \
+             its work and falls over at {falls:.2}",
+            context.facts.now - started,
+            host.warmth
+        );
+        let taken = format!(
+            "a weight of {:.3} at most, or the same {:.1} s later",
+            host.weight * falls.max(1.0) / share,
+            passes - context.facts.now
+        );
+        let fault = Fault::new(format!("hosts/{name}/weight"), what, host.weight, taken);
+        faults.push(fault.by(Rule::ColdHostsCarried).passing(passes));
+    }
+}
--- /dev/null
+++ b/datastore/src/lib.rs
@@ -0,0 +1,21 @@
+//! What operators set of a running router, as one typed tree with one way in: a candidate is checked whole
+//! against the terms and the rules and committed whole as a revision, or refused whole with every fault that
+//! it has. Files, and later management protocols and the command line, are only ways to bring a candidate.
+//!
+//! Free of I/O: time, what the router knows of hosts and builds, and who asks are handed in.
+
+pub mod check;
+pub mod draft;
+pub mod fault;
+pub mod merge;
+pub mod snapshot;
+pub mod store;
+pub mod tree;
+
+pub use check::{Facts, RuleTerms};
+pub use draft::Draft;
+pub use fault::{Fault, Faults, Rule};
+pub use merge::Listed;
+pub use snapshot::Snapshot;
+pub use store::{Author, Candidate, Change, Datastore, History, Memory, RevisionRecord, Source};
+pub use tree::{AdminState, Guards, HostName, HostSet, Leaf, Path, Tree, Value};
--- /dev/null
+++ b/datastore/src/merge.rs
@@ -0,0 +1,129 @@
+//! Where the list of discovery and what operators set both speak of a host: who wins, field by field.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kestreltide::interface::*;
+
+use crate::tree::{AdminState, HostName, HostSet, Leaf};
+
+/// Who is believed where both say something; where only one does, it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wins {
+    /// It sees the processes.
+    Discovery,
+    /// They know what they want of a machine.
+    Operators,
+    /// Whichever says the later time.
+    Later,
+    /// Whichever lets less go to the host.
+    Careful,
+}
+
+/// Zone and cell stand with discovery as rule 2 rests on them: they say which hosts drop each other's repeats.
+pub const PRECEDENCE: [(Leaf, Wins); 9] = [
+    (Leaf::Endpoint, Wins::Discovery),
+    (Leaf::Zone, Wins::Discovery),
+    (Leaf::Cell, Wins::Discovery),
+    (Leaf::Kind, Wins::Discovery),
+    (Leaf::Size, Wins::Operators),
+    (Leaf::Build, Wins::Discovery),
+    (Leaf::Started, Wins::Later),
+    (Leaf::Weight, Wins::Operators),
+    (Leaf::State, Wins::Careful),
+];
+
+pub fn wins(leaf: Leaf) -> Wins {
+    PRECEDENCE.iter().find(|row| row.0 == leaf).map_or(Wins::Discovery, |row| row.1)
+}
+
+/// A host as somebody lists it, whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub name: Arc<str>,
+    pub endpoint: SocketAddr,
+    pub zone: Arc<str>,
+    pub cell: u32,
+    pub kind: Arc<str>,
+    pub size: f64,
+    pub build: BuildId,
+    /// `None`: long ago.
+    pub started: Option<f64>,
+    pub state: HostState,
+}
+
+impl Listed {
+    pub fn id(&self) -> HostId {
+        HostId::named(&self.name)
+    }
+
+    pub fn entry(&self) -> HostEntry {
+        HostEntry {
+            host: self.id(),
+            build: self.build,
+            zone: ZoneId::named(&self.zone),
+            cell: CellId(self.cell),
+            kind: KindId::named(&self.kind),
+            size: self.size,
+            started: self.started,
+            state: self.state,
+        }
+    }
+
+    pub fn serves(&self) -> bool {
+        self.state == HostState::Running
+    }
+}
+
+impl AdminState {
+    /// What it is to the decisions: nothing new goes to a host that drains or is out.
+    pub fn host_state(self) -> HostState {
+        match self {
+            AdminState::InService => HostState::Running,
+            AdminState::Draining | AdminState::Out => HostState::Stopping,
+        }
+    }
+}
+
+fn care(state: HostState) -> u8 {
+    match state {
+        HostState::Running => 0,
+        HostState::Stopping => 1,
+        HostState::Gone => 2,
+    }
+}
+
+fn pick<T>(leaf: Leaf, discovery: Option<T>, operators: Option<T>, later: impl Fn(T, T) -> T) -> Option<T> {
+    match (wins(leaf), discovery, operators) {
+        (Wins::Discovery, Some(said), _) | (Wins::Operators, _, Some(said)) => Some(said),
+        (Wins::Later | Wins::Careful, Some(a), Some(b)) => Some(later(a, b)),
+        (_, a, b) => a.or(b),
+    }
+}
+
+/// The host as it counts. `since` is when operators listed it first, where nobody says when it started: a new
+/// machine is the careful guess. `None` where what there is makes no entry.
+pub fn merge(
+    name: &HostName, discovery: Option<&Listed>, set: Option<&HostSet>, since: Option<f64>,
+) -> Option<Listed> {
+    let nothing = HostSet::default();
+    let set = set.unwrap_or(&nothing);
+    let told = |of: fn(&Listed) -> Arc<str>| discovery.map(of);
+    let first = |a, _| a;
+    let state = set.state.map(AdminState::host_state);
+    let started = set.started.or(since.filter(|_| discovery.is_none()));
+    Some(Listed {
+        name: discovery.map_or_else(|| name.shared(), |told| told.name.clone()),
+        endpoint: pick(Leaf::Endpoint, discovery.map(|told| told.endpoint), set.endpoint, first)?,
+        zone: pick(Leaf::Zone, told(|told| told.zone.clone()), set.zone.clone(), |a, _| a)?,
+        cell: pick(Leaf::Cell, discovery.map(|told| told.cell), set.cell, |a, _| a).unwrap_or(0),
+        kind: pick(Leaf::Kind, told(|told| told.kind.clone()), set.kind.clone(), |a, _| a)?,
+        size: pick(Leaf::Size, discovery.map(|told| told.size), set.size, |a, _| a).unwrap_or(1.0),
+        build: pick(Leaf::Build, discovery.map(|told| told.build), set.build.map(BuildId), |a, _| a)?,
+        started: pick(Leaf::Started, discovery.and_then(|told| told.started), started, f64::max),
+        state: pick(Leaf::State, discovery.map(|told| told.state), state, |a, b| {
+            if care(a) >= care(b) { a } else { b }
+        })
+        .unwrap_or(HostState::Running),
+    })
+}
--- /dev/null
+++ b/datastore/src/store.rs
@@ -0,0 +1,357 @@
+//! The running tree, its revisions and their history. A commit takes a candidate whole or not at all: nothing
+//! of the datastore changes before every check has passed.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+use kestreltide::interface::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::check::{Context, Drained, Facts, RuleTerms, Seen, check, merged};
+use crate::fault::{Fault, Faults};
+use crate::snapshot::Snapshot;
+use crate::tree::{AdminState, Difference, Tree};
+
+pub use crate::tree::Difference as Change;
+
+/// By which way a change came.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    Files,
+    Management,
+    CommandLine,
+    /// An earlier revision again.
+    RolledBack(u64),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Files => f.write_str("files"),
+            Source::Management => f.write_str("management"),
+            Source::CommandLine => f.write_str("command line"),
+            Source::RolledBack(to) => write!(f, "rolled back to {to}"),
+        }
+    }
+}
+
+/// Who wants a change, as they named themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Author {
+    pub source: Source,
+    pub name: String,
+    /// How its author numbers this version, where it does.
+    pub version: String,
+}
+
+impl fmt::Display for Author {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} by {}", self.source, self.name)?;
+        if self.version.is_empty() { Ok(()) } else { write!(f, ", version {}", self.version) }
+    }
+}
+
+/// One revision as history keeps it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RevisionRecord {
+    pub number: u64,
+    /// That it was made from; smaller than the one before it where others committed meanwhile.
+    pub based_on: u64,
+    /// Unix seconds.
+    pub at: f64,
+    pub author: Author,
+    pub changes: Arc<[Difference]>,
+}
+
+/// A candidate that was not taken.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub at: f64,
+    pub author: Author,
+    /// The revision that stayed in force.
+    pub stays: u64,
+    pub faults: Faults,
+}
+
+/// What is in force.
+#[derive(Debug, Default)]
+pub struct InForce {
+    pub revision: Revision,
+    pub tree: Arc<Tree>,
+    seen: Arc<Seen>,
+}
+
+/// What somebody wants in force, and the revision it was made from.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    base: Arc<InForce>,
+    pub tree: Tree,
+}
+
+impl Candidate {
+    pub fn of(base: &Arc<InForce>) -> Self {
+        Candidate { base: base.clone(), tree: (*base.tree).clone() }
+    }
+
+    pub fn based_on(&self) -> Revision {
+        self.base.revision
+    }
+}
+
+/// How much of the past is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct History {
+    pub revisions: usize,
+    /// Changed leaves of all kept revisions together.
+    pub changes: usize,
+    pub refusals: usize,
+    /// Drained processes that are remembered.
+    pub drained: usize,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        History { revisions: 1000, changes: 200_000, refusals: 16, drained: 64 * 1024 }
+    }
+}
+
+/// What outlives the process: all that a start needs to go on where the last one ended.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Memory {
+    pub revision: u64,
+    pub tree: Arc<Tree>,
+    pub seen: Arc<Seen>,
+    pub drained: Drained,
+    pub history: VecDeque<RevisionRecord>,
+    pub refusals: VecDeque<Refusal>,
+}
+
+/// What a commit led to.
+#[derive(Clone, Debug)]
+pub enum Commit {
+    /// It is in force as this.
+    Taken(Arc<Snapshot>),
+    /// It would change nothing.
+    Nothing,
+}
+
+pub struct Datastore {
+    terms: RuleTerms,
+    keep: History,
+    in_force: Arc<InForce>,
+    drained: Drained,
+    history: VecDeque<RevisionRecord>,
+    refusals: VecDeque<Refusal>,
+}
+
+impl Datastore {
+    pub fn new(terms: RuleTerms, keep: History) -> Self {
+        let (history, refusals) = (VecDeque::new(), VecDeque::new());
+        Datastore { terms, keep, in_force: Arc::default(), drained: Drained::new(), history, refusals }
+    }
+
+    /// As it was when this was remembered. Nothing is checked again: it was well then, and what has become
+    /// dangerous since is guarded when it is used.
+    pub fn remembering(terms: RuleTerms, keep: History, memory: Memory) -> Self {
+        let Memory { revision, tree, seen, drained, history, refusals } = memory;
+        let in_force = Arc::new(InForce { revision: Revision(revision), tree, seen });
+        let mut store = Datastore { terms, keep, in_force, drained, history, refusals };
+        store.forget();
+        store
+    }
+
+    pub fn memory(&self) -> Memory {
+        let InForce { revision, tree, seen } = &*self.in_force;
+        Memory {
+            revision: revision.0,
+            tree: tree.clone(),
+            seen: seen.clone(),
+            drained: self.drained.clone(),
+            history: self.history.clone(),
+            refusals: self.refusals.clone(),
+        }
+    }
+
+    pub fn in_force(&self) -> &Arc<InForce> {
+        &self.in_force
+    }
+
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &RevisionRecord> {
+        self.history.iter()
+    }
+
+    pub fn refusals(&self) -> impl DoubleEndedIterator<Item = &Refusal> {
+        self.refusals.iter()
+    }
+
+    /// What is in force, whole, for a loop that has nothing of it yet.
+    pub fn snapshot(&self) -> Snapshot {
+        let InForce { revision, tree, seen } = &*self.in_force;
+        let changes = Tree::default().differences(tree);
+        Snapshot::new(*revision, self.history.back().map_or(0.0, |last| last.at), (tree, seen), &changes)
+    }
+
+    /// All that is wrong with a candidate as things stand, without committing it.
+    pub fn validate(&self, candidate: &Candidate, facts: &Facts) -> Result<(), Faults> {
+        self.weigh(candidate, facts).map(|_| ())
+    }
+
+    /// Takes a candidate whole, or refuses it whole and says why; a refusal is remembered.
+    pub fn commit(&mut self, candidate: &Candidate, author: Author, facts: &Facts) -> Result<Commit, Faults> {
+        let (tree, seen, changes) = match self.weigh(candidate, facts) {
+            Ok(weighed) => weighed,
+            Err(faults) => {
+                self.refused(author, facts.now, faults.clone());
+                return Err(faults);
+            }
+        };
+        if changes.is_empty() {
+            return Ok(Commit::Nothing);
+        }
+        let revision = Revision(self.in_force.revision.0 + 1);
+        let snapshot = Arc::new(Snapshot::new(revision, facts.now, (&tree, &seen), &changes));
+        self.note_drained(&tree, &seen, facts);
+        self.in_force = Arc::new(InForce { revision, tree: Arc::new(tree), seen: Arc::new(seen) });
+        self.history.push_back(RevisionRecord {
+            number: revision.0,
+            based_on: candidate.base.revision.0,
+            at: facts.now,
+            author,
+            changes: changes.into(),
+        });
+        self.forget();
+        Ok(Commit::Taken(snapshot))
+    }
+
+    /// An earlier revision again, as a new one: what has been committed since is undone.
+    pub fn roll_back(&mut self, to: Revision, mut author: Author, facts: &Facts) -> Result<Commit, Faults> {
+        author.source = Source::RolledBack(to.0);
+        let tree = match self.tree_at(to) {
+            Ok(tree) => tree,
+            Err(fault) => {
+                self.refused(author, facts.now, fault.clone().into());
+                return Err(fault.into());
+            }
+        };
+        let candidate = Candidate { base: self.in_force.clone(), tree };
+        self.commit(&candidate, author, facts)
+    }
+
+    /// The tree as it was in a revision that history still holds.
+    pub fn tree_at(&self, at: Revision) -> Result<Tree, Fault> {
+        let oldest = self.history.front().map_or(self.in_force.revision.0, |first| first.number - 1);
+        let newest = self.in_force.revision.0;
+        if !(oldest..=newest).contains(&at.0) {
+            let taken = format!("{oldest} to {newest}");
+            return Err(Fault::new("revision", "is not held", at.0, taken));
+        }
+        let mut tree = (*self.in_force.tree).clone();
+        for record in self.history.iter().rev().take_while(|record| record.number > at.0) {
+            for change in record.changes.iter() {
+                tree.set(&change.path, change.old.clone())?;
+            }
+        }
+        Ok(tree)
+    }
+
+    fn refused(&mut self, author: Author, at: f64, faults: Faults) {
+        // The same again and again, as somebody tries, is one refusal.
+        if let Some(last) =
+            self.refusals.back_mut().filter(|last| last.author == author && last.faults == faults)
+        {
+            last.at = at;
+            return;
+        }
+        self.refusals.push_back(Refusal { at, author, stays: self.in_force.revision.0, faults });
+        self.forget();
+    }
+
+    /// The tree that a candidate comes to on what is in force now, and what it changes.
+    fn weigh(&self, candidate: &Candidate, facts: &Facts) -> Result<(Tree, Seen, Vec<Difference>), Faults> {
+        let head = &*self.in_force;
+        let tree = if candidate.base.revision == head.revision {
+            candidate.tree.clone()
+        } else {
+            self.rebased(candidate)?
+        };
+        let changes = head.tree.differences(&tree);
+        let mut seen = Seen::new();
+        if head.revision > Revision(0) {
+            // Who is listed anew and says no start may have just started.
+            let unsaid = tree.hosts.iter().filter(|(_, set)| set.endpoint.is_some() && set.started.is_none());
+            for (name, set) in unsaid {
+                let before = head.tree.hosts.get(name);
+                let same = before.is_some_and(|old| (old.endpoint, old.build) == (set.endpoint, set.build));
+                let since = if same { head.seen.get(name).copied() } else { Some(facts.now) };
+                seen.extend(since.map(|since| (name.clone(), since)));
+            }
+        }
+        let (old, new) = ((&*head.tree, &*head.seen), (&tree, &seen));
+        let context = Context::new(&self.terms, facts, old, new, &self.drained, &changes);
+        check(&context).into_result()?;
+        Ok((tree, seen, changes))
+    }
+
+    /// A candidate of an earlier revision on top of what others committed since, where they changed other leaves.
+    fn rebased(&self, candidate: &Candidate) -> Result<Tree, Faults> {
+        let mine = candidate.base.tree.differences(&candidate.tree);
+        let theirs = candidate.base.tree.differences(&self.in_force.tree);
+        let mut faults = Faults::default();
+        for change in &mine {
+            let Ok(place) = theirs.binary_search_by(|other| other.path.cmp(&change.path)) else { continue };
+            let other = &theirs[place];
+            if other.new != change.new {
+                faults.push(self.conflict(candidate, change, other));
+            }
+        }
+        faults.into_result()?;
+        self.in_force.tree.patched(&mine, false)
+    }
+
+    fn conflict(&self, candidate: &Candidate, mine: &Difference, theirs: &Difference) -> Fault {
+        let by = self.history.iter().rev().find(|r| r.changes.iter().any(|change| change.path == mine.path));
+        let who = by.map_or("somebody".into(), |r| {
+            let at = std::time::UNIX_EPOCH + std::time::Duration::from_secs_f64(r.at.max(0.0));
+            format!("revision {} ({}, {})", r.number, r.author, humantime::format_rfc3339_millis(at))
+        });
+        let what = format!("was changed since revision {} by {who}", candidate.base.revision.0);
+        let text = |change: &Difference| change.new.as_ref().map_or("nothing".into(), ToString::to_string);
+        Fault::new(&mine.path, what, text(mine), format!("{}, or a candidate made from it", text(theirs)))
+    }
+
+    /// Remembers whom operators drain, by the process that it was.
+    fn note_drained(&mut self, tree: &Tree, seen: &Seen, facts: &Facts) {
+        let draining = |state| state == Some(AdminState::Draining);
+        if !tree.hosts.values().any(|set| draining(set.state)) {
+            return;
+        }
+        let all = merged(tree, seen, facts);
+        for (name, _) in tree.hosts.iter().filter(|(_, set)| draining(set.state)) {
+            let started = all.get(name.as_str()).and_then(|host| host.started);
+            let at = self.drained.get(name).copied();
+            // A start that nobody told lies before the drain.
+            let process = started.unwrap_or(at.unwrap_or(facts.now));
+            self.drained.insert(name.clone(), at.map_or(process, |at| at.max(process)));
+        }
+    }
+
+    fn forget(&mut self) {
+        while self.refusals.len() > self.keep.refusals {
+            self.refusals.pop_front();
+        }
+        let mut changes: usize = self.history.iter().map(|record| record.changes.len()).sum();
+        // The newest stays whatever its size.
+        while self.history.len() > 1
+            && (self.history.len() > self.keep.revisions || changes > self.keep.changes)
+        {
+            changes -= self.history.pop_front().map_or(0, |record| record.changes.len());
+        }
+        while self.drained.len() > self.keep.drained {
+            // The one whose process is oldest is least likely to be meant again.
+            let oldest = self.drained.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|(name, _)| name.clone());
+            oldest.map(|name| self.drained.remove(&name));
+        }
+    }
+}
--- /dev/null
+++ b/datastore/tests/commits.rs
@@ -0,0 +1,430 @@
+//! Stories of the datastore, one for each way in which a change could be half taken, taken wrongly or lost.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use kestreltide::interface::*;
+use kestreltide_datastore::store::{Commit, Refusal};
+use kestreltide_datastore::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const NOW: f64 = 1_000_000.0;
+
+fn rules() -> RuleTerms {
+    RuleTerms { routers: 4, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 }
+}
+
+fn facts(at: f64) -> Facts {
+    Facts { now: NOW + at, heard: true, ..Facts::default() }
+}
+
+fn author(name: &str) -> Author {
+    Author { source: Source::Files, name: name.into(), version: String::new() }
+}
+
+fn path(text: &str) -> Path {
+    text.parse().expect("a path")
+}
+
+/// Sets leaves by their text; a dash takes one away.
+fn edit(tree: &mut Tree, edits: &[(&str, &str)]) {
+    for (at, text) in edits {
+        let path = path(at);
+        let (Path::Host(_, leaf) | Path::Guards(leaf)) = &path;
+        let value = (*text != "-").then(|| leaf.parse(text).expect("a value"));
+        tree.set(&path, value).expect("of its type");
+    }
+}
+
+fn host(tree: &mut Tree, name: &str, port: u16, zone: &str, build: u16) {
+    let at = |leaf: &str| format!("hosts/{name}/{leaf}");
+    let (endpoint, build) = (format!("127.0.0.1:{port}"), build.to_string());
+    let leaves = [("endpoint", endpoint.as_str()), ("zone", zone), ("kind", "std"), ("build", &build)];
+    leaves.iter().for_each(|(leaf, text)| edit(tree, &[(&at(leaf), text)]));
+}
+
+/// A store with so many hosts in two zones, as its first revision, taken long ago.
+fn fleet(hosts: u16) -> Datastore {
+    let mut store = Datastore::new(rules(), History::default());
+    let mut candidate = Candidate::of(store.in_force());
+    for number in 0..hosts {
+        let zone = if number % 2 == 0 { "north" } else { "south" };
+        host(&mut candidate.tree, &format!("h{number}"), 7000 + number, zone, 41);
+    }
+    store.commit(&candidate, author("first"), &facts(-1000.0)).expect("well");
+    store
+}
+
+fn try_edits(store: &mut Datastore, edits: &[(&str, &str)], facts: &Facts) -> Result<Commit, Faults> {
+    let mut candidate = Candidate::of(store.in_force());
+    edit(&mut candidate.tree, edits);
+    store.commit(&candidate, author("test"), facts)
+}
+
+fn refused(result: Result<Commit, Faults>) -> Vec<Fault> {
+    result.expect_err("it is refused").first
+}
+
+#[test]
+fn a_commit_is_one_revision_and_its_snapshot_says_what_changed() {
+    let mut store = fleet(4);
+    let taken =
+        try_edits(&mut store, &[("hosts/h1/weight", "2"), ("hosts/h3/state", "draining")], &facts(0.0));
+    let Ok(Commit::Taken(snapshot)) = taken else { panic!("taken: {taken:?}") };
+    assert_eq!(snapshot.revision(), Revision(2));
+    let named = |name| HostId::named(name);
+    let mut changed = vec![named("h1"), named("h3")];
+    changed.sort();
+    assert_eq!(*snapshot.changed, changed);
+    assert_eq!(*snapshot.set.weights, [(named("h1"), 2.0)]);
+    let state = snapshot.said(named("h3")).and_then(|said| said.entry).map(|entry| entry.state);
+    assert_eq!(state, Some(HostState::Stopping));
+    let again = try_edits(&mut store, &[("hosts/h1/weight", "2")], &facts(0.0));
+    assert!(matches!(again, Ok(Commit::Nothing)), "nothing changes, and no number is used up");
+}
+
+#[test]
+fn all_faults_of_a_candidate_are_told_and_nothing_of_it_stays() {
+    let mut store = fleet(4);
+    let before = store.memory();
+    let edits = [
+        ("hosts/new/endpoint", "127.0.0.1:7001"),
+        ("hosts/new/zone", "north"),
+        ("hosts/nobody/weight", "3"),
+        ("hosts/h0/started", "9000000"),
+        ("hosts/h1/weight", "2"),
+    ];
+    let faults = refused(try_edits(&mut store, &edits, &facts(0.0)));
+    let paths: BTreeSet<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    let expected = ["hosts/h0/started", "hosts/new/build", "hosts/new/kind", "hosts/nobody"];
+    assert_eq!(paths, expected.into_iter().collect());
+    let after = store.memory();
+    assert_eq!((after.tree, after.revision, after.history.len()), (before.tree, before.revision, 1));
+    let Some(Refusal { stays, faults, .. }) = store.refusals().next_back() else {
+        panic!("it is remembered")
+    };
+    assert_eq!((*stays, faults.first.len()), (1, 4));
+    assert!(
+        faults
+            .to_string()
+            .contains("hosts/nobody: no such host is listed, by discovery or here (given: no entry")
+    );
+}
+
+#[rstest]
+#[case::one_address(&[("hosts/h1/endpoint", "127.0.0.1:7000")], "is the address of h0 too")]
+#[case::nine_in_ten(&[("hosts/h0/state", "out"), ("hosts/h1/state", "out"), ("hosts/h2/state", "out")], "3 of 4")]
+#[case::a_zone(&[("hosts/h0/state", "out"), ("hosts/h2/state", "out")], "zone north would be left")]
+#[case::a_start_ahead(&[("hosts/h0/started", "1000050")], "lies 50.0 s ahead")]
+fn an_edit_that_is_dangerous_is_refused_with_the_reason(#[case] edits: &[(&str, &str)], #[case] why: &str) {
+    let mut store = fleet(4);
+    let faults = refused(try_edits(&mut store, edits, &facts(0.0)));
+    assert!(faults.iter().any(|fault| fault.to_string().contains(why)), "{faults:?}");
+}
+
+#[test]
+fn guards_count_as_they_were_before_the_change_that_they_guard() {
+    let mut store = fleet(4);
+    let loosen = [
+        ("guards/largest-removal", "1"),
+        ("guards/least-hosts-zone", "0"),
+        ("guards/least-hosts-build", "0"),
+    ];
+    let out = [("hosts/h0/state", "out"), ("hosts/h1/state", "out"), ("hosts/h2/state", "out")];
+    assert!(try_edits(&mut store, &[loosen.as_slice(), &out].concat(), &facts(0.0)).is_err());
+    try_edits(&mut store, &loosen, &facts(0.0)).expect("guards alone");
+    try_edits(&mut store, &out, &facts(0.0)).expect("now it is meant");
+}
+
+/// A weight on a host that has just started, the routers there are, how the reason begins, and after how many
+/// seconds the same is taken.
+#[rstest]
+#[case::alone("60", 1, Some(("this router would send", 4.0)))]
+#[case::alone_of_many("60", 4, Some(("this router alone", 4.0)))]
+#[case::only_together("2", 4, Some(("all 4 routers together, though none alone,", 1.67)))]
+#[case::carried("1.1", 4, None)]
+fn a_weight_that_pushes_a_just_started_host_over_is_refused_until_it_is_warm(
+    #[case] weight: &str, #[case] routers: u32, #[case] expected: Option<(&str, f64)>,
+) {
+    let mut store = fleet(40);
+    let rules = RuleTerms { routers, ..rules() };
+    try_edits(&mut store, &[("hosts/h0/started", "1000000")], &facts(0.0)).expect("a start");
+    let mut store = Datastore::remembering(rules, History::default(), store.memory());
+    let result = try_edits(&mut store, &[("hosts/h0/weight", weight)], &facts(0.1));
+    let Some((who, later)) = expected else { return drop(result.expect("it carries that")) };
+    let faults = result.expect_err("it is refused");
+    let [fault] = faults.first.as_slice() else { panic!("one fault: {faults}") };
+    assert!(fault.what.starts_with(who) && fault.rule == Some(Rule::ColdHostsCarried), "{fault}");
+    let passes = faults.pass_at().expect("it passes by itself");
+    assert!((passes - NOW - later).abs() < 0.2, "{}", passes - NOW);
+    try_edits(&mut store, &[("hosts/h0/weight", weight)], &facts(later + 0.2)).expect("it is warm enough");
+}
+
+#[test]
+fn a_host_listed_anew_without_a_start_counts_as_just_started() {
+    let mut store = fleet(10);
+    let mut candidate = Candidate::of(store.in_force());
+    host(&mut candidate.tree, "new", 9000, "north", 41);
+    let Ok(Commit::Taken(snapshot)) = store.commit(&candidate, author("test"), &facts(0.0)) else { panic!() };
+    let entry = snapshot.said(HostId::named("new")).and_then(|said| said.entry);
+    assert_eq!(entry.and_then(|entry| entry.started), Some(NOW));
+    assert!(try_edits(&mut store, &[("hosts/new/weight", "30")], &facts(0.5)).is_err());
+    try_edits(&mut store, &[("hosts/new/weight", "30")], &facts(5.0)).expect("it is warm");
+}
+
+#[test]
+fn a_drain_is_never_held_up_by_a_cold_host() {
+    let mut store = fleet(10);
+    try_edits(&mut store, &[("hosts/h0/weight", "20")], &facts(0.0)).expect("it is warm");
+    try_edits(&mut store, &[("hosts/h0/started", "1000010")], &facts(10.0)).expect("it restarted");
+    try_edits(&mut store, &[("hosts/h1/state", "draining")], &facts(10.1)).expect("a drain");
+    assert!(try_edits(&mut store, &[("hosts/h0/weight", "25")], &facts(10.1)).is_err());
+}
+
+#[rstest]
+#[case::by_state(&[("hosts/h1/state", "in-service")])]
+#[case::by_silence(&[("hosts/h1/state", "-")])]
+#[case::with_its_old_start(&[("hosts/h1/state", "in-service"), ("hosts/h1/started", "999000")])]
+fn a_drained_host_comes_back_only_with_a_new_start(#[case] back: &[(&str, &str)]) {
+    let mut store = fleet(4);
+    try_edits(&mut store, &[("hosts/h1/state", "draining")], &facts(0.0)).expect("a drain");
+    let faults = refused(try_edits(&mut store, back, &facts(5.0)));
+    assert_eq!(faults.iter().map(|fault| fault.rule).collect::<Vec<_>>(), [Some(Rule::DrainsKept)]);
+    // Not by way of "out", nor after it has been left off the list, nor by a new memory.
+    try_edits(&mut store, &[("hosts/h1/state", "out")], &facts(6.0)).expect("out");
+    let mut store = Datastore::remembering(rules(), History::default(), store.memory());
+    assert!(try_edits(&mut store, back, &facts(7.0)).is_err());
+    let new = [("hosts/h1/state", "in-service"), ("hosts/h1/started", "1000008")];
+    try_edits(&mut store, &new, &facts(9.0)).expect("another process");
+}
+
+#[test]
+fn a_host_that_was_only_taken_out_comes_back_as_it_is() {
+    let mut store = fleet(4);
+    try_edits(&mut store, &[("hosts/h1/state", "out")], &facts(0.0)).expect("out");
+    try_edits(&mut store, &[("hosts/h1/state", "in-service")], &facts(1.0)).expect("in again");
+}
+
+#[rstest]
+#[case::withdrawn(Phase::Withdrawn, true)]
+#[case::going_back(Phase::GoingBack, true)]
+#[case::on_trial(Phase::OnTrial, false)]
+fn no_host_of_a_build_that_was_taken_back_is_put_in_service(#[case] phase: Phase, #[case] refuses: bool) {
+    let mut store = fleet(4);
+    let verdict = Verdict::Succeeded;
+    let news =
+        StageNews { verdict, build: BuildId(42), stage: 0, phase, cap: 0.1, age: 1.0, answers_vote: false };
+    let mut candidate = Candidate::of(store.in_force());
+    host(&mut candidate.tree, "new", 9000, "north", 42);
+    let facts = Facts { news: Some(news), ..facts(0.0) };
+    assert_eq!(store.commit(&candidate, author("test"), &facts).is_err(), refuses);
+}
+
+#[test]
+fn the_build_on_trial_and_the_released_one_keep_hosts() {
+    let mut store = fleet(4);
+    let mut candidate = Candidate::of(store.in_force());
+    host(&mut candidate.tree, "new", 9000, "north", 42);
+    store.commit(&candidate, author("test"), &facts(0.0)).expect("well");
+    let (verdict, phase) = (Verdict::Succeeded, Phase::OnTrial);
+    let news =
+        StageNews { verdict, build: BuildId(42), stage: 0, phase, cap: 0.1, age: 1.0, answers_vote: false };
+    let facts = Facts { news: Some(news), ..facts(1.0) };
+    let faults = refused(try_edits(&mut store, &[("hosts/new/state", "out")], &facts));
+    assert!(faults[0].what.contains("build 42 would be left"), "{}", faults[0]);
+}
+
+#[test]
+fn of_two_who_change_one_leaf_the_second_is_told_who_was_first() {
+    let mut store = fleet(4);
+    let (mut one, mut two) = (Candidate::of(store.in_force()), Candidate::of(store.in_force()));
+    edit(&mut one.tree, &[("hosts/h1/weight", "2"), ("hosts/h2/weight", "2")]);
+    edit(&mut two.tree, &[("hosts/h0/weight", "3"), ("hosts/h1/weight", "3")]);
+    store.commit(&one, author("ana"), &facts(0.0)).expect("the first");
+    let faults = refused(store.commit(&two, author("rui"), &facts(0.3)));
+    let [fault] = faults.as_slice() else { panic!("one leaf: {faults:?}") };
+    assert_eq!((fault.path.as_str(), fault.given.as_str()), ("hosts/h1/weight", "3"));
+    assert!(
+        fault.what.contains("since revision 1 by revision 2 (files by ana, 1970-01-12T13:46:40.000Z)"),
+        "{fault}"
+    );
+    assert_eq!(store.in_force().tree.get(&path("hosts/h0/weight")), None, "nothing of it stays");
+}
+
+#[test]
+fn who_changes_other_leaves_is_taken_on_top_and_checked_with_what_is_there() {
+    let mut store = fleet(4);
+    let (mut one, mut two) = (Candidate::of(store.in_force()), Candidate::of(store.in_force()));
+    let mut three = two.clone();
+    edit(&mut one.tree, &[("hosts/h1/state", "out")]);
+    edit(&mut two.tree, &[("hosts/h2/weight", "2"), ("hosts/h1/state", "out")]);
+    edit(&mut three.tree, &[("hosts/h3/state", "out")]);
+    store.commit(&one, author("ana"), &facts(0.0)).expect("the first");
+    store.commit(&two, author("rui"), &facts(0.0)).expect("another leaf, and the same value");
+    let faults = refused(store.commit(&three, author("eva"), &facts(0.0)));
+    assert!(faults[0].what.contains("zone south would be left"), "well alone, not with the running set");
+}
+
+#[test]
+fn an_earlier_revision_comes_back_as_a_new_one() {
+    let mut store = fleet(4);
+    try_edits(&mut store, &[("hosts/h1/weight", "2")], &facts(0.0)).expect("2");
+    try_edits(&mut store, &[("hosts/h1/weight", "3"), ("hosts/h2/size", "4")], &facts(1.0)).expect("3");
+    store.roll_back(Revision(2), author("ana"), &facts(2.0)).expect("back");
+    let now = store.in_force();
+    assert_eq!((now.revision, now.tree.get(&path("hosts/h2/size"))), (Revision(4), None));
+    let last = store.history().next_back().expect("a record");
+    assert_eq!((last.author.source.clone(), last.changes.len()), (Source::RolledBack(2), 2));
+    let fault = store.tree_at(Revision(9)).expect_err("it never was");
+    assert_eq!(fault.taken, "0 to 4");
+}
+
+#[test]
+fn history_is_bounded_by_revisions_and_by_what_they_changed() {
+    let mut store = fleet(10);
+    let keep = History { revisions: 20, changes: 60, refusals: 4, drained: 8 };
+    store = Datastore::remembering(rules(), keep, store.memory());
+    for number in 0..100u32 {
+        let edits: Vec<_> =
+            (0..8).map(|host| (format!("hosts/h{host}/weight"), format!("{}", 1 + number % 9))).collect();
+        let edits: Vec<_> = edits.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
+        try_edits(&mut store, &edits, &facts(f64::from(number))).expect("taken");
+        let _ = try_edits(&mut store, &[("hosts/x/weight", "1")], &facts(f64::from(number)));
+    }
+    assert!(store.history().map(|record| record.changes.len()).sum::<usize>() <= 60);
+    assert!(store.history().count() <= 7 && store.refusals().count() <= 4);
+    let oldest = store.history().next().map(|record| record.number - 1).expect("a record");
+    store.tree_at(Revision(oldest)).expect("the oldest that is held");
+}
+
+fn listed(name: &str, port: u16, state: HostState) -> Listed {
+    let endpoint = ([127, 0, 0, 1], port).into();
+    let (zone, kind): (Arc<str>, Arc<str>) = ("east".into(), "std".into());
+    let (name, size, build, started) = (name.into(), 1.0, BuildId(41), Some(NOW - 500.0));
+    Listed { name, endpoint, zone, cell: 3, kind, size, build, started, state }
+}
+
+/// Each field where both speak: what counts then.
+#[rstest]
+#[case::endpoint("hosts/d1/endpoint", "127.0.0.1:1", |host: &Listed| host.endpoint.port() == 8001)]
+#[case::zone("hosts/d1/zone", "north", |host: &Listed| &*host.zone == "east")]
+#[case::cell("hosts/d1/cell", "9", |host: &Listed| host.cell == 3)]
+#[case::build("hosts/d1/build", "9", |host: &Listed| host.build == BuildId(41))]
+#[case::size("hosts/d1/size", "9", |host: &Listed| host.size == 9.0)]
+#[case::an_earlier_start("hosts/d1/started", "9", |host: &Listed| host.started == Some(NOW - 500.0))]
+#[case::a_later_start("hosts/d1/started", "999990", |host: &Listed| host.started == Some(NOW - 10.0))]
+#[case::state("hosts/d1/state", "draining", |host: &Listed| host.state == HostState::Stopping)]
+#[case::state_of_one_that_is_gone("hosts/d2/state", "in-service", |host: &Listed| host.state == HostState::Gone)]
+fn where_discovery_and_operators_disagree_a_table_says_who_wins(
+    #[case] at: &str, #[case] text: &str, #[case] holds: fn(&Listed) -> bool,
+) {
+    let list = [listed("d1", 8001, HostState::Running), listed("d2", 8002, HostState::Gone)];
+    let facts = Facts { discovery: Some(list.into()), ..facts(0.0) };
+    let mut tree = Tree::default();
+    edit(&mut tree, &[(at, text)]);
+    let all = check::merged(&tree, &check::Seen::new(), &facts);
+    let name = at.split('/').nth(1).expect("a host");
+    assert!(holds(&all[name]), "{:?}", all[name]);
+}
+
+#[test]
+fn what_waits_for_discovery_is_held_and_not_refused_for_good() {
+    let mut store = Datastore::new(rules(), History::default());
+    let facts = Facts { discovery: Some([].into()), heard: false, ..facts(0.0) };
+    let faults = try_edits(&mut store, &[("hosts/d1/weight", "2")], &facts).expect_err("not yet");
+    assert!(faults.pass_at().is_some());
+    let facts =
+        Facts { discovery: Some([listed("d1", 8001, HostState::Running)].into()), heard: true, ..facts };
+    try_edits(&mut store, &[("hosts/d1/weight", "2")], &facts).expect("discovery lists it");
+}
+
+#[rstest]
+#[case("hosts/h/weight", "NaN", "is no finite number")]
+#[case("hosts/h/weight", "inf", "is no finite number")]
+#[case("hosts/h/weight", "-1", "is out of range")]
+#[case("hosts/h/weight", "1e308", "is out of range")]
+#[case("hosts/h/weight", "1e999", "is no finite number")]
+#[case("hosts/h/weight", "heavy", "is no number")]
+#[case("hosts/h/size", "0", "is out of range")]
+#[case("hosts/h/build", "65536", "is out of range")]
+#[case("hosts/h/build", "-1", "is no whole number in range")]
+#[case("hosts/h/cell", "4294967296", "is no whole number in range")]
+#[case("hosts/h/endpoint", "127.0.0.1:0", "can be connected to by nobody")]
+#[case("hosts/h/endpoint", "localhost:80", "is no address and port")]
+#[case("hosts/h/started", "2026-13-01T00:00:00Z", "is no time")]
+#[case("hosts/h/state", "Draining", "is no administrative state")]
+#[case("hosts/h/zone", "a/b", "has characters other than")]
+#[case("guards/largest-removal", "1.01", "is out of range")]
+fn a_value_beyond_sense_is_refused_with_its_leaf(#[case] at: &str, #[case] text: &str, #[case] why: &str) {
+    let mut draft = Draft::default();
+    draft.set("hosts.ini:3", path(at), text);
+    let faults = draft.finish().expect_err("refused").first;
+    assert!(faults[0].path.ends_with(at) && faults[0].what.contains(why), "{}", faults[0]);
+}
+
+#[test]
+fn what_is_remembered_reads_back_as_it_was() {
+    let mut store = fleet(6);
+    try_edits(&mut store, &[("hosts/h1/state", "draining"), ("hosts/h2/weight", "0.3")], &facts(0.0))
+        .expect("2");
+    let _ = try_edits(&mut store, &[("hosts/x/weight", "1")], &facts(1.0));
+    let text = serde_json::to_string(&store.memory()).expect("it has a form");
+    let memory: Memory = serde_json::from_str(&text).expect("it reads back");
+    assert_eq!(memory, store.memory());
+    let again = Datastore::remembering(rules(), History::default(), memory);
+    assert_eq!(*again.in_force().tree, *store.in_force().tree);
+    assert_eq!(again.snapshot().hosts.len(), 6);
+}
+
+fn any_edit() -> impl Strategy<Value = (String, String)> {
+    let leaf = prop_oneof![
+        Just(("weight", vec!["0.01", "1", "3", "100", "-"])),
+        Just(("state", vec!["in-service", "draining", "out", "-"])),
+        Just(("size", vec!["1", "8", "-"])),
+        Just(("endpoint", vec!["127.0.0.1:7001", "127.0.0.1:7300", "-"])),
+        Just(("started", vec!["999990", "1000004", "-"])),
+        Just(("zone", vec!["north", "west", "-"])),
+    ];
+    (0u32..8, leaf).prop_flat_map(|(host, (leaf, texts))| {
+        let path = format!("hosts/h{host}/{leaf}");
+        proptest::sample::select(texts).prop_map(move |text| (path.clone(), text.to_owned()))
+    })
+}
+
+proptest! {
+    /// Whatever is tried, by whom and on whatever base: a refusal changes nothing, every revision can be
+    /// walked back to, what is in force is well by the checks that need no history, and differences are exact.
+    #[test]
+    fn long_histories_stay_whole(tries in prop::collection::vec((prop::collection::vec(any_edit(), 1..5), 0usize..3), 1..40)) {
+        let mut store = fleet(6);
+        let mut bases = vec![store.in_force().clone()];
+        let mut trees = vec![(store.in_force().revision, store.in_force().tree.clone())];
+        for (number, (edits, back)) in tries.iter().enumerate() {
+            let base = &bases[bases.len().saturating_sub(1 + back)];
+            let mut candidate = Candidate::of(base);
+            for (at, text) in edits {
+                edit(&mut candidate.tree, &[(at, text)]);
+            }
+            let before = (store.in_force().revision, store.in_force().tree.clone());
+            match store.commit(&candidate, author("any"), &facts(number as f64)) {
+                Ok(Commit::Taken(snapshot)) => {
+                    prop_assert_eq!(snapshot.revision(), Revision(before.0.0 + 1));
+                    let changes = &store.history().next_back().expect("a record").changes;
+                    prop_assert_eq!(&before.1.patched(changes, false).expect("it applies"), &*store.in_force().tree);
+                    prop_assert_eq!(&store.in_force().tree.patched(changes, true).expect("it applies"), &*before.1);
+                    bases.push(store.in_force().clone());
+                    trees.push((store.in_force().revision, store.in_force().tree.clone()));
+                }
+                Ok(Commit::Nothing) | Err(_) => {
+                    prop_assert_eq!(before, (store.in_force().revision, store.in_force().tree.clone()));
+                }
+            }
+            let ports: Vec<_> = store.in_force().tree.hosts.values().filter_map(|set| set.endpoint).collect();
+            prop_assert_eq!(ports.iter().collect::<BTreeSet<_>>().len(), ports.len());
+        }
+        for (revision, tree) in trees {
+            prop_assert_eq!(&store.tree_at(revision).expect("history holds it"), &*tree);
+        }
+    }
+}
--- /dev/null
+++ b/watch/src/form.rs
@@ -0,0 +1,254 @@
+//! What operators' files say. Every file names its generation at its head and again at its end, with the count
+//! of what it holds: a file that was cut, or is being written over, is told by its ends. Files that belong
+//! together are one version where they name one generation.
+
+use std::str;
+
+use kestreltide_datastore::draft::shown;
+use kestreltide_datastore::{Draft, Fault, Faults, HostName, Leaf, Path, Tree};
+
+use crate::ini::{self, Section, unknown};
+use crate::read::Content;
+
+/// Which file it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// `[host NAME]` with the leaves of each, and `[guards]`.
+    Hosts,
+    /// `[weights]` and `[states]`, by hosts' names.
+    Weights,
+}
+
+/// Characters of a generation's name.
+const GENERATION_MOST: usize = 64;
+const END: &str = "end";
+
+/// What all files together say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Version {
+    pub generation: String,
+    pub tree: Tree,
+}
+
+/// Why there is no version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Spoken {
+    Whole(Version),
+    /// Each file is whole, but they do not belong together: one may still be written.
+    Apart(Faults),
+    /// Some file may still be written.
+    Torn(Faults),
+    /// Whole, and wrong.
+    Wrong(Faults),
+}
+
+struct Ends {
+    generation: Option<String>,
+}
+
+/// What these files say together; `place` is how each is called in what is shown.
+pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken {
+    let (mut draft, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
+    let mut generations: Vec<(&str, String)> = vec![];
+    for (kind, place, content) in files {
+        let text = match content {
+            Ok(bytes) => match str::from_utf8(bytes) {
+                Ok(text) => text,
+                Err(e) => {
+                    // A character cut in two at the end is a file cut in two.
+                    let fault = Fault::new(
+                        *place,
+                        format!("is not UTF-8 from byte {}", e.valid_up_to()),
+                        "other bytes",
+                        "UTF-8",
+                    );
+                    if e.error_len().is_none() {
+                        torn.push(fault)
+                    } else {
+                        wrong.push(fault)
+                    }
+                    continue;
+                }
+            },
+            Err(why) => {
+                torn.push(Fault::new(*place, "cannot be read", &why.0, "a file of text"));
+                continue;
+            }
+        };
+        match one(*kind, place, text, &mut draft, &mut wrong) {
+            Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
+            Err(fault) => torn.push(fault),
+        }
+    }
+    if !torn.is_empty() {
+        return Spoken::Torn(torn);
+    }
+    let tree = draft.finish();
+    if let Err(faults) = &tree {
+        wrong.extend(faults.first.iter().cloned());
+        wrong.more += faults.more;
+    }
+    let Some((first, generation)) = generations.first().cloned() else { return Spoken::Wrong(wrong) };
+    if let Some((place, other)) = generations.iter().find(|(_, other)| *other != generation) {
+        let what = format!("is of another generation than {first}, which names {}", shown(&generation));
+        return Spoken::Apart(
+            Fault::new(format!("{place}: generation"), what, shown(other), "one generation for all files")
+                .into(),
+        );
+    }
+    match tree {
+        Ok(tree) if wrong.is_empty() => Spoken::Whole(Version { generation, tree }),
+        _ => Spoken::Wrong(wrong),
+    }
+}
+
+/// Reads one file into the draft. An error means that it is not whole, whatever else is wrong with it.
+fn one(kind: Kind, place: &str, text: &str, draft: &mut Draft, wrong: &mut Faults) -> Result<Ends, Fault> {
+    if text.trim().is_empty() {
+        return Err(Fault::new(place, "is empty", "nothing", "a generation, entries and an [end]"));
+    }
+    if !text.ends_with('\n') {
+        let last = text.lines().next_back().unwrap_or_default();
+        return Err(Fault::new(place, "its last line has no end", shown(last), "a line feed behind [end]"));
+    }
+    // What is cut need not be INI any more; what is whole has its end.
+    let sections = ini::sections(place, text)?;
+    let (head, rest) = match sections.split_first() {
+        Some((head, rest)) if head.name.is_empty() => (head, rest),
+        _ => {
+            return Err(Fault::new(
+                place,
+                "names no generation before its first section",
+                "nothing",
+                "generation = NAME",
+            ));
+        }
+    };
+    let generation = generation(place, head, wrong);
+    let Some((end, body)) = rest.split_last().filter(|(end, _)| end.name == END) else {
+        if let Some(end) = rest.iter().find(|section| section.name == END) {
+            let at = format!("{place}:{}", end.line);
+            return Err(Fault::new(at, "sections stand behind [end]", "more of them", "[end] last"));
+        }
+        return Err(Fault::new(place, "has no [end]", "nothing", "[end] with the count and the generation"));
+    };
+    let count = match kind {
+        Kind::Hosts => hosts(place, body, draft, wrong),
+        Kind::Weights => weights(place, body, draft, wrong),
+    };
+    ended(kind, place, end, count, generation.as_deref(), wrong)?;
+    Ok(Ends { generation })
+}
+
+fn generation(place: &str, head: &Section, wrong: &mut Faults) -> Option<String> {
+    ini::known_keys(place, head, &["generation"], wrong);
+    let Some(key) = head.keys.iter().find(|key| key.name == "generation") else {
+        wrong.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
+        return None;
+    };
+    let plain =
+        !key.value.is_empty() && key.value.len() <= GENERATION_MOST && !key.value.contains(char::is_control);
+    if !plain {
+        let taken = format!("1 to {GENERATION_MOST} characters");
+        wrong.push(Fault::new(
+            format!("{place}:{}: generation", key.line),
+            "is no name",
+            shown(&key.value),
+            taken,
+        ));
+    }
+    Some(key.value.clone())
+}
+
+fn hosts(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+    let mut count = 0;
+    for section in body {
+        let at = format!("{place}:{}", section.line);
+        if section.name == "guards" {
+            leaves(place, section, wrong, Leaf::of_guards, Leaf::all_of_guards, |key, leaf, at| {
+                draft.set(at, Path::Guards(leaf), &key.value);
+            });
+        } else if let Some(name) = section.name.strip_prefix("host ") {
+            count += 1;
+            let Some(host) = draft.host(&at, name.trim()) else { continue };
+            leaves(place, section, wrong, Leaf::of_host, Leaf::all_of_host, |key, leaf, at| {
+                draft.set_host(at, &host, leaf, &key.value);
+            });
+        } else {
+            wrong.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
+        }
+    }
+    count
+}
+
+fn leaves<I: Iterator<Item = Leaf>>(
+    place: &str, section: &Section, wrong: &mut Faults, of: fn(&str) -> Option<Leaf>, all: fn() -> I,
+    mut set: impl FnMut(&ini::Key, Leaf, &str),
+) {
+    for key in &section.keys {
+        let at = format!("{place}:{}", key.line);
+        match of(&key.name) {
+            Some(leaf) => set(key, leaf, &at),
+            None => {
+                let known: Vec<_> = all().map(Leaf::name).collect();
+                let path = format!("{at}: [{}] {}", section.name, shown(&key.name));
+                wrong.push(unknown(&path, "key", &key.name, known));
+            }
+        }
+    }
+}
+
+fn weights(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+    let mut count = 0;
+    for section in body {
+        let at = format!("{place}:{}", section.line);
+        let leaf = match section.name.as_str() {
+            "weights" => Leaf::Weight,
+            "states" => Leaf::State,
+            other => {
+                wrong.push(unknown(&at, "section", other, ["weights", "states", END]));
+                continue;
+            }
+        };
+        for key in &section.keys {
+            count += 1;
+            let at = format!("{place}:{}", key.line);
+            match key.name.parse::<HostName>() {
+                Ok(host) => draft.set_host(&at, &host, leaf, &key.value),
+                Err(why) => {
+                    let what = format!("the host's name {why}");
+                    wrong.push(Fault::new(at, what, shown(&key.name), "letters, digits and . _ : -"));
+                }
+            }
+        }
+    }
+    count
+}
+
+/// The end says again what the head said, and how much stands between.
+fn ended(
+    kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>, wrong: &mut Faults,
+) -> Result<(), Fault> {
+    let counted = match kind {
+        Kind::Hosts => "hosts",
+        Kind::Weights => "entries",
+    };
+    ini::known_keys(place, end, &[counted, "generation"], wrong);
+    let key = |name: &str, taken: &dyn std::fmt::Display| {
+        let path = format!("{place}:{}: [end] {name}", end.line);
+        let found = end.keys.iter().find(|key| key.name == name);
+        found.ok_or_else(|| Fault::new(path, "is missing", "nothing", taken))
+    };
+    let said = key(counted, &count)?;
+    if said.value.parse() != Ok(count) {
+        let path = format!("{place}:{}: [end] {counted}", said.line);
+        return Err(Fault::new(path, format!("{count} stand in the file"), shown(&said.value), count));
+    }
+    let named = key("generation", &generation.unwrap_or("that of the head"))?;
+    if Some(named.value.as_str()) != generation {
+        let path = format!("{place}:{}: [end] generation", named.line);
+        let head = generation.unwrap_or_default();
+        return Err(Fault::new(path, "is not that of the head", shown(&named.value), shown(head)));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/watch/src/settle.rs
@@ -0,0 +1,109 @@
+//! When what files hold is a version. Free of I/O: it is told of notices and of what was read, and says when to
+//! look next and what to offer.
+
+/// What the waiting goes by, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Patience {
+    /// Without a change for this time, files are taken for written.
+    pub settle: f64,
+    /// Files that change all the time are looked at all the same after this time.
+    pub longest: f64,
+    /// Between looks where no notice comes.
+    pub poll: f64,
+    /// Between versions that are offered: who flaps is followed no faster.
+    pub apart: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// What was seen last has been dealt with.
+    Still,
+    /// Something has stirred: since when, when it last changed, and what it was then.
+    Stirred { since: f64, changed: f64, digest: u64 },
+}
+
+/// What to do with what was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Nothing,
+    /// It may be offered if it is whole by its ends; if not, it may still be written.
+    Try,
+    /// It has settled: if it is not whole now, that is how it was meant.
+    Offer,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settle {
+    patience: Patience,
+    state: State,
+    /// What was dealt with last, and when.
+    done: Option<(u64, f64)>,
+    noticed: bool,
+}
+
+impl Settle {
+    pub fn new(patience: Patience) -> Self {
+        Settle { patience, state: State::Still, done: None, noticed: true }
+    }
+
+    /// This is in force already.
+    pub fn dealt_with(&mut self, now: f64, digest: u64) {
+        (self.state, self.done) = (State::Still, Some((digest, now)));
+    }
+
+    pub fn notice(&mut self) {
+        self.noticed = true;
+    }
+
+    /// Whether the content is to be read though its mark is as it was.
+    pub fn wants_content(&self) -> bool {
+        self.noticed || self.state != State::Still
+    }
+
+    /// What was read now; what is offered counts as dealt with, what is tried only once it was whole.
+    pub fn read(&mut self, now: f64, digest: u64) -> Step {
+        self.noticed = false;
+        let Patience { settle, longest, apart, .. } = self.patience;
+        if self.done.is_some_and(|(done, _)| done == digest) && self.state == State::Still {
+            return Step::Nothing;
+        }
+        let (since, changed) = match self.state {
+            State::Stirred { since, changed, digest: before } if before == digest => (since, changed),
+            State::Stirred { since, .. } => (since, now),
+            State::Still => (now, now),
+        };
+        self.state = State::Stirred { since, changed, digest };
+        let settled = now - changed >= settle;
+        if settled && self.done.is_some_and(|(done, _)| done == digest) {
+            // It went and came back before anybody took it.
+            self.state = State::Still;
+            return Step::Nothing;
+        }
+        let late = now - since >= longest;
+        let soon = self.done.is_some_and(|(_, at)| now - at < apart);
+        match () {
+            () if soon => Step::Nothing,
+            () if settled => {
+                self.dealt_with(now, digest);
+                Step::Offer
+            }
+            () if late => Step::Try,
+            () => Step::Nothing,
+        }
+    }
+
+    /// How long to sleep where no notice comes.
+    pub fn next_look(&self, now: f64) -> f64 {
+        let soon = self.done.map_or(0.0, |(_, at)| at + self.patience.apart - now);
+        match self.state {
+            State::Still => self.patience.poll,
+            State::Stirred { changed, .. } => {
+                let settled = changed + self.patience.settle - now;
+                settled.max(soon).clamp(SHORTEST, self.patience.poll)
+            }
+        }
+    }
+}
+
+/// Seconds; a look that finds nothing yet is not repeated at once.
+const SHORTEST: f64 = 0.001;
--- /dev/null
+++ b/watch/src/watch.rs
@@ -0,0 +1,115 @@
+//! The thread that watches: looks when notices or time say so, reads, and tells whole versions and refusals.
+
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
+
+use kestreltide_datastore::Faults;
+
+use crate::form::{Kind, Spoken, Version, version};
+use crate::notices::Notices;
+use crate::read::{Content, Mark, digest, read};
+use crate::settle::{Patience, Settle, Step};
+
+/// Which files, and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Watched {
+    pub files: Vec<(Kind, PathBuf)>,
+    /// Bytes of one file that are read at most.
+    pub most: usize,
+    pub patience: Patience,
+    /// Seconds after which content is compared though nothing seems to have changed.
+    pub compare: f64,
+    /// Whether the machine is asked for notices; if not, looks alone find changes.
+    pub notices: bool,
+}
+
+/// What there is to tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Version(Version),
+    /// It is not taken as it stands, and would not be later.
+    Refused(Faults),
+    /// It may become a version: its files do not belong together yet.
+    Held(Faults),
+}
+
+/// Reads everything now, as a start needs it.
+pub fn look(watched: &Watched) -> (Spoken, u64) {
+    let contents = contents(watched);
+    (spoken(watched, &contents), digest(&contents))
+}
+
+fn contents(watched: &Watched) -> Vec<Content> {
+    watched.files.iter().map(|(_, path)| read(path, watched.most)).collect()
+}
+
+fn spoken(watched: &Watched, contents: &[Content]) -> Spoken {
+    let places: Vec<_> = watched.files.iter().map(|(_, path)| path.display().to_string()).collect();
+    let files = watched.files.iter().zip(&places).zip(contents);
+    let files: Vec<_> = files.map(|(((kind, _), place), content)| (*kind, place.as_str(), content)).collect();
+    version(&files)
+}
+
+/// Watches until nobody listens any more. `known` is the digest of what is in force already; `nudged` ends a
+/// sleep early.
+pub fn run(
+    watched: &Watched, known: Option<u64>, nudged: &Receiver<()>, wake: SyncSender<()>,
+    mut tell: impl FnMut(Told) -> bool,
+) {
+    let started = Instant::now();
+    let now = || started.elapsed().as_secs_f64();
+    let paths: Vec<PathBuf> = watched.files.iter().map(|(_, path)| path.clone()).collect();
+    let mut notices = watched.notices.then(|| Notices::open(&paths, wake));
+    let mut settle = Settle::new(watched.patience);
+    known.into_iter().for_each(|digest| settle.dealt_with(now() - watched.patience.apart, digest));
+    let (mut marks, mut compared): (Vec<Option<Mark>>, f64) = (vec![], f64::MIN);
+    loop {
+        let found: Vec<_> = paths.iter().map(|path| Mark::at(path)).collect();
+        let due = now() - compared >= watched.compare;
+        if found != marks || due || settle.wants_content() {
+            // The marks from before the reading: what changes during it is seen again.
+            marks = found;
+            let contents = contents(watched);
+            let number = digest(&contents);
+            compared = now();
+            let told = match settle.read(compared, number) {
+                Step::Nothing => None,
+                Step::Try => match spoken(watched, &contents) {
+                    Spoken::Whole(version) => {
+                        settle.dealt_with(compared, number);
+                        Some(Told::Version(version))
+                    }
+                    _ => None,
+                },
+                Step::Offer => Some(match spoken(watched, &contents) {
+                    Spoken::Whole(version) => Told::Version(version),
+                    Spoken::Apart(faults) => Told::Held(faults),
+                    Spoken::Torn(faults) | Spoken::Wrong(faults) => Told::Refused(faults),
+                }),
+            };
+            if told.is_some_and(|told| !tell(told)) {
+                return;
+            }
+        }
+        let sleep = Duration::from_secs_f64(settle.next_look(now()));
+        match nudged.recv_timeout(sleep) {
+            Ok(()) => settle.notice(),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        if notices.as_mut().is_some_and(Notices::renew) {
+            settle.notice();
+        }
+    }
+}
+
+/// A channel by which notices and others wake the thread: one that waits says all.
+pub fn wakes() -> (SyncSender<()>, Receiver<()>) {
+    sync_channel(1)
+}
+
+/// Whether a path can be watched at all by its folder.
+pub fn folder(path: &Path) -> Option<&Path> {
+    path.parent().filter(|folder| folder.is_dir())
+}
