--- a/datastore/src/store.rs
+++ b/datastore/src/store.rs
@@ -256,6 +256,11 @@
         Ok(tree)
     }
 
+    /// Remembers what never became a candidate, such as a file that cannot be read.
+    pub fn refuse(&mut self, author: Author, at: f64, faults: Faults) {
+        self.refused(author, at, faults);
+    }
+
     fn refused(&mut self, author: Author, at: f64, faults: Faults) {
         // The same again and again, as somebody tries, is one refusal.
         if let Some(last) =
--- /dev/null
+++ b/router/src/fronts/keeper.rs
@@ -0,0 +1,312 @@
+//! The keeper: the thread that holds the datastore, takes what all fronts bring, one after another, and posts
+//! what is committed to the loop.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use kestreltide_datastore::store::{Commit, InForce};
+use kestreltide_datastore::{
+    Author, Candidate, Datastore, Facts, Faults, History, RuleTerms, Snapshot, Source, Tree,
+};
+use kestreltide_watch::form::{Spoken, Version};
+use kestreltide_watch::watch::{Told, Watched, look};
+use slog::{Logger, info, warn};
+
+use super::memory::{self, Held, Remembered};
+use crate::routing::view::View;
+use crate::routing::{Notice, Pulse};
+use crate::transport::{Clock, Post};
+
+/// What is asked of the keeper.
+#[derive(Debug)]
+pub enum Ask {
+    /// The watched files say this now.
+    Files(Told),
+    /// What is not saved yet is saved, and the thread ends.
+    Stop,
+}
+
+/// Which files are watched, and who edits them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Watching {
+    pub watched: Watched,
+    /// Whether discovery is asked too.
+    pub discovery: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct KeeperTerms {
+    pub router: String,
+    pub rules: RuleTerms,
+    pub history: History,
+    pub folder: Option<PathBuf>,
+}
+
+/// Seconds: between two savings; between rounds where nobody asks; before what is held back is looked at again.
+const SAVE: f64 = 0.5;
+const ROUND: f64 = 0.25;
+const AGAIN: f64 = 0.05;
+/// Lines a second about what is not taken.
+const LINES: u32 = 10;
+
+/// A version of the files that is wanted and not in force.
+struct Waiting {
+    version: Version,
+    held: Held,
+    again: f64,
+}
+
+pub struct Keeper {
+    log: Logger,
+    clock: Clock,
+    terms: KeeperTerms,
+    store: Datastore,
+    /// What the files said when they were last taken, and what was in force then.
+    files: Tree,
+    base: Arc<InForce>,
+    waiting: Option<Waiting>,
+    /// Files that do not belong together yet.
+    held: Option<Held>,
+    /// Something is not saved; when the last saving was.
+    unsaved: bool,
+    saved: f64,
+    unsaved_told: bool,
+    lines: (f64, u32),
+}
+
+impl Keeper {
+    /// Goes on from what was remembered, if anything was.
+    pub fn start(log: Logger, clock: Clock, terms: KeeperTerms) -> Result<Self, String> {
+        let remembered = match terms.folder.as_deref().map(memory::load) {
+            None | Some(Ok(None)) => Remembered::default(),
+            Some(Ok(Some(remembered))) => {
+                info!(log, "the last good revision is remembered"; "revision" => remembered.memory.revision);
+                remembered
+            }
+            Some(Err(why)) => {
+                let aside = terms.folder.as_deref().map(memory::put_aside);
+                let aside = match aside {
+                    Some(Ok(at)) => at.display().to_string(),
+                    Some(Err(e)) => return Err(format!("{why}; it cannot be put aside: {e}")),
+                    None => String::new(),
+                };
+                warn!(log, "what was remembered cannot be used"; "why" => why, "put_aside" => aside);
+                Remembered::default()
+            }
+        };
+        let store = Datastore::remembering(terms.rules, terms.history, remembered.memory);
+        let base = store.in_force().clone();
+        let (files, waiting, held) = (remembered.files, None, None);
+        let (unsaved, saved, unsaved_told, lines) = (true, 0.0, false, (0.0, 0));
+        Ok(Keeper {
+            log,
+            clock,
+            terms,
+            store,
+            files,
+            base,
+            waiting,
+            held,
+            unsaved,
+            saved,
+            unsaved_told,
+            lines,
+        })
+    }
+
+    /// What a router starts with: what the files say if it is well, else the last good revision. `Err` where
+    /// there is neither.
+    pub fn begin(
+        &mut self, watching: Option<&Watching>, facts: &Facts,
+    ) -> Result<(Option<Arc<Snapshot>>, Option<u64>), String> {
+        let mut known = None;
+        if let Some(watching) = watching {
+            let (spoken, digest) = look(&watching.watched);
+            known = Some(digest);
+            let faults = match spoken {
+                Spoken::Whole(version) => self.offer(version, facts).err(),
+                Spoken::Apart(faults) | Spoken::Torn(faults) | Spoken::Wrong(faults) => {
+                    self.refused(faults.clone());
+                    Some(faults)
+                }
+            };
+            let last_good = self.store.in_force().revision.0 > 0;
+            // What only waits for discovery's list is no reason not to start: discovery's hosts serve till then.
+            let waits =
+                watching.discovery && faults.as_ref().is_some_and(|faults| faults.pass_at().is_some());
+            match faults {
+                Some(faults) if !last_good && !waits => return Err(faults.to_string()),
+                Some(_) if last_good => {
+                    warn!(self.log, "the start is with the last good revision, not with what the files say";
+                        "revision" => self.store.in_force().revision.0);
+                }
+                _ => {}
+            }
+        }
+        let snapshot = self.store.snapshot();
+        Ok(((snapshot.revision().0 > 0).then(|| Arc::new(snapshot)), known))
+    }
+
+    /// Serves what is asked until it is told to stop or nobody is left.
+    pub fn run(&mut self, asked: &Receiver<Ask>, view: &ArcSwap<View>, post: &Post<Notice>, pulse: &Pulse) {
+        loop {
+            let now = self.clock.now();
+            pulse.beat(now);
+            let due = self.waiting.as_ref().map_or(ROUND, |waiting| waiting.again - now);
+            let sleep = Duration::from_secs_f64(due.clamp(0.0, ROUND));
+            let ask = match asked.recv_timeout(sleep) {
+                Ok(Ask::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Ok(Ask::Files(told)) => Some(told),
+                Err(RecvTimeoutError::Timeout) => None,
+            };
+            let facts = view.load().facts(self.clock.now());
+            let taken = match ask {
+                Some(told) => self.told(told, &facts),
+                None => self.try_again(&facts),
+            };
+            // A full box holds this thread up, never the loop; a loop that is gone needs nothing more.
+            if taken.is_some_and(|snapshot| post.send(Notice::Revision(snapshot)).is_err()) {
+                break;
+            }
+            self.save(Some(&view.load()));
+        }
+        self.saved = f64::MIN;
+        self.save(Some(&view.load()));
+        pulse.beat(0.0);
+    }
+
+    fn told(&mut self, told: Told, facts: &Facts) -> Option<Arc<Snapshot>> {
+        // Whatever waited is no longer what the files say.
+        self.waiting = None;
+        match told {
+            Told::Version(version) => {
+                self.held = None;
+                self.offer(version, facts).ok().flatten()
+            }
+            Told::Refused(faults) => {
+                self.held = None;
+                self.refused(faults);
+                None
+            }
+            Told::Held(faults) => {
+                self.tell("files do not belong together yet", "", &faults);
+                self.held = Some(Held { since: facts.now, author: author(""), faults });
+                self.unsaved = true;
+                None
+            }
+        }
+    }
+
+    fn try_again(&mut self, facts: &Facts) -> Option<Arc<Snapshot>> {
+        let due = self.waiting.as_ref().is_some_and(|waiting| waiting.again <= facts.now);
+        let waiting = self.waiting.take_if(|_| due)?;
+        // It was told of when it began to wait, and is again only where that is over.
+        let looked =
+            self.candidate(&waiting.version).and_then(|candidate| self.store.validate(&candidate, facts));
+        match looked.err().and_then(|faults| faults.pass_at()) {
+            Some(at) => {
+                self.waiting = Some(Waiting { again: at.max(facts.now + AGAIN), ..waiting });
+                None
+            }
+            None => self.offer(waiting.version, facts).ok().flatten(),
+        }
+    }
+
+    fn candidate(&self, version: &Version) -> Result<Candidate, Faults> {
+        let mut candidate = Candidate::of(&self.base);
+        candidate.tree = candidate.tree.patched(&self.files.differences(&version.tree), false)?;
+        Ok(candidate)
+    }
+
+    /// What the files changed since they were last taken, on top of what is in force: whoever else changed the
+    /// same leaves meanwhile is not overruled in silence.
+    fn offer(&mut self, version: Version, facts: &Facts) -> Result<Option<Arc<Snapshot>>, Faults> {
+        let candidate = self.candidate(&version)?;
+        self.unsaved = true;
+        match self.store.commit(&candidate, author(&version.generation), facts) {
+            Ok(commit) => {
+                let snapshot = match commit {
+                    Commit::Taken(snapshot) => Some(snapshot),
+                    Commit::Nothing => None,
+                };
+                info!(self.log, "the files are taken"; "generation" => &version.generation,
+                    "revision" => self.store.in_force().revision.0,
+                    "changes" => snapshot.as_ref().map_or(0, |snapshot| snapshot.changed.len()));
+                (self.files, self.base) = (version.tree, self.store.in_force().clone());
+                Ok(snapshot)
+            }
+            Err(faults) => {
+                match faults.pass_at() {
+                    Some(at) => {
+                        let again = at.max(facts.now + AGAIN);
+                        let held = Held {
+                            since: facts.now,
+                            author: author(&version.generation),
+                            faults: faults.clone(),
+                        };
+                        self.tell("the files are held back", &version.generation, &faults);
+                        self.waiting = Some(Waiting { version, held, again });
+                    }
+                    None => self.tell("the files are refused", &version.generation, &faults),
+                }
+                Err(faults)
+            }
+        }
+    }
+
+    /// Files that cannot be read as a version at all.
+    fn refused(&mut self, faults: Faults) {
+        self.tell("the files are refused", "", &faults);
+        self.store.refuse(author(""), self.clock.now(), faults);
+        self.unsaved = true;
+    }
+
+    fn tell(&mut self, what: &'static str, generation: &str, faults: &Faults) {
+        let now = self.clock.now();
+        if now - self.lines.0 >= 1.0 {
+            self.lines = (now, 0);
+        }
+        self.lines.1 += 1;
+        if self.lines.1 <= LINES {
+            let why = faults.first.first().map(ToString::to_string).unwrap_or_default();
+            warn!(self.log, "{}", what; "generation" => generation, "why" => why,
+                "further" => faults.first.len().saturating_sub(1) + faults.more,
+                "stays" => self.store.in_force().revision.0);
+        }
+    }
+
+    /// Saves what changed, not more often than makes sense.
+    fn save(&mut self, view: Option<&View>) {
+        let now = self.clock.now();
+        let Some(folder) = self.terms.folder.as_deref().filter(|_| self.unsaved && now - self.saved >= SAVE)
+        else {
+            return;
+        };
+        let held = self.waiting.as_ref().map(|waiting| waiting.held.clone()).or_else(|| self.held.clone());
+        let remembered = Remembered {
+            router: self.terms.router.clone(),
+            written: now,
+            memory: self.store.memory(),
+            files: self.files.clone(),
+            held,
+            taken: view.map_or(0, |view| view.taken),
+            longest_pause: view.map_or(0.0, |view| view.longest_pause),
+        };
+        match memory::save(folder, &remembered) {
+            Ok(()) => (self.unsaved, self.unsaved_told) = (false, false),
+            Err(why) if !self.unsaved_told => {
+                warn!(self.log, "revisions cannot be remembered"; "why" => why);
+                self.unsaved_told = true;
+            }
+            Err(_) => {}
+        }
+        self.saved = now;
+    }
+}
+
+fn author(generation: &str) -> Author {
+    Author { source: Source::Files, name: "operators".into(), version: generation.into() }
+}
--- /dev/null
+++ b/router/src/fronts/memory.rs
@@ -0,0 +1,102 @@
+//! What outlives the process, where the operator file names a folder for it: one file, replaced whole, with a
+//! check over all of it. The program's commands read it too, as no listener may be opened on the platform.
+
+use std::fs::{self, File};
+use std::io::{ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+use kestreltide_datastore::{Author, Faults, Memory, Tree};
+use serde::{Deserialize, Serialize};
+
+const NAME: &str = "revisions.json";
+/// The first line of the file: its form, and the check over the rest.
+const FORM: &str = "kestreltide-revisions 1";
+
+/// A version that waits for something to pass.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// Unix seconds.
+    pub since: f64,
+    pub author: Author,
+    pub faults: Faults,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Remembered {
+    pub router: String,
+    /// Unix seconds.
+    pub written: f64,
+    pub memory: Memory,
+    /// What the files said when a version of them was last taken.
+    pub files: Tree,
+    pub held: Option<Held>,
+    /// Revisions that the loop took, and its longest pause for one, in seconds, since the program's start.
+    pub taken: u64,
+    pub longest_pause: f64,
+}
+
+pub fn path(folder: &Path) -> PathBuf {
+    folder.join(NAME)
+}
+
+/// Replaces the file whole; after a crash there is the old one or the new one.
+pub fn save(folder: &Path, remembered: &Remembered) -> Result<(), String> {
+    let unsaved = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let body = serde_json::to_vec(remembered).map_err(|e| e.to_string())?;
+    let new = folder.join(format!("{NAME}.new"));
+    let mut file = File::create(&new).map_err(unsaved)?;
+    writeln!(file, "{FORM} {:08x}", crc32fast::hash(&body)).map_err(unsaved)?;
+    file.write_all(&body).and_then(|()| file.sync_all()).map_err(unsaved)?;
+    fs::rename(&new, path(folder)).map_err(unsaved)?;
+    // The name itself is kept by the folder.
+    File::open(folder).and_then(|folder| folder.sync_all()).map_err(unsaved)
+}
+
+/// What was remembered; `None` where nothing ever was. A damaged file is an error.
+pub fn load(folder: &Path) -> Result<Option<Remembered>, String> {
+    let at = path(folder);
+    let bytes = match fs::read(&at) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(format!("{}: {e}", at.display())),
+    };
+    let damaged = |why: &str| format!("{}: is damaged: {why}", at.display());
+    let end = bytes.iter().position(|byte| *byte == b'\n').ok_or_else(|| damaged("no first line"))?;
+    let (head, body) = (String::from_utf8_lossy(&bytes[..end]), &bytes[end + 1..]);
+    let check = head.strip_prefix(FORM).ok_or_else(|| damaged("its form is not known"))?.trim();
+    if u32::from_str_radix(check, 16) != Ok(crc32fast::hash(body)) {
+        return Err(damaged("its check is not that of its content"));
+    }
+    serde_json::from_slice(body).map(Some).map_err(|e| damaged(&e.to_string()))
+}
+
+/// Puts a damaged file aside, so that it can be looked at and is not met again.
+pub fn put_aside(folder: &Path) -> std::io::Result<PathBuf> {
+    let aside = folder.join(format!("{NAME}.damaged"));
+    fs::rename(path(folder), &aside).map(|()| aside)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_saved_is_loaded_and_any_changed_byte_is_noticed() {
+        let folder = tempfile::tempdir().expect("a folder");
+        assert_eq!(load(folder.path()), Ok(None));
+        let remembered = Remembered { router: "n0".into(), written: 5.0, ..Remembered::default() };
+        save(folder.path(), &remembered).expect("saved");
+        assert_eq!(load(folder.path()), Ok(Some(remembered)));
+        let bytes = fs::read(path(folder.path())).expect("read");
+        for place in 0..bytes.len() {
+            let mut spoilt = bytes.clone();
+            spoilt[place] ^= 4;
+            fs::write(path(folder.path()), &spoilt).expect("written");
+            assert!(load(folder.path()).is_err(), "byte {place}");
+            fs::write(path(folder.path()), &bytes[..place]).expect("written");
+            assert!(load(folder.path()).is_err(), "cut at {place}");
+        }
+        put_aside(folder.path()).expect("moved");
+        assert_eq!(load(folder.path()), Ok(None));
+    }
+}
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -105,6 +105,12 @@
     /// After a planned stop: clients still come for this time.
     pub stop_serving: f64,
     pub stop_last: f64,
+    /// What other threads have posted and the loop has not taken.
+    pub posted: usize,
+    /// After a change, before fronts get the new view of it.
+    pub view: f64,
+    /// Without a sign of life for this time a front is said to stand still.
+    pub front_stall: f64,
 }
 
 impl Limits {
@@ -173,6 +179,9 @@
             stale_answer: longest,
             stop_serving: 0.45,
             stop_last: longest + 0.6,
+            posted: 16,
+            view: 0.1,
+            front_stall: 5.0,
         }
     }
 }
--- /dev/null
+++ b/router/src/program/commands.rs
@@ -0,0 +1,141 @@
+//! Commands for operators that look and change nothing.
+
+use std::path::PathBuf;
+use std::time::{Duration, UNIX_EPOCH};
+
+use argh::FromArgs;
+use kestreltide_datastore::{Author, Candidate, Datastore, Source};
+use kestreltide_datastore::{Facts, Faults, History, RevisionRecord, RuleTerms};
+use kestreltide_watch::form::Spoken;
+use kestreltide_watch::watch::look;
+
+use super::operator;
+use crate::fronts::{Held, load};
+
+/// say all that is wrong with an operator file and the files it names, and end
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check-operator")]
+pub(super) struct CheckOperator {
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// print what an operator file leads to, with defaults
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show-operator")]
+pub(super) struct ShowOperator {
+    #[argh(positional)]
+    file: Option<PathBuf>,
+}
+
+/// print the revisions that a router has taken, and why it did not take others
+#[derive(FromArgs)]
+#[argh(subcommand, name = "revisions")]
+pub(super) struct Revisions {
+    /// the operator file that names the router's state directory (default: $KESTRELTIDE_OPERATOR)
+    #[argh(option, short = 'o')]
+    operator: Option<PathBuf>,
+    /// the state directory itself
+    #[argh(option, short = 's')]
+    state: Option<PathBuf>,
+    /// show what this revision changed, leaf by leaf
+    #[argh(option, short = 'd')]
+    diff: Option<u64>,
+    /// how many of the newest revisions to print (default: 20)
+    #[argh(option, short = 'n', default = "20")]
+    newest: usize,
+}
+
+impl CheckOperator {
+    pub(super) fn run(&self) -> Result<(), String> {
+        let terms = operator::load(&self.file)?;
+        if let Some(watching) = &terms.watching {
+            let version = match look(&watching.watched).0 {
+                Spoken::Whole(version) => version,
+                Spoken::Apart(faults) | Spoken::Torn(faults) | Spoken::Wrong(faults) => {
+                    return Err(faults.to_string());
+                }
+            };
+            if !watching.discovery {
+                // As a router that starts with it would check it; its terms are in its configuration.
+                let rules =
+                    RuleTerms { routers: 1, cold_share: 1.0, cold_time: 0.0, fall_multiple: f64::MAX };
+                let mut store = Datastore::new(rules, History::default());
+                let mut candidate = Candidate::of(store.in_force());
+                candidate.tree = version.tree;
+                let author = Author { source: Source::Files, name: String::new(), version: String::new() };
+                let facts = Facts { now: now(), heard: true, ..Facts::default() };
+                store.commit(&candidate, author, &facts).map_err(|faults: Faults| faults.to_string())?;
+            }
+        }
+        println!("{} is well", self.file.display());
+        Ok(())
+    }
+}
+
+impl ShowOperator {
+    pub(super) fn run(&self) -> Result<(), String> {
+        operator::show(self.file.as_deref()).map(|text| print!("{text}"))
+    }
+}
+
+fn now() -> f64 {
+    UNIX_EPOCH.elapsed().map_or(0.0, |since| since.as_secs_f64())
+}
+
+fn time(at: f64) -> String {
+    let at = Duration::try_from_secs_f64(at).map(|since| UNIX_EPOCH + since);
+    at.map_or_else(|_| "unknown".into(), |at| humantime::format_rfc3339_millis(at).to_string())
+}
+
+impl Revisions {
+    pub(super) fn run(&self) -> Result<(), String> {
+        let folder = match &self.state {
+            Some(folder) => folder.clone(),
+            None => super::operators(&self.operator)?
+                .folder
+                .ok_or("no state directory: neither --state nor [datastore] state-directory names one")?,
+        };
+        let remembered =
+            load(&folder)?.ok_or_else(|| format!("{}: no revision is remembered", folder.display()))?;
+        let memory = &remembered.memory;
+        if let Some(number) = self.diff {
+            let held = || memory.history.iter().map(|record| record.number);
+            let found = memory.history.iter().find(|record| record.number == number).ok_or_else(|| {
+                let (least, most) = (held().min().unwrap_or(0), held().max().unwrap_or(0));
+                format!("revision: is not held (given: {number}; taken: {least} to {most})")
+            })?;
+            println!("{}", line(found));
+            found.changes.iter().for_each(|change| println!("  {change}"));
+            return Ok(());
+        }
+        println!(
+            "router {}: revision {} in force, {} taken by the loop since its start, its longest pause {:.3} ms; \
+             as of {}",
+            remembered.router,
+            memory.revision,
+            remembered.taken,
+            1e3 * remembered.longest_pause,
+            time(remembered.written)
+        );
+        let newest = memory.history.iter().rev().take(self.newest);
+        newest.for_each(|record| println!("{}", line(record)));
+        if let Some(Held { since, author, faults }) = &remembered.held {
+            println!("held back since {}: {author}", time(*since));
+            faults.to_string().lines().for_each(|fault| println!("  {fault}"));
+        }
+        match memory.refusals.back() {
+            Some(last) => {
+                println!("last refused {}: {}; revision {} stayed", time(last.at), last.author, last.stays);
+                last.faults.to_string().lines().for_each(|fault| println!("  {fault}"));
+            }
+            None => println!("nothing was refused"),
+        }
+        Ok(())
+    }
+}
+
+fn line(record: &RevisionRecord) -> String {
+    let RevisionRecord { number, based_on, at, author, changes } = record;
+    format!("{number:>6}  {}  {:>6} leaves  {author} (based on {based_on})", time(*at), changes.len())
+}
--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -58,7 +58,6 @@
     pub known: Option<List<'a>>,
     pub terms: ServiceTerms,
     pub transport: TransportTerms,
-    pub names: Names,
 }
 
 pub fn load(path: Option<String>) -> Result<String, String> {
@@ -122,7 +121,6 @@
         known,
         terms,
         transport,
-        names,
     })
 }
 
--- /dev/null
+++ b/router/src/program/operator.rs
@@ -0,0 +1,286 @@
+//! The operator file: what a router has beside the platform's, section by section. All of it is off by default,
+//! and all that is wrong in it is told at once.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use kestreltide_datastore::draft::shown;
+use kestreltide_datastore::{Fault, Faults, History};
+use kestreltide_watch::form::Kind;
+use kestreltide_watch::ini::{self, Section};
+use kestreltide_watch::settle::Patience;
+use kestreltide_watch::watch::Watched;
+
+use crate::fronts::Watching;
+use crate::limits::Limits;
+
+/// What the operator file says, with defaults for what it does not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorTerms {
+    pub folder: Option<PathBuf>,
+    pub history: History,
+    pub watching: Option<Watching>,
+}
+
+/// What a key takes.
+#[derive(Clone, Copy, Debug)]
+enum Takes {
+    /// A path, from the operator file's own folder where it is not absolute.
+    Path,
+    Flag,
+    Whole {
+        least: usize,
+        most: usize,
+    },
+    Seconds {
+        least: f64,
+        most: f64,
+    },
+}
+
+/// Section, key, what it takes, its default in words, what it is for.
+type Row = (&'static str, &'static str, Takes, &'static str, &'static str);
+
+const ROWS: [Row; 9] = [
+    (
+        "datastore",
+        "state-directory",
+        Takes::Path,
+        "",
+        "where the last good revision is remembered; none: nowhere",
+    ),
+    ("datastore", "history", Takes::Whole { least: 1, most: 100_000 }, "1000", "revisions that are kept"),
+    ("watch", "hosts", Takes::Path, "", "the file of hosts and guards"),
+    ("watch", "weights", Takes::Path, "", "the file of weights and states"),
+    ("watch", "discovery", Takes::Flag, "on", "off: hosts are those of the files alone"),
+    ("watch", "notices", Takes::Flag, "on", "off: changes are found by looking alone"),
+    (
+        "watch",
+        "settle",
+        Takes::Seconds { least: 0.001, most: 10.0 },
+        "0.02",
+        "without a change before a file is taken for written",
+    ),
+    (
+        "watch",
+        "poll",
+        Takes::Seconds { least: 0.01, most: 60.0 },
+        "0.1",
+        "between looks where no notice comes",
+    ),
+    (
+        "watch",
+        "compare",
+        Takes::Seconds { least: 0.1, most: 3600.0 },
+        "1",
+        "between readings though nothing seems changed",
+    ),
+];
+
+/// Bytes of a watched file.
+const FILE_MOST: usize = 8 << 20;
+/// In settling times: how long a file that never rests is waited for, and versions are apart.
+const LONGEST: f64 = 7.5;
+const APART: f64 = 1.0;
+
+fn sections() -> Vec<&'static str> {
+    let mut names: Vec<_> = ROWS.iter().map(|row| row.0).collect();
+    names.dedup();
+    names
+}
+
+fn check(takes: Takes, text: &str) -> Result<(), (&'static str, String)> {
+    match takes {
+        Takes::Path if text.is_empty() => Err(("is empty", "a path".into())),
+        Takes::Path => Ok(()),
+        Takes::Flag if ["on", "off"].contains(&text) => Ok(()),
+        Takes::Flag => Err(("is neither", "on or off".into())),
+        Takes::Whole { least, most } => match text.parse::<usize>() {
+            Ok(number) if (least..=most).contains(&number) => Ok(()),
+            Ok(_) => Err(("is out of range", format!("{least} to {most}"))),
+            Err(_) => Err(("is no whole number", format!("{least} to {most}"))),
+        },
+        Takes::Seconds { least, most } => match text.parse::<f64>() {
+            Ok(seconds) if (least..=most).contains(&seconds) => Ok(()),
+            Ok(_) => Err(("is out of range", format!("{least} to {most} seconds"))),
+            Err(_) => Err(("is no number", format!("{least} to {most} seconds"))),
+        },
+    }
+}
+
+/// What a whole operator file says, or everything that is wrong with it.
+pub fn parse(place: &Path, text: &str) -> Result<OperatorTerms, Faults> {
+    let (name, folder) = (place.display().to_string(), place.parent().unwrap_or(Path::new("")));
+    let read = ini::sections(&name, text)?;
+    let mut faults = Faults::default();
+    for (number, section) in read.iter().enumerate() {
+        known(&name, section, &mut faults);
+        if let Some(first) = read[..number].iter().find(|first| first.name == section.name) {
+            let path = format!("{name}:{}: [{}]", section.line, section.name);
+            faults.push(Fault::new(
+                path,
+                format!("stands at line {} too", first.line),
+                &section.name,
+                "each section once",
+            ));
+        }
+    }
+    faults.into_result()?;
+    let said = |section: &str, key: &str| {
+        let section = read.iter().find(|read| read.name == section)?;
+        section.keys.iter().find(|read| read.name == key).map(|key| key.value.as_str())
+    };
+    let text = |section: &str, key: &str| {
+        said(section, key).unwrap_or_else(|| {
+            ROWS.iter().find(|row| row.0 == section && row.1 == key).map_or("", |row| row.3)
+        })
+    };
+    let path = |section, key| said(section, key).map(|path| folder.join(path));
+    let seconds = |section, key| text(section, key).parse().unwrap_or(0.0);
+    let files = [(Kind::Hosts, path("watch", "hosts")), (Kind::Weights, path("watch", "weights"))];
+    let files: Vec<_> = files.into_iter().filter_map(|(kind, path)| Some((kind, path?))).collect();
+    let (discovery, watch) =
+        (text("watch", "discovery") == "on", read.iter().find(|section| section.name == "watch"));
+    let mut faults = Faults::default();
+    if let Some(section) = watch {
+        let at = format!("{name}:{}: [watch]", section.line);
+        if files.is_empty() {
+            faults.push(Fault::new(&at, "names no file to watch", "nothing", "hosts, weights or both"));
+        } else if !discovery && said("watch", "hosts").is_none() {
+            faults.push(Fault::new(
+                at,
+                "nobody would list hosts",
+                "discovery = off",
+                "a file of hosts with it",
+            ));
+        }
+    }
+    faults.into_result()?;
+    let settle = seconds("watch", "settle");
+    let patience =
+        Patience { settle, longest: LONGEST * settle, poll: seconds("watch", "poll"), apart: APART * settle };
+    let (compare, notices) = (seconds("watch", "compare"), text("watch", "notices") == "on");
+    let watched = Watched { files, most: FILE_MOST, patience, compare, notices };
+    let revisions = text("datastore", "history").parse().unwrap_or(History::default().revisions);
+    Ok(OperatorTerms {
+        folder: path("datastore", "state-directory"),
+        history: History { revisions, ..History::default() },
+        watching: watch.map(|_| Watching { watched, discovery }),
+    })
+}
+
+fn known(name: &str, section: &Section, faults: &mut Faults) {
+    let keys: Vec<_> = ROWS.iter().filter(|row| row.0 == section.name).map(|row| row.1).collect();
+    let at = format!("{name}:{}", section.line);
+    if section.name.is_empty() {
+        let first = section.keys.first().map(|key| shown(&key.name)).unwrap_or_default();
+        return faults.push(Fault::new(
+            at,
+            "a key stands before the first section",
+            first,
+            "[section] first",
+        ));
+    }
+    if keys.is_empty() {
+        return faults.push(ini::unknown(&at, "section", &section.name, sections()));
+    }
+    ini::known_keys(name, section, &keys, faults);
+    for key in &section.keys {
+        let row = ROWS.iter().find(|row| row.0 == section.name && row.1 == key.name);
+        if let Some(Err((what, taken))) = row.map(|row| check(row.2, &key.value)) {
+            let path = format!("{name}:{}: [{}] {}", key.line, section.name, key.name);
+            faults.push(Fault::new(path, what, shown(&key.value), taken));
+        }
+    }
+}
+
+/// Reads the file, and says of everything that is wrong what and where.
+pub fn load(path: &Path) -> Result<OperatorTerms, String> {
+    let unread = |why: &dyn std::fmt::Display| format!("{}: cannot be read: {why}", path.display());
+    let bytes = kestreltide_watch::read::read(path, Limits::FILE).map_err(|why| unread(&why.0))?;
+    let text = String::from_utf8(bytes).map_err(|e| unread(&e))?;
+    parse(path, &text).map_err(|faults| faults.to_string())
+}
+
+/// All keys with their values in force, as a file that says the same.
+pub fn show(path: Option<&Path>) -> Result<String, String> {
+    let mut said = vec![];
+    if let Some(path) = path {
+        load(path)?;
+        let text = fs::read_to_string(path).map_err(|e| e.to_string())?;
+        said = ini::sections(&path.display().to_string(), &text).map_err(|fault| fault.to_string())?;
+    }
+    let mut out = String::new();
+    for section in sections() {
+        let on = said.iter().find(|said| said.name == section);
+        let _ = writeln!(out, "[{section}]{}", if on.is_some() { "" } else { " ; not in the file" });
+        for (_, key, _, default, what) in ROWS.iter().filter(|row| row.0 == section) {
+            let value = on.and_then(|on| on.keys.iter().find(|said| said.name == *key));
+            let _ = match value {
+                Some(value) => writeln!(out, "{key} = {}", value.value),
+                None if default.is_empty() => writeln!(out, "; {key} =   ({what})"),
+                None => writeln!(out, "{key} = {default}   ; default: {what}"),
+            };
+        }
+    }
+    Ok(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[test]
+    fn an_empty_file_and_the_example_leave_everything_off() {
+        let example = include_str!("../../../deploy/operator.ini");
+        for text in ["", example] {
+            assert_eq!(
+                parse(Path::new("operator.ini"), text).expect("well"),
+                OperatorTerms { history: History::default(), ..OperatorTerms::default() }
+            );
+        }
+    }
+
+    #[test]
+    fn paths_are_from_the_files_own_folder() {
+        let terms =
+            parse(Path::new("/etc/k/o.ini"), "[watch]\nhosts = h.ini\nweights = /w.ini\n").expect("well");
+        let files = terms.watching.expect("on").watched.files;
+        let paths: Vec<_> = files.iter().map(|(_, path)| path.to_str()).collect();
+        assert_eq!(paths, [Some("/etc/k/h.ini"), Some("/w.ini")]);
+    }
+
+    #[rstest]
+    #[case::section("[wach]\nhosts = h\n", "o.ini:1: no such section (given: wach; taken: watch?")]
+    #[case::key(
+        "[watch]\nhots = h\nhosts = h\n",
+        "o.ini:2: [watch] hots: no such key (given: hots; taken: hosts?"
+    )]
+    #[case::twice("[watch]\nhosts = h\nhosts = i\n", "[watch] hosts: stands twice")]
+    #[case::flag(
+        "[watch]\nhosts = h\ndiscovery = maybe\n",
+        "o.ini:3: [watch] discovery: is neither (given: maybe; taken: on or off)"
+    )]
+    #[case::range(
+        "[watch]\nhosts = h\nsettle = 1e9\n",
+        "settle: is out of range (given: 1e9; taken: 0.001 to 10 seconds)"
+    )]
+    #[case::number("[watch]\nhosts = h\npoll = NaN\n", "poll: is out of range")]
+    #[case::none("[watch]\npoll = 1\n", "names no file to watch")]
+    #[case::nobody("[watch]\nweights = w\ndiscovery = off\n", "nobody would list hosts")]
+    #[case::before("hosts = h\n", "a key stands before the first section")]
+    fn what_is_wrong_is_told_with_its_line(#[case] text: &str, #[case] why: &str) {
+        let faults = parse(Path::new("o.ini"), text).expect_err("wrong").to_string();
+        assert!(faults.contains(why), "{faults}");
+    }
+
+    #[test]
+    fn all_that_is_wrong_is_told_at_once() {
+        let faults =
+            parse(Path::new("o.ini"), "[watch]\nhots = h\npoll = x\n[datastore]\nhistory = 0\n[x]\n")
+                .expect_err("wrong");
+        assert_eq!(faults.first.len(), 4, "{faults}");
+    }
+}
--- a/router/src/protocol/discovery.rs
+++ b/router/src/protocol/discovery.rs
@@ -3,7 +3,8 @@
 use std::borrow::Cow;
 use std::net::SocketAddr;
 
-use kestreltide::interface::HostState;
+use kestreltide::interface::{BuildId, HostState};
+use kestreltide_datastore::Listed;
 use serde::Deserialize;
 
 use super::{Malformed, Read};
@@ -49,6 +50,20 @@
         }
     }
 
+    pub fn listed(&self) -> Listed {
+        Listed {
+            name: self.uid.as_ref().into(),
+            endpoint: self.endpoint,
+            zone: self.az.as_ref().into(),
+            cell: self.pod_group,
+            kind: self.model.as_ref().into(),
+            size: self.capacity_hint,
+            build: BuildId(self.build),
+            started: self.started(),
+            state: self.state(),
+        }
+    }
+
     /// When it last started, in Unix time.
     pub fn started(&self) -> Option<f64> {
         (self.boot_ms > 0).then(|| self.boot_ms as f64 / 1e3)
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -1,25 +1,21 @@
 //! Book: which hosts there are and where, and the counts of what was done.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use kestreltide::interface::*;
-use kestreltide_terms::Names;
+use kestreltide_datastore::merge::merge;
+use kestreltide_datastore::{Listed, Snapshot};
 
 use crate::protocol::discovery::Target;
 
-struct Site {
-    uid: Box<str>,
-    at: SocketAddr,
-    state: HostState,
-    /// An id and its address may come back as another process.
-    process: (u16, Option<f64>),
-}
-
-/// Where hosts are, by ids that every router derives alike from discovery's.
+/// Where hosts are: what discovery told last, under what operators have set.
 pub(super) struct Hosts {
-    sites: BTreeMap<HostId, Site>,
+    told: BTreeMap<HostId, Listed>,
+    revision: Arc<Snapshot>,
     most: usize,
 }
 
@@ -32,72 +28,103 @@
 
 impl Hosts {
     pub(super) fn new(most: usize) -> Self {
-        Hosts { sites: BTreeMap::new(), most }
+        Hosts { told: BTreeMap::new(), revision: Arc::default(), most }
     }
 
     pub(super) fn len(&self) -> usize {
-        self.sites.len()
+        let alone = self.revision.hosts.iter().filter(|said| !self.told.contains_key(&said.host));
+        self.told.len() + alone.count()
+    }
+
+    /// A host as it counts, whoever lists it.
+    fn in_force(&self, host: HostId) -> Option<Cow<'_, Listed>> {
+        self.under(&self.revision, host)
+    }
+
+    fn under<'a>(&'a self, revision: &'a Snapshot, host: HostId) -> Option<Cow<'a, Listed>> {
+        match (self.told.get(&host), revision.said(host)) {
+            (Some(told), Some(said)) => merge(&said.name, Some(told), Some(&said.set), None).map(Cow::Owned),
+            (Some(told), None) => Some(Cow::Borrowed(told)),
+            (None, said) => said?.alone.as_ref().map(Cow::Borrowed),
+        }
     }
 
     pub(super) fn address(&self, host: HostId) -> Option<SocketAddr> {
-        self.sites.get(&host).map(|site| site.at)
+        self.in_force(host).map(|host| host.endpoint)
     }
 
     /// Whether a connection to this host at this address may be used again.
     pub(super) fn wanted(&self, host: HostId, at: SocketAddr) -> bool {
-        self.sites.get(&host).is_some_and(|site| site.state == HostState::Running && site.at == at)
-    }
-
-    /// The same at every router and after every start, but for the rare uids whose hashes meet.
-    pub(super) fn id(&self, uid: &str) -> HostId {
-        let mut id = HostId::named(uid);
-        while self.sites.get(&id).is_some_and(|site| *site.uid != *uid) {
-            id.0 = id.0.wrapping_add(1);
-        }
-        id
+        self.in_force(host).is_some_and(|host| host.serves() && host.endpoint == at)
     }
 
-    /// Notes one entry of a list; None where there is no room for one more host.
-    pub(super) fn note(&mut self, target: &Target, names: &mut Names) -> Option<Noted> {
-        let host = self.id(&target.uid);
-        let (at, state) = (target.endpoint, target.state());
-        let old = self.sites.get(&host);
-        if old.is_none() && self.sites.len() >= self.most {
+    /// Notes one entry of discovery's list; None where there is no room for one more host.
+    pub(super) fn note(&mut self, target: &Target) -> Option<Noted> {
+        let host = HostId::named(&target.uid);
+        if !self.told.contains_key(&host) && self.told.len() >= self.most {
             return None;
         }
-        let process = (target.build, target.started());
-        let moved = old.is_some_and(|old| old.at != at || old.process != process);
-        let drop_idle = moved || state != HostState::Running;
-        self.sites.insert(host, Site { uid: target.uid.as_ref().into(), at, state, process });
-        let entry = HostEntry {
-            host,
-            build: BuildId(target.build),
-            zone: names.zone(&target.az),
-            cell: CellId(target.pod_group),
-            kind: names.kind(&target.model),
-            size: target.capacity_hint,
-            started: target.started(),
-            state,
-        };
-        Some(Noted { entry, drop_idle })
+        let old = self.in_force(host).map(Cow::into_owned);
+        self.told.insert(host, target.listed());
+        let new = self.in_force(host)?;
+        let moved = old.is_some_and(|old| moved(&old, &new));
+        Some(Noted { entry: new.entry(), drop_idle: moved || !new.serves() })
     }
 
     /// A whole list has come: who is not in it is gone.
     pub(super) fn only(&mut self, listed: &[HostEntry]) -> Vec<HostId> {
         let listed: BTreeSet<_> = listed.iter().map(|entry| entry.host).collect();
-        let missing = self.sites.iter_mut().filter(|(host, _)| !listed.contains(host));
-        let gone = missing.map(|(host, site)| {
-            site.state = HostState::Gone;
+        let missing = self.told.iter_mut().filter(|(host, _)| !listed.contains(host));
+        let gone = missing.map(|(host, told)| {
+            told.state = HostState::Gone;
             *host
         });
         gone.collect()
     }
 
+    /// The entries of operators alone, which discovery does not list.
+    pub(super) fn of_operators(&self) -> impl Iterator<Item = HostEntry> {
+        let alone = self.revision.hosts.iter().filter(|said| !self.told.contains_key(&said.host));
+        alone.filter_map(|said| said.entry)
+    }
+
+    /// Takes a revision; the entries that it changes, and the hosts whose idle connections are not wanted.
+    pub(super) fn take(&mut self, new: &Arc<Snapshot>) -> (Vec<HostEntry>, Vec<HostId>) {
+        let follows = new.revision().0 == self.revision.revision().0 + 1;
+        let old = std::mem::replace(&mut self.revision, new.clone());
+        let all = || old.hosts.iter().chain(&new.hosts).map(|said| said.host).collect();
+        let changed: Cow<[HostId]> = if follows { Cow::Borrowed(&new.changed) } else { Cow::Owned(all()) };
+        let (mut entries, mut unwanted) = (Vec::with_capacity(changed.len()), vec![]);
+        for host in changed.iter() {
+            let (old, new) = (self.under(&old, *host), self.in_force(*host));
+            let went = old.as_ref().filter(|old| new.as_ref().is_none_or(|new| moved(old, new)));
+            // What stood there before goes first: another machine under the same id begins anew.
+            entries.extend(went.map(|old| HostEntry { state: HostState::Gone, ..old.entry() }));
+            if went.is_some() || new.as_ref().is_none_or(|new| !new.serves()) {
+                unwanted.push(*host);
+            }
+            entries.extend(new.map(|new| new.entry()));
+        }
+        (entries, unwanted)
+    }
+
+    /// All that discovery told and did not take back.
+    pub(super) fn told(&self) -> impl Iterator<Item = &Listed> {
+        self.told.values()
+    }
+
     pub(super) fn forget_gone(&mut self, using: &BTreeSet<HostId>) {
-        self.sites.retain(|host, site| site.state != HostState::Gone || using.contains(host));
+        // Who is gone stays gone though operators still list it, until discovery says otherwise.
+        let said = |host: &HostId| self.revision.said(*host).is_some();
+        self.told.retain(|host, told| told.state != HostState::Gone || using.contains(host) || said(host));
     }
 }
 
+/// An id and its address may come back as another process.
+fn moved(old: &Listed, new: &Listed) -> bool {
+    old.endpoint != new.endpoint || old.build != new.build || old.started != new.started
+}
+
 const VERDICTS: [(Verdict, &str); 8] = [
     (Verdict::Succeeded, "succeeded"),
     (Verdict::Error, "error"),
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -36,18 +36,37 @@
     at: SocketAddr,
     /// Lists come only when the decisions ask for them.
     on_demand: bool,
+    /// Another installation's operators list the hosts: nobody is asked.
+    off: bool,
     following: bool,
     rev: Option<u64>,
     calls: BTreeMap<SocketId, Call>,
     number: u64,
     wait: f64,
     heard: bool,
+    told: bool,
 }
 
 impl Discovery {
     pub(super) fn new(at: SocketAddr, on_demand: bool, limits: &Limits) -> Self {
         let (calls, wait) = (BTreeMap::new(), limits.retry[0]);
-        Discovery { at, on_demand, following: !on_demand, rev: None, calls, number: 0, wait, heard: false }
+        let following = !on_demand;
+        let (off, rev, number, heard, told) = (false, None, 0, false, false);
+        Discovery { at, on_demand, off, following, rev, calls, number, wait, heard, told }
+    }
+
+    /// Not asked from now on.
+    pub(super) fn turn_off(&mut self) {
+        (self.off, self.following) = (true, false);
+    }
+
+    /// Whether a list is there to go by, be it a remembered one.
+    pub(super) fn has_told(&self) -> bool {
+        self.told || self.off
+    }
+
+    pub(super) fn is_off(&self) -> bool {
+        self.off
     }
 
     pub(super) fn asked_only(&self) -> bool {
@@ -55,7 +74,7 @@
     }
 
     pub(super) fn heard(&self) -> bool {
-        self.heard || self.on_demand
+        self.heard || self.on_demand || self.off
     }
 
     pub(super) fn owns(&self, id: SocketId) -> bool {
@@ -75,6 +94,7 @@
     }
 
     pub(super) fn follow(&mut self, on: bool) {
+        let on = on && !self.discovery.off;
         self.discovery.following = on;
         match self.discovery.watching() {
             Some(id) if !on => drop(self.drop_call(id)),
@@ -105,7 +125,9 @@
     }
 
     pub(super) fn fetch_list(&mut self) {
-        self.call(Asked::Once);
+        if !self.discovery.off {
+            self.call(Asked::Once);
+        }
     }
 
     pub(super) fn watch_begin(&mut self) {
@@ -212,9 +234,10 @@
     }
 
     fn take_list(&mut self, list: &List, scope: ListScope) {
+        self.discovery.told = true;
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
-            let Some(noted) = self.hosts.note(target, &mut self.names) else {
+            let Some(noted) = self.hosts.note(target) else {
                 warn!(self.log, "more hosts are listed than can be kept"; "uid" => target.uid.as_ref());
                 continue;
             };
@@ -227,6 +250,7 @@
             for host in self.hosts.only(&entries) {
                 self.close_idle(host);
             }
+            entries.extend(self.hosts.of_operators());
         }
         let youngest = entries.iter().filter_map(|entry| entry.started).reduce(f64::max);
         let youngest = youngest.map_or("none".into(), |at| format!("{:.2}", self.clock.now() - at));
@@ -234,6 +258,7 @@
             "running" => entries.iter().filter(|entry| entry.state == HostState::Running).count(),
             "youngest" => youngest);
         self.events.push_back(Event::Hosts { scope, entries: entries.into() });
+        self.view_changed();
     }
 
     pub(super) fn close_idle(&mut self, host: HostId) {
--- /dev/null
+++ b/router/src/routing/fronts.rs
@@ -0,0 +1,151 @@
+//! Fronts: what other threads post enters the loop here, and what they may know of it goes out.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+use arc_swap::ArcSwap;
+use kestreltide::interface::*;
+use kestreltide_datastore::Snapshot;
+use slog::{info, warn};
+
+use super::view::View;
+use super::{Due, FRONTS, Routing};
+use crate::transport::{Mail, Net, Post, SocketId};
+
+/// What a front posts to the loop.
+#[derive(Clone, Debug)]
+pub enum Notice {
+    /// A revision was committed.
+    Revision(Arc<Snapshot>),
+}
+
+/// A front's sign of life: when it last came round, in milliseconds of Unix time; 0 where it has ended.
+#[derive(Clone, Debug)]
+pub struct Pulse {
+    pub name: &'static str,
+    at: Arc<AtomicU64>,
+}
+
+impl Pulse {
+    pub fn new(name: &'static str) -> Self {
+        Pulse { name, at: Arc::default() }
+    }
+
+    pub fn beat(&self, now: f64) {
+        self.at.store((now * 1e3) as u64, Relaxed);
+    }
+
+    fn last(&self) -> f64 {
+        self.at.load(Relaxed) as f64 / 1e3
+    }
+}
+
+/// The loop's end of it.
+pub struct Box {
+    mail: Mail<Notice>,
+    view: Arc<ArcSwap<View>>,
+}
+
+impl Box {
+    /// The two ends: the loop's, and what fronts hold.
+    pub fn open(net: &mut Net, most: usize) -> std::io::Result<(Self, Post<Notice>, Arc<ArcSwap<View>>)> {
+        let (mail, post) = net.mail(most, FRONTS)?;
+        let view = Arc::new(ArcSwap::from_pointee(View::default()));
+        Ok((Box { mail, view: view.clone() }, post, view))
+    }
+}
+
+pub(super) struct Fronts {
+    open: Box,
+    pulses: Vec<(Pulse, bool)>,
+    revision: Revision,
+    taken: u64,
+    longest_pause: f64,
+    /// The view that fronts have is not that of now, and an alarm is set to renew it.
+    stale: bool,
+}
+
+impl Fronts {
+    pub(super) fn owns(&self, id: SocketId) -> bool {
+        self.open.mail.id == id
+    }
+}
+
+impl Routing {
+    /// Joins the fronts to the loop; without it there are none. Where operators alone list hosts, discovery is
+    /// not asked.
+    pub fn join(&mut self, open: Box, pulses: Vec<Pulse>, discovery: bool) {
+        let pulses = pulses.into_iter().map(|pulse| (pulse, false)).collect();
+        let (revision, taken, longest_pause, stale) = (Revision(0), 0, 0.0, false);
+        self.fronts = Some(Fronts { open, pulses, revision, taken, longest_pause, stale });
+        if !discovery {
+            self.discovery.turn_off();
+        }
+    }
+
+    pub(super) fn fronts_ready(&mut self) {
+        while let Some(notice) = self.fronts.as_ref().and_then(|fronts| fronts.open.mail.take()) {
+            match notice {
+                Notice::Revision(snapshot) => self.take_revision(&snapshot),
+            }
+        }
+    }
+
+    /// From here on invocations come under this revision; what it drains or takes away binds at once.
+    pub fn take_revision(&mut self, snapshot: &Arc<Snapshot>) {
+        let begun = self.clock.now();
+        let (entries, unwanted) = self.hosts.take(snapshot);
+        let count = entries.len();
+        unwanted.into_iter().for_each(|host| self.close_idle(host));
+        self.route(Event::Operators { set: snapshot.set.clone(), entries: entries.into() });
+        let (now, revision) = (self.clock.now(), snapshot.revision());
+        let Some(fronts) = &mut self.fronts else { return };
+        fronts.revision = revision;
+        fronts.taken += 1;
+        fronts.longest_pause = fronts.longest_pause.max(now - begun);
+        info!(self.log, "a revision is in force"; "revision" => revision.0, "entries" => count,
+            "hosts" => self.hosts.len(), "pause_ms" => format!("{:.3}", 1e3 * (now - begun)),
+            "since_commit_ms" => format!("{:.1}", 1e3 * (now - snapshot.at)));
+        self.view_changed();
+        self.settle();
+    }
+
+    /// Fronts get the new view soon, not at each of many changes.
+    pub(super) fn view_changed(&mut self) {
+        let Some(fronts) = self.fronts.as_mut().filter(|fronts| !fronts.stale) else { return };
+        fronts.stale = true;
+        self.set_due(self.clock.now() + self.limits.view, Due::View);
+    }
+
+    pub(super) fn publish(&mut self) {
+        let Some(fronts) = &mut self.fronts else { return };
+        fronts.stale = false;
+        let asked = !self.discovery.is_off();
+        let view = View {
+            at: self.clock.now(),
+            discovery: asked.then(|| self.hosts.told().cloned().collect()),
+            heard: self.discovery.has_told(),
+            news: self.newest,
+            revision: fronts.revision,
+            taken: fronts.taken,
+            longest_pause: fronts.longest_pause,
+            open: self.admitted.len(),
+            clients: self.clients.len(),
+            links: self.links.len(),
+        };
+        fronts.open.view.store(Arc::new(view));
+    }
+
+    /// A front that stands still costs invocations nothing, but somebody should know.
+    pub(super) fn check_pulses(&mut self, now: f64) {
+        let Some(fronts) = &mut self.fronts else { return };
+        for (pulse, told) in &mut fronts.pulses {
+            let last = pulse.last();
+            let still = last > 0.0 && now - last > self.limits.front_stall;
+            if still && !*told {
+                warn!(self.log, "a front stands still"; "front" => pulse.name, "seconds" => now - last);
+            }
+            *told = still;
+        }
+    }
+}
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod book;
 mod discovery;
+mod fronts;
 mod peers;
 mod platform;
 mod relay;
@@ -11,6 +12,7 @@
 mod send;
 mod stop;
 mod take_in;
+pub mod view;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
@@ -18,7 +20,7 @@
 
 use kestreltide::choice::Router;
 use kestreltide::interface::*;
-use kestreltide_terms::{Names, TransportTerms};
+use kestreltide_terms::TransportTerms;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info};
@@ -28,6 +30,7 @@
 use admit::Admitted;
 use book::{Hosts, Tally};
 use discovery::Discovery;
+pub use fronts::{Box as FrontBox, Notice, Pulse};
 use peers::Peers;
 use platform::Platform;
 use send::Link;
@@ -38,10 +41,12 @@
 // they do not lose to time-outs; then clients; alarms come after all that was read.
 const NEWS: Rank = Rank(0);
 const PLATFORM: Rank = Rank(1);
-const PEERS: Rank = Rank(2);
-const HOSTS: Rank = Rank(3);
-const CLIENTS: Rank = Rank(4);
-const LISTENER: Rank = Rank(5);
+// What operators drain and take out binds as discovery's news do.
+const FRONTS: Rank = Rank(2);
+const PEERS: Rank = Rank(3);
+const HOSTS: Rank = Rank(4);
+const CLIENTS: Rank = Rank(5);
+const LISTENER: Rank = Rank(6);
 
 /// Where everybody is, and what this router held when it was started.
 pub struct Parties {
@@ -83,6 +88,7 @@
     Ready,
     StopServing,
     StopLast,
+    View,
 }
 
 pub struct Routing {
@@ -92,7 +98,6 @@
     repeats: Vec<Repeats>,
     clock: Clock,
     net: Net,
-    names: Names,
     decisions: Router,
     /// For waits only; the decisions have their own.
     chance: ChaCha8Rng,
@@ -115,7 +120,11 @@
     hosts: Hosts,
     discovery: Discovery,
     platform: Option<Platform>,
+    /// The newest build, as last told.
+    newest: Option<StageNews>,
     peers: Option<Peers>,
+    /// Where other threads post, where there are any.
+    fronts: Option<fronts::Fronts>,
     ready: bool,
     /// An alarm is set for clients that could not be accepted.
     accept_due: bool,
@@ -129,10 +138,10 @@
 
 impl Routing {
     pub fn start(
-        log: Logger, (limits, clock): (Limits, Clock), mut net: Net,
-        told: (ServiceTerms, TransportTerms, Names), parties: Parties, seed: u64,
+        log: Logger, (limits, clock): (Limits, Clock), mut net: Net, told: (ServiceTerms, TransportTerms),
+        parties: Parties, seed: u64,
     ) -> io::Result<Self> {
-        let (now, (terms, transport, names)) = (clock.now(), told);
+        let (now, (terms, transport)) = (clock.now(), told);
         let listener = Listener::open(&mut net, parties.listen, limits.backlog, LISTENER)?;
         let at = listener.address()?;
         let repeats = terms.operations.iter().map(|o| o.repeats).collect();
@@ -172,10 +181,11 @@
             repeats,
             clock,
             net,
-            names,
             discovery,
             platform,
+            newest: None,
             peers,
+            fronts: None,
         };
         routing.alarms.set(now + routing.limits.sweep, Due::Sweep);
         routing.alarms.set(now + routing.limits.ready_wait, Due::Ready);
@@ -190,6 +200,10 @@
             self.watch_begin();
         }
         self.platform_begin();
+        self.publish();
+        if self.discovery.is_off() {
+            self.ready_by("operators");
+        }
         self.settle();
     }
 
@@ -245,6 +259,8 @@
             self.take_in(id);
         } else if self.listener.as_ref().is_some_and(|listener| listener.id == id) {
             let _ = self.accept();
+        } else if self.fronts.as_ref().is_some_and(|fronts| fronts.owns(id)) {
+            self.fronts_ready();
         } else if self.discovery.owns(id) {
             self.discovery_ready(id);
         } else if self.platform.as_ref().is_some_and(|platform| platform.owns(id)) {
@@ -273,6 +289,7 @@
             Due::Ready => self.ready_by("time"),
             Due::StopServing => self.stop_serving(),
             Due::StopLast => self.stop_last(),
+            Due::View => self.publish(),
         }
     }
 
@@ -312,6 +329,7 @@
         self.platform_check(now);
         self.close_stuck(now);
         self.close_unspoken(now);
+        self.check_pulses(now);
         let using = self.links.values().map(Link::host).collect();
         self.hosts.forget_gone(&using);
         if let Some(line) = self.tally.line(now, self.limits.tell_state) {
--- a/router/src/routing/platform.rs
+++ b/router/src/routing/platform.rs
@@ -53,8 +53,8 @@
 
 impl Routing {
     /// What this router knew of the builds before it was started.
-    pub fn remember_state(&mut self, state: &State) {
-        self.events.push_back(Event::Stage(state.news(false)));
+    pub fn remember_state(&mut self, news: StageNews) {
+        self.told_news(news);
         self.settle();
     }
 
@@ -214,7 +214,7 @@
             Told::Complaint { host, operation, age } => {
                 let operation = self.transport.operations.get(operation.as_ref());
                 if let Some(operation) = operation.copied() {
-                    let host = self.hosts.id(&host);
+                    let host = HostId::named(&host);
                     self.events.push_back(Event::Disputed { host, operation, age });
                 }
             }
@@ -227,7 +227,13 @@
         let State { build, stage, phase, cap, age } = *state;
         info!(self.log, "platform"; "build" => build.0, "stage" => stage, "phase" => ?phase, "cap" => cap,
             "age" => age, "answers_vote" => answers_vote);
-        self.events.push_back(Event::Stage(state.news(answers_vote)));
+        self.told_news(state.news(answers_vote));
+    }
+
+    fn told_news(&mut self, news: StageNews) {
+        self.newest = self.newest.filter(|newest| newest.build > news.build).or(Some(news));
+        self.events.push_back(Event::Stage(news));
+        self.view_changed();
     }
 
     /// The connection is lost: what was asked on it may have been done once it was written.
--- /dev/null
+++ b/router/src/routing/view.rs
@@ -0,0 +1,32 @@
+//! The operational view: what the router knows and did, as one immutable whole that every front reads.
+
+use std::sync::Arc;
+
+use kestreltide::interface::*;
+use kestreltide_datastore::{Facts, Listed};
+
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Unix time of this view.
+    pub at: f64,
+    /// What discovery lists, also who is gone; `None` where it is not asked.
+    pub discovery: Option<Arc<[Listed]>>,
+    pub heard: bool,
+    pub news: Option<StageNews>,
+    /// In force in the loop.
+    pub revision: Revision,
+    /// Revisions that the loop took since the start, and its longest pause for one, in seconds.
+    pub taken: u64,
+    pub longest_pause: f64,
+    /// Open invocations, clients and connections to hosts.
+    pub open: usize,
+    pub clients: usize,
+    pub links: usize,
+}
+
+impl View {
+    pub fn facts(&self, now: f64) -> Facts {
+        let View { discovery, heard, news, .. } = self;
+        Facts { now, discovery: discovery.clone(), heard: *heard, news: *news }
+    }
+}
--- a/router/src/transport/net.rs
+++ b/router/src/transport/net.rs
@@ -1,15 +1,20 @@
 //! The calloop loop, and which sockets of it are ready. The loop only notes readiness; what is ready is then
 //! served in the order of ranks, so that news always comes before what depends on it.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io;
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
+use calloop::channel::{Event, sync_channel};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 
+use super::mail::{Mail, Post};
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SocketId(pub u64);
 
@@ -68,6 +73,26 @@
         Ok((id, token))
     }
 
+    /// A box of so many places that other threads post to; what lies in it makes its owner ready as a socket does.
+    pub fn mail<T: 'static>(&mut self, most: usize, rank: Rank) -> io::Result<(Mail<T>, Post<T>)> {
+        self.next += 1;
+        let (id, waiting) = (SocketId(self.next), Rc::new(RefCell::new(VecDeque::new())));
+        let (post, source) = sync_channel(most);
+        let into = waiting.clone();
+        let note = move |event, _: &mut _, ready: &mut Ready| {
+            // One entry a wake, however much lies there.
+            if let Event::Msg(posted) = event {
+                let mut waiting = into.borrow_mut();
+                if waiting.is_empty() {
+                    ready.sockets.push((rank, id));
+                }
+                waiting.push_back(posted);
+            }
+        };
+        self.handle.insert_source(source, note).map_err(|e| io::Error::other(e.error.to_string()))?;
+        Ok((Mail { id, waiting }, post))
+    }
+
     pub fn forget(&self, token: RegistrationToken) {
         self.handle.remove(token);
     }
--- a/router/src/transport/pools.rs
+++ b/router/src/transport/pools.rs
@@ -38,7 +38,9 @@
     }
 
     pub fn take_all(&mut self, to: K) -> Vec<SocketId> {
-        self.remove(|key, _| *key == to)
+        let taken = self.idle.remove(&to).unwrap_or_default();
+        self.count -= taken.len();
+        taken.into_iter().map(|(id, _)| id).collect()
     }
 
     pub fn take_unused_since(&mut self, time: f64) -> Vec<SocketId> {
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -52,9 +52,9 @@
 }
 
 /// Watches until nobody listens any more. `known` is the digest of what is in force already; `nudged` ends a
-/// sleep early.
+/// sleep early, `alive` is called each time round.
 pub fn run(
-    watched: &Watched, known: Option<u64>, nudged: &Receiver<()>, wake: SyncSender<()>,
+    watched: &Watched, known: Option<u64>, nudged: &Receiver<()>, wake: SyncSender<()>, alive: impl Fn(),
     mut tell: impl FnMut(Told) -> bool,
 ) {
     let started = Instant::now();
@@ -65,6 +65,7 @@
     known.into_iter().for_each(|digest| settle.dealt_with(now() - watched.patience.apart, digest));
     let (mut marks, mut compared): (Vec<Option<Mark>>, f64) = (vec![], f64::MIN);
     loop {
+        alive();
         let found: Vec<_> = paths.iter().map(|path| Mark::at(path)).collect();
         let due = now() - compared >= watched.compare;
         if found != marks || due || settle.wants_content() {
--- a/watch/tests/versions.rs
+++ b/watch/tests/versions.rs
@@ -165,7 +165,9 @@
         let ((nudge, nudged), (sender, told)) = (wakes(), channel());
         let wake = nudge.clone();
         let known = look(&watched).1;
-        thread::spawn(move || run(&watched, Some(known), &nudged, wake, |told| sender.send(told).is_ok()));
+        thread::spawn(move || {
+            run(&watched, Some(known), &nudged, wake, || (), |told| sender.send(told).is_ok())
+        });
         Watch { folder, told, nudge }
     }
 
