--- /dev/null
+++ b/measure/src/main.rs
@@ -0,0 +1,38 @@
+//! `kestreltide-measure NAME`: one sub-command a measurement. Each runs bounded on loopback, prints a table, then
+//! one last line `NAME: key=value ... ok` or `... short: WHICH`, and ends non-zero when it fell short.
+
+mod demo;
+mod report;
+mod rig;
+mod watched_files;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Measurements of kestreltide on loopback.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    what: What,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum What {
+    WatchedFiles(watched_files::WatchedFiles),
+    Demo(demo::Demo),
+}
+
+fn main() -> ExitCode {
+    // Routers under measurement are this very program, so that one build has both.
+    if std::env::var_os(rig::AS_ROUTER).is_some() {
+        return kestreltide_router::program::main();
+    }
+    let line: Line = argh::from_env();
+    let well = match line.what {
+        What::WatchedFiles(measurement) => measurement.run(),
+        What::Demo(demo) => demo.run(),
+    };
+    if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/measure/src/rig.rs
@@ -0,0 +1,150 @@
+//! What measurements share: routers as processes, clients that keep them busy, and what they have noted.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, RwLock};
+use std::thread::{self, JoinHandle};
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use kestreltide_standins::{Client, Program, Seen, config, list, nobody};
+
+/// Set in the environment of a router under measurement.
+pub const AS_ROUTER: &str = "KESTRELTIDE_MEASURE_ROUTER";
+
+pub fn router(config: &str, operator: Option<&Path>) -> Program {
+    let binary = std::env::current_exe().expect("this program has a path");
+    let mut environment = vec![(AS_ROUTER, "1".to_owned())];
+    environment.extend(operator.map(|path| ("KESTRELTIDE_OPERATOR", path.display().to_string())));
+    Program::start_with(&binary.display().to_string(), config, &environment)
+}
+
+/// A configuration without discovery or platform, with room for many connections.
+pub fn alone() -> String {
+    config(nobody(), &list(1, true, &[]))
+        .replace("\"sockets\":256", "\"sockets\":2048")
+        .replace("\"memory_mb\":64", "\"memory_mb\":512")
+}
+
+/// Resident memory of a process, in KiB.
+pub fn memory(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("sensible bounds")
+}
+
+/// Which sets may serve now: the one in force, and one that may come to be at any moment.
+#[derive(Default)]
+pub struct Sets(RwLock<BTreeSet<Arc<str>>>);
+
+impl Sets {
+    pub fn allow(&self, tags: &[&str]) {
+        *self.0.write().expect("no panic before") = tags.iter().map(|tag| (*tag).into()).collect();
+    }
+
+    fn now(&self) -> BTreeSet<Arc<str>> {
+        self.0.read().expect("no panic before").clone()
+    }
+}
+
+/// What clients have met.
+#[derive(Default)]
+pub struct Met {
+    pub served: AtomicU64,
+    pub throttled: AtomicU64,
+    pub terminated: AtomicU64,
+    /// No whole answer came.
+    pub lost: AtomicU64,
+    /// Dispatched to hosts of more than one set, or served by one that was not in force.
+    pub mixed: AtomicU64,
+    pub invalid: AtomicU64,
+    /// The tag that served last, and when each served first since it was asked for.
+    pub last: Mutex<Option<Arc<str>>>,
+    pub micros: Mutex<Option<Histogram<u64>>>,
+}
+
+impl Met {
+    pub fn times(&self) -> Histogram<u64> {
+        self.micros.lock().expect("no panic before").replace(histogram()).unwrap_or_else(histogram)
+    }
+}
+
+/// Clients that ask one after another until told to stop.
+pub struct Clients {
+    pub met: Arc<Met>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Clients {
+    /// So many clients, each asking again as soon as it is answered, after so long a pause.
+    pub fn start(
+        at: SocketAddr, count: usize, checks: Option<(Arc<Seen>, Arc<Sets>)>, pause: std::time::Duration,
+    ) -> Self {
+        let (met, stop) = (Arc::new(Met::default()), Arc::new(AtomicBool::new(false)));
+        drop(met.times());
+        let threads = (0..count).map(|number| {
+            let (met, stop, checks) = (met.clone(), stop.clone(), checks.clone());
+            thread::spawn(move || ask(at, number, &met, &stop, checks, pause))
+        });
+        let threads = threads.collect();
+        Clients { met, stop, threads }
+    }
+
+    pub fn stop(self) -> Arc<Met> {
+        self.stop.store(true, Relaxed);
+        self.threads.into_iter().for_each(|thread| thread.join().expect("a client ends well"));
+        self.met
+    }
+}
+
+fn ask(
+    at: SocketAddr, number: usize, met: &Met, stop: &AtomicBool, checks: Option<(Arc<Seen>, Arc<Sets>)>,
+    pause: std::time::Duration,
+) {
+    let mut client = Client::connect(at);
+    let mut own = histogram();
+    let mut next = 0u64;
+    while !stop.load(Relaxed) {
+        let id = format!("{number}-{next}");
+        next += 1;
+        let before = checks.as_ref().map(|(_, sets)| sets.now());
+        let begun = Instant::now();
+        let answer = client.ask(&["Q.ASK", "k", &id, "c=read,d=5000"]);
+        own.saturating_record(begun.elapsed().as_micros() as u64);
+        let count = match answer.as_str() {
+            "" => &met.lost,
+            busy if busy.starts_with("-BUSY") => &met.throttled,
+            failed if failed.starts_with('-') => &met.terminated,
+            _ => &met.served,
+        };
+        count.fetch_add(1, Relaxed);
+        if answer.is_empty() {
+            client = Client::connect(at);
+        }
+        if let (Some((seen, sets)), Some(mut may)) = (&checks, before) {
+            let sent: BTreeSet<_> = seen.take(&id).into_iter().collect();
+            met.mixed.fetch_add(u64::from(sent.len() > 1), Relaxed);
+            may.extend(sets.now());
+            met.invalid.fetch_add(u64::from(!sent.is_subset(&may)), Relaxed);
+            if !answer.starts_with('-') && !answer.is_empty() {
+                *met.last.lock().expect("no panic before") = Some(answer.into());
+            }
+        }
+        if own.len() >= 64 {
+            let mut all = met.micros.lock().expect("no panic before");
+            all.get_or_insert_with(histogram).add(&own).expect("the same bounds");
+            own.reset();
+        }
+        if !pause.is_zero() {
+            thread::sleep(pause);
+        }
+    }
+}
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -183,7 +183,9 @@
         Err(why) => error!(log, "broken"; "why" => why),
     }
     drop(routing);
-    fronts.map(Fronts::end);
+    if let Some(fronts) = fronts {
+        fronts.end();
+    }
     drop(guard);
     ended
 }
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,89 @@
+//! The platform: it says where the newest build stands, counts votes, and moves the build by them.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::party;
+
+/// Where the build stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    pub build: u16,
+    pub stage: u32,
+    pub progress: &'static str,
+    pub cap: f64,
+}
+
+struct State {
+    standing: Standing,
+    since: Instant,
+    followers: Vec<TcpStream>,
+}
+
+pub struct Platform {
+    pub at: SocketAddr,
+    state: Arc<Mutex<State>>,
+    votes: Receiver<(u32, String)>,
+}
+
+impl State {
+    fn progress(&self) -> Value {
+        let Standing { build, stage, progress, cap } = &self.standing;
+        let age = self.since.elapsed().as_millis() as u64;
+        json!({"image": build, "ring": stage, "progress": progress, "ceiling": cap, "lag_ms": age})
+    }
+}
+
+impl Platform {
+    pub fn start(standing: Standing) -> Self {
+        let state = Arc::new(Mutex::new(State { standing, since: Instant::now(), followers: vec![] }));
+        let (shared, (cast, votes)) = (state.clone(), channel());
+        let cast = Mutex::new(cast);
+        let at = party(move |stream| {
+            let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
+            while let Some(Ok(line)) = lines.next() {
+                let Ok(call) = serde_json::from_str::<Value>(&line) else { return };
+                let mut state = shared.lock().expect("no panic before");
+                let result = if call["method"] == "follow" { json!(true) } else { state.progress() };
+                let mut answer =
+                    json!({"jsonrpc": "2.0", "id": call["id"], "result": result}).to_string() + "\n";
+                if call["method"] == "follow" {
+                    let news = json!({"jsonrpc": "2.0", "method": "progress", "params": state.progress()});
+                    answer += &(news.to_string() + "\n");
+                    state.followers.push(stream.try_clone().expect("a second handle"));
+                } else {
+                    let sense = call["params"]["opinion"].as_str().unwrap_or_default().to_owned();
+                    let stage = call["params"]["ring"].as_u64().unwrap_or_default() as u32;
+                    let _ = cast.lock().expect("no panic before").send((stage, sense));
+                }
+                let _ = (&stream).write_all(answer.as_bytes());
+            }
+        });
+        Platform { at, state, votes }
+    }
+
+    /// The build stands so from now on, and all who follow are told.
+    pub fn tell(&self, standing: Standing) {
+        let mut state = self.state.lock().expect("no panic before");
+        (state.standing, state.since) = (standing, Instant::now());
+        let news =
+            json!({"jsonrpc": "2.0", "method": "progress", "params": state.progress()}).to_string() + "\n";
+        state.followers.retain(|follower| (&*follower).write_all(news.as_bytes()).is_ok());
+    }
+
+    pub fn ping(&self) {
+        let line = "{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
+        let mut state = self.state.lock().expect("no panic before");
+        state.followers.retain(|follower| (&*follower).write_all(line.as_bytes()).is_ok());
+    }
+
+    /// Votes cast since the last look: the stage, and what it says.
+    pub fn votes(&self) -> Vec<(u32, String)> {
+        self.votes.try_iter().collect()
+    }
+}
--- /dev/null
+++ b/standins/src/program.rs
@@ -0,0 +1,100 @@
+//! The program as a process of its own.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{self, Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, channel};
+use std::{env, fs, thread};
+
+use crate::{Client, PATIENCE};
+
+/// The program, started with a configuration on its own.
+pub struct Program {
+    pub child: Child,
+    pub at: SocketAddr,
+    config: PathBuf,
+    log: Receiver<String>,
+}
+
+impl Program {
+    pub fn command(binary: &str, verb: &str, config: &str) -> Command {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let name = format!("kestreltide-{}-{}.json", process::id(), NUMBER.fetch_add(1, Relaxed));
+        let path = env::temp_dir().join(name);
+        fs::write(&path, config).expect("a writable folder");
+        let mut command = Command::new(binary);
+        command.arg(verb).arg("--config").arg(path).stderr(Stdio::piped()).stdout(Stdio::piped());
+        for name in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command
+    }
+
+    pub fn start(binary: &str, config: &str) -> Self {
+        Self::start_with(binary, config, &[])
+    }
+
+    pub fn start_with(binary: &str, config: &str, environment: &[(&str, String)]) -> Self {
+        let mut command = Self::command(binary, "serve", config);
+        command.envs(environment.iter().cloned());
+        let path = command.get_args().last().expect("the configuration's path").into();
+        let mut child = command.spawn().expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("standard error")).lines();
+        let (sender, log) = channel();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let mut program = Program { child, at: ([127, 0, 0, 1], 0).into(), config: path, log };
+        let line = program.logged("listening");
+        let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next());
+        program.at = at.and_then(|at| at.parse().ok()).expect("the line names the address");
+        program
+    }
+
+    /// Waits for a line of the log that says this.
+    pub fn logged(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line says {what}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn lines_until(&self, what: &str) -> Vec<String> {
+        let next = || self.log.recv_timeout(PATIENCE).ok().filter(|line| !line.contains(what));
+        std::iter::from_fn(next).collect()
+    }
+
+    /// Replaces the configuration and tells the program so.
+    pub fn reread(&self, config: &str) {
+        fs::write(&self.config, config).expect("a writable folder");
+        self.signal("HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill is there").success());
+    }
+
+    /// Stops the process, and waits until it stands still: it may be at work when the signal is sent.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !fs::read_to_string(&stat).expect("it runs").contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.at)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.config);
+    }
+}
