--- a/datastore/src/merge.rs
+++ b/datastore/src/merge.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Another process, or the same elsewhere: an id and its address may come back.
+    pub fn moved(&self, new: &Listed) -> bool {
+        self.endpoint != new.endpoint || self.build != new.build || self.started != new.started
+    }
+
     pub fn serves(&self) -> bool {
         self.state == HostState::Running
     }
--- a/datastore/src/snapshot.rs
+++ b/datastore/src/snapshot.rs
@@ -30,12 +30,18 @@
     pub hosts: Box<[Said]>,
     /// Of which hosts it says something else than the revision before, in ascending order.
     pub changed: Box<[HostId]>,
+    /// The same for the decisions, as it counts for hosts that discovery does not list.
+    pub entries: Arc<[HostEntry]>,
+    /// The revision that the changes are from.
+    pub follows: Revision,
     /// When it was committed.
     pub at: f64,
 }
 
 impl Snapshot {
-    pub fn new(revision: Revision, at: f64, (tree, seen): (&Tree, &Seen), changes: &[Difference]) -> Self {
+    pub fn new(
+        old: &Snapshot, revision: Revision, at: f64, (tree, seen): (&Tree, &Seen), changes: &[Difference],
+    ) -> Self {
         let said = tree.hosts.iter().map(|(name, set)| {
             let since = seen.get(name).copied();
             let alone = merge(name, None, Some(set), since);
@@ -62,7 +68,35 @@
             .collect();
         changed.sort();
         changed.dedup();
-        Snapshot { set: Arc::new(OperatorSet { revision, weights }), hosts, changed: changed.into(), at }
+        let set = Arc::new(OperatorSet { revision, weights });
+        let (follows, entries) = (old.revision(), Arc::default());
+        let mut new = Snapshot { set, hosts, changed: changed.into(), entries, follows, at };
+        let none = |_: HostId| None;
+        new.entries = new.changes(old, &new.changed, none, none).into();
+        new
+    }
+
+    /// What the decisions are told of hosts that may have changed. `was` and `is` say how those count that
+    /// discovery lists too; `None` where it does not.
+    pub fn changes<'a>(
+        &'a self, old: &'a Snapshot, hosts: &[HostId], was: impl Fn(HostId) -> Option<Listed>,
+        is: impl Fn(HostId) -> Option<Listed>,
+    ) -> Vec<HostEntry> {
+        let mut entries = Vec::with_capacity(hosts.len());
+        for host in hosts {
+            let (was, is) = (was(*host), is(*host));
+            let was = was.as_ref().or_else(|| old.said(*host)?.alone.as_ref());
+            let is = is.as_ref().or_else(|| self.said(*host)?.alone.as_ref());
+            // What stood there before goes first: another machine under the same id begins anew.
+            let went = was.filter(|was| is.is_none_or(|is| was.moved(is)));
+            entries.extend(went.map(|was| HostEntry { state: HostState::Gone, ..was.entry() }));
+            // A weight is no part of it: most revisions change nothing else.
+            let entry = is
+                .map(Listed::entry)
+                .filter(|entry| went.is_some() || was.map(Listed::entry) != Some(*entry));
+            entries.extend(entry);
+        }
+        entries
     }
 
     pub fn revision(&self) -> Revision {
--- a/datastore/src/store.rs
+++ b/datastore/src/store.rs
@@ -113,7 +113,7 @@
 
 impl Default for History {
     fn default() -> Self {
-        History { revisions: 1000, changes: 200_000, refusals: 16, drained: 64 * 1024 }
+        History { revisions: 1000, changes: 10_000, refusals: 16, drained: 64 * 1024 }
     }
 }
 
@@ -141,6 +141,7 @@
     terms: RuleTerms,
     keep: History,
     in_force: Arc<InForce>,
+    snapshot: Arc<Snapshot>,
     drained: Drained,
     history: VecDeque<RevisionRecord>,
     refusals: VecDeque<Refusal>,
@@ -148,16 +149,18 @@
 
 impl Datastore {
     pub fn new(terms: RuleTerms, keep: History) -> Self {
-        let (history, refusals) = (VecDeque::new(), VecDeque::new());
-        Datastore { terms, keep, in_force: Arc::default(), drained: Drained::new(), history, refusals }
+        Self::remembering(terms, keep, Memory::default())
     }
 
     /// As it was when this was remembered. Nothing is checked again: it was well then, and what has become
     /// dangerous since is guarded when it is used.
     pub fn remembering(terms: RuleTerms, keep: History, memory: Memory) -> Self {
         let Memory { revision, tree, seen, drained, history, refusals } = memory;
+        let changes = Tree::default().differences(&tree);
+        let (nothing, at) = (Snapshot::default(), history.back().map_or(0.0, |last| last.at));
+        let snapshot = Snapshot::new(&nothing, Revision(revision), at, (&tree, &seen), &changes).into();
         let in_force = Arc::new(InForce { revision: Revision(revision), tree, seen });
-        let mut store = Datastore { terms, keep, in_force, drained, history, refusals };
+        let mut store = Datastore { terms, keep, in_force, snapshot, drained, history, refusals };
         store.forget();
         store
     }
@@ -187,10 +190,8 @@
     }
 
     /// What is in force, whole, for a loop that has nothing of it yet.
-    pub fn snapshot(&self) -> Snapshot {
-        let InForce { revision, tree, seen } = &*self.in_force;
-        let changes = Tree::default().differences(tree);
-        Snapshot::new(*revision, self.history.back().map_or(0.0, |last| last.at), (tree, seen), &changes)
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
     }
 
     /// All that is wrong with a candidate as things stand, without committing it.
@@ -211,7 +212,8 @@
             return Ok(Commit::Nothing);
         }
         let revision = Revision(self.in_force.revision.0 + 1);
-        let snapshot = Arc::new(Snapshot::new(revision, facts.now, (&tree, &seen), &changes));
+        let snapshot = Arc::new(Snapshot::new(&self.snapshot, revision, facts.now, (&tree, &seen), &changes));
+        self.snapshot = snapshot.clone();
         self.note_drained(&tree, &seen, facts);
         self.in_force = Arc::new(InForce { revision, tree: Arc::new(tree), seen: Arc::new(seen) });
         self.history.push_back(RevisionRecord {
--- a/measure/src/report.rs
+++ b/measure/src/report.rs
@@ -11,7 +11,7 @@
 
 impl Report {
     pub fn new(name: &'static str) -> Self {
-        println!("{:<52} {:>14}  {}", "figure", "measured", "asked");
+        println!("{:<52} {:>14}  asked", "figure", "measured");
         Report { name, line: String::new(), short: vec![] }
     }
 
--- a/measure/src/rig.rs
+++ b/measure/src/rig.rs
@@ -117,7 +117,12 @@
         next += 1;
         let before = checks.as_ref().map(|(_, sets)| sets.now());
         let begun = Instant::now();
-        let answer = client.ask(&["Q.ASK", "k", &id, "c=read,d=5000"]);
+        let mut answer = client.ask(&["Q.ASK", "k", &id, "c=read,d=5000"]);
+        if let Some(parts) = answer.strip_prefix('*').and_then(|parts| parts.parse::<usize>().ok()) {
+            // A host's own form: the value, and what stands behind it.
+            answer = client.answer();
+            (1..parts).for_each(|_| drop(client.answer()));
+        }
         own.saturating_record(begun.elapsed().as_micros() as u64);
         let count = match answer.as_str() {
             "" => &met.lost,
--- a/router/src/fronts/keeper.rs
+++ b/router/src/fronts/keeper.rs
@@ -1,6 +1,7 @@
 //! The keeper: the thread that holds the datastore, takes what all fronts bring, one after another, and posts
 //! what is committed to the loop.
 
+use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -9,7 +10,7 @@
 use arc_swap::ArcSwap;
 use kestreltide_datastore::store::{Commit, InForce};
 use kestreltide_datastore::{
-    Author, Candidate, Datastore, Facts, Faults, History, RuleTerms, Snapshot, Source, Tree,
+    Author, Candidate, Datastore, Facts, Fault, Faults, History, RuleTerms, Snapshot, Source, Tree,
 };
 use kestreltide_watch::form::{Spoken, Version};
 use kestreltide_watch::watch::{Told, Watched, look};
@@ -66,6 +67,7 @@
     store: Datastore,
     /// What the files said when they were last taken, and what was in force then.
     files: Tree,
+    generation: String,
     base: Arc<InForce>,
     waiting: Option<Waiting>,
     /// Files that do not belong together yet.
@@ -75,6 +77,8 @@
     saved: f64,
     unsaved_told: bool,
     lines: (f64, u32),
+    /// Posted, and perhaps still held by the loop: freeing a long list is this thread's work.
+    posted: VecDeque<Arc<Snapshot>>,
 }
 
 impl Keeper {
@@ -107,6 +111,7 @@
             terms,
             store,
             files,
+            generation: remembered.generation,
             base,
             waiting,
             held,
@@ -114,6 +119,7 @@
             saved,
             unsaved_told,
             lines,
+            posted: VecDeque::new(),
         })
     }
 
@@ -129,7 +135,7 @@
             let faults = match spoken {
                 Spoken::Whole(version) => self.offer(version, facts).err(),
                 Spoken::Apart(faults) | Spoken::Torn(faults) | Spoken::Wrong(faults) => {
-                    self.refused(faults.clone());
+                    self.refused("", faults.clone());
                     Some(faults)
                 }
             };
@@ -147,7 +153,7 @@
             }
         }
         let snapshot = self.store.snapshot();
-        Ok(((snapshot.revision().0 > 0).then(|| Arc::new(snapshot)), known))
+        Ok(((snapshot.revision().0 > 0).then(|| snapshot.clone()), known))
     }
 
     /// Serves what is asked until it is told to stop or nobody is left.
@@ -168,10 +174,18 @@
                 None => self.try_again(&facts),
             };
             // A full box holds this thread up, never the loop; a loop that is gone needs nothing more.
-            if taken.is_some_and(|snapshot| post.send(Notice::Revision(snapshot)).is_err()) {
-                break;
+            if let Some(snapshot) = taken {
+                self.posted.push_back(snapshot.clone());
+                if post.send(Notice::Revision(snapshot)).is_err() {
+                    break;
+                }
+            }
+            let view = view.load();
+            // The loop holds the one in force, and lets the one before go as it takes it.
+            while self.posted.get(1).is_some_and(|next| next.revision() <= view.revision) {
+                self.posted.pop_front();
             }
-            self.save(Some(&view.load()));
+            self.save(Some(&view));
         }
         self.saved = f64::MIN;
         self.save(Some(&view.load()));
@@ -188,7 +202,7 @@
             }
             Told::Refused(faults) => {
                 self.held = None;
-                self.refused(faults);
+                self.refused("", faults);
                 None
             }
             Told::Held(faults) => {
@@ -216,6 +230,11 @@
     }
 
     fn candidate(&self, version: &Version) -> Result<Candidate, Faults> {
+        if version.generation == self.generation && version.tree != self.files {
+            // Half of another version looks like this, too.
+            let what = "is that of the version in force, and the content is another";
+            return Err(Fault::new("generation", what, &version.generation, "a name for each version").into());
+        }
         let mut candidate = Candidate::of(&self.base);
         candidate.tree = candidate.tree.patched(&self.files.differences(&version.tree), false)?;
         Ok(candidate)
@@ -224,8 +243,14 @@
     /// What the files changed since they were last taken, on top of what is in force: whoever else changed the
     /// same leaves meanwhile is not overruled in silence.
     fn offer(&mut self, version: Version, facts: &Facts) -> Result<Option<Arc<Snapshot>>, Faults> {
-        let candidate = self.candidate(&version)?;
         self.unsaved = true;
+        let candidate = match self.candidate(&version) {
+            Ok(candidate) => candidate,
+            Err(faults) => {
+                self.refused(&version.generation, faults.clone());
+                return Err(faults);
+            }
+        };
         match self.store.commit(&candidate, author(&version.generation), facts) {
             Ok(commit) => {
                 let snapshot = match commit {
@@ -235,7 +260,8 @@
                 info!(self.log, "the files are taken"; "generation" => &version.generation,
                     "revision" => self.store.in_force().revision.0,
                     "changes" => snapshot.as_ref().map_or(0, |snapshot| snapshot.changed.len()));
-                (self.files, self.base) = (version.tree, self.store.in_force().clone());
+                (self.files, self.generation) = (version.tree, version.generation);
+                self.base = self.store.in_force().clone();
                 Ok(snapshot)
             }
             Err(faults) => {
@@ -258,9 +284,9 @@
     }
 
     /// Files that cannot be read as a version at all.
-    fn refused(&mut self, faults: Faults) {
-        self.tell("the files are refused", "", &faults);
-        self.store.refuse(author(""), self.clock.now(), faults);
+    fn refused(&mut self, generation: &str, faults: Faults) {
+        self.tell("the files are refused", generation, &faults);
+        self.store.refuse(author(generation), self.clock.now(), faults);
         self.unsaved = true;
     }
 
@@ -291,6 +317,7 @@
             written: now,
             memory: self.store.memory(),
             files: self.files.clone(),
+            generation: self.generation.clone(),
             held,
             taken: view.map_or(0, |view| view.taken),
             longest_pause: view.map_or(0.0, |view| view.longest_pause),
--- a/router/src/fronts/memory.rs
+++ b/router/src/fronts/memory.rs
@@ -2,15 +2,16 @@
 //! check over all of it. The program's commands read it too, as no listener may be opened on the platform.
 
 use std::fs::{self, File};
-use std::io::{ErrorKind, Write};
+use std::io::{self, BufWriter, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
 use kestreltide_datastore::{Author, Faults, Memory, Tree};
 use serde::{Deserialize, Serialize};
 
 const NAME: &str = "revisions.json";
-/// The first line of the file: its form, and the check over the rest.
+/// The first line of the file, and how the last one begins, which has the check over all before it.
 const FORM: &str = "kestreltide-revisions 1";
+const CHECK: &str = "check ";
 
 /// A version that waits for something to pass.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +30,7 @@
     pub memory: Memory,
     /// What the files said when a version of them was last taken.
     pub files: Tree,
+    pub generation: String,
     pub held: Option<Held>,
     /// Revisions that the loop took, and its longest pause for one, in seconds, since the program's start.
     pub taken: u64,
@@ -39,15 +41,37 @@
     folder.join(NAME)
 }
 
+/// Writes on, and knows the check over all that it wrote.
+struct Checked<W> {
+    to: W,
+    check: crc32fast::Hasher,
+}
+
+impl<W: Write> Write for Checked<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.to.write(bytes)?;
+        self.check.update(&bytes[..written]);
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.to.flush()
+    }
+}
+
 /// Replaces the file whole; after a crash there is the old one or the new one.
 pub fn save(folder: &Path, remembered: &Remembered) -> Result<(), String> {
-    let unsaved = |e: std::io::Error| format!("{}: {e}", folder.display());
-    let body = serde_json::to_vec(remembered).map_err(|e| e.to_string())?;
+    let unsaved = |e: io::Error| format!("{}: {e}", folder.display());
     let new = folder.join(format!("{NAME}.new"));
-    let mut file = File::create(&new).map_err(unsaved)?;
-    writeln!(file, "{FORM} {:08x}", crc32fast::hash(&body)).map_err(unsaved)?;
-    file.write_all(&body).and_then(|()| file.sync_all()).map_err(unsaved)?;
-    fs::rename(&new, path(folder)).map_err(unsaved)?;
+    let file = BufWriter::new(File::create(&new).map_err(unsaved)?);
+    let mut file = Checked { to: file, check: crc32fast::Hasher::new() };
+    // Piece by piece: a long history once is no reason to hold its text in memory.
+    writeln!(file, "{FORM}").map_err(unsaved)?;
+    serde_json::to_writer(&mut file, remembered).map_err(|e| unsaved(e.into()))?;
+    let check = file.check.finalize();
+    writeln!(file.to, "\n{CHECK}{check:08x}").map_err(unsaved)?;
+    let file = file.to.into_inner().map_err(|e| unsaved(e.into_error()))?;
+    file.sync_all().and_then(|()| fs::rename(&new, path(folder))).map_err(unsaved)?;
     // The name itself is kept by the folder.
     File::open(folder).and_then(|folder| folder.sync_all()).map_err(unsaved)
 }
@@ -61,12 +85,14 @@
         Err(e) => return Err(format!("{}: {e}", at.display())),
     };
     let damaged = |why: &str| format!("{}: is damaged: {why}", at.display());
-    let end = bytes.iter().position(|byte| *byte == b'\n').ok_or_else(|| damaged("no first line"))?;
-    let (head, body) = (String::from_utf8_lossy(&bytes[..end]), &bytes[end + 1..]);
-    let check = head.strip_prefix(FORM).ok_or_else(|| damaged("its form is not known"))?.trim();
-    if u32::from_str_radix(check, 16) != Ok(crc32fast::hash(body)) {
+    let tail = format!("\n{CHECK}").len() + 9;
+    let place = bytes.len().checked_sub(tail).ok_or_else(|| damaged("it is too short"))?;
+    let (said, check) = bytes.split_at(place);
+    if check != format!("\n{CHECK}{:08x}\n", crc32fast::hash(said)).as_bytes() {
         return Err(damaged("its check is not that of its content"));
     }
+    let body =
+        said.strip_prefix(format!("{FORM}\n").as_bytes()).ok_or_else(|| damaged("its form is not known"))?;
     serde_json::from_slice(body).map(Some).map_err(|e| damaged(&e.to_string()))
 }
 
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -67,7 +67,7 @@
         let old = self.in_force(host).map(Cow::into_owned);
         self.told.insert(host, target.listed());
         let new = self.in_force(host)?;
-        let moved = old.is_some_and(|old| moved(&old, &new));
+        let moved = old.is_some_and(|old| old.moved(&new));
         Some(Noted { entry: new.entry(), drop_idle: moved || !new.serves() })
     }
 
@@ -88,24 +88,33 @@
         alone.filter_map(|said| said.entry)
     }
 
-    /// Takes a revision; the entries that it changes, and the hosts whose idle connections are not wanted.
-    pub(super) fn take(&mut self, new: &Arc<Snapshot>) -> (Vec<HostEntry>, Vec<HostId>) {
-        let follows = new.revision().0 == self.revision.revision().0 + 1;
+    /// Whether a revision's own entries are all that it changes: discovery lists nobody, so that they are worked
+    /// out already and can be told ahead.
+    pub(super) fn can_stage(&self, new: &Snapshot) -> bool {
+        new.follows == self.revision.revision() && self.told.is_empty()
+    }
+
+    /// Takes a revision; the entries that it changes, where what was staged for it has been told or not.
+    pub(super) fn take(&mut self, new: &Arc<Snapshot>, staged: bool) -> Arc<[HostEntry]> {
         let old = std::mem::replace(&mut self.revision, new.clone());
-        let all = || old.hosts.iter().chain(&new.hosts).map(|said| said.host).collect();
-        let changed: Cow<[HostId]> = if follows { Cow::Borrowed(&new.changed) } else { Cow::Owned(all()) };
-        let (mut entries, mut unwanted) = (Vec::with_capacity(changed.len()), vec![]);
-        for host in changed.iter() {
-            let (old, new) = (self.under(&old, *host), self.in_force(*host));
-            let went = old.as_ref().filter(|old| new.as_ref().is_none_or(|new| moved(old, new)));
-            // What stood there before goes first: another machine under the same id begins anew.
-            entries.extend(went.map(|old| HostEntry { state: HostState::Gone, ..old.entry() }));
-            if went.is_some() || new.as_ref().is_none_or(|new| !new.serves()) {
-                unwanted.push(*host);
-            }
-            entries.extend(new.map(|new| new.entry()));
+        let follows = new.follows == old.revision();
+        if staged {
+            return Arc::default();
+        }
+        if follows && self.told.is_empty() {
+            return new.entries.clone();
         }
-        (entries, unwanted)
+        let mut hosts = new.changed.to_vec();
+        if !follows {
+            hosts = old.hosts.iter().chain(&new.hosts).map(|said| said.host).collect();
+            hosts.sort();
+            hosts.dedup();
+        }
+        let told = |revision: &Snapshot, host| {
+            self.told.get(&host)?;
+            self.under(revision, host).map(Cow::into_owned)
+        };
+        new.changes(&old, &hosts, |host| told(&old, host), |host| told(new, host)).into()
     }
 
     /// All that discovery told and did not take back.
@@ -120,11 +129,6 @@
     }
 }
 
-/// An id and its address may come back as another process.
-fn moved(old: &Listed, new: &Listed) -> bool {
-    old.endpoint != new.endpoint || old.build != new.build || old.started != new.started
-}
-
 const VERDICTS: [(Verdict, &str); 8] = [
     (Verdict::Succeeded, "succeeded"),
     (Verdict::Error, "error"),
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -235,6 +235,7 @@
 
     fn take_list(&mut self, list: &List, scope: ListScope) {
         self.discovery.told = true;
+        self.finish_staging();
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
             let Some(noted) = self.hosts.note(target) else {
--- a/router/src/routing/fronts.rs
+++ b/router/src/routing/fronts.rs
@@ -59,6 +59,10 @@
     open: Box,
     pulses: Vec<(Pulse, bool)>,
     revision: Revision,
+    /// Being told ahead, and how much of it has been.
+    staging: Option<(Arc<Snapshot>, usize)>,
+    /// The longest pause for a part of it.
+    staging_pause: f64,
     taken: u64,
     longest_pause: f64,
     /// The view that fronts have is not that of now, and an alarm is set to renew it.
@@ -76,35 +80,86 @@
     /// not asked.
     pub fn join(&mut self, open: Box, pulses: Vec<Pulse>, discovery: bool) {
         let pulses = pulses.into_iter().map(|pulse| (pulse, false)).collect();
-        let (revision, taken, longest_pause, stale) = (Revision(0), 0, 0.0, false);
-        self.fronts = Some(Fronts { open, pulses, revision, taken, longest_pause, stale });
+        self.fronts = Some(Fronts {
+            open,
+            pulses,
+            revision: Revision(0),
+            staging: None,
+            staging_pause: 0.0,
+            taken: 0,
+            longest_pause: 0.0,
+            stale: false,
+        });
         if !discovery {
             self.discovery.turn_off();
         }
     }
 
     pub(super) fn fronts_ready(&mut self) {
-        while let Some(notice) = self.fronts.as_ref().and_then(|fronts| fronts.open.mail.take()) {
+        // One revision after another: the next lies in its box while one is staged.
+        while let Some(fronts) = self.fronts.as_mut().filter(|fronts| fronts.staging.is_none()) {
+            let Some(notice) = fronts.open.mail.take() else { return };
             match notice {
                 Notice::Revision(snapshot) => self.take_revision(&snapshot),
             }
         }
     }
 
-    /// From here on invocations come under this revision; what it drains or takes away binds at once.
+    pub(super) fn is_staging(&self) -> bool {
+        self.fronts.as_ref().is_some_and(|fronts| fronts.staging.is_some())
+    }
+
+    /// Takes a revision, at once where it is short; a long list of who comes and goes is told ahead in parts, one
+    /// a turn, so that the loop never stands still for it.
     pub fn take_revision(&mut self, snapshot: &Arc<Snapshot>) {
+        let ahead = snapshot.entries.len() > self.limits.staged && self.hosts.can_stage(snapshot);
+        match &mut self.fronts {
+            Some(fronts) if ahead => fronts.staging = Some((snapshot.clone(), 0)),
+            _ => self.put_in_force(snapshot, false),
+        }
+    }
+
+    /// The next part of what is staged; after the last one it is in force.
+    pub(super) fn stage(&mut self) {
+        let Some((snapshot, from)) = self.fronts.as_mut().and_then(|fronts| fronts.staging.take()) else {
+            return;
+        };
+        if from >= snapshot.entries.len() {
+            self.put_in_force(&snapshot, true);
+            return self.fronts_ready();
+        }
+        let begun = self.clock.now();
+        let to = (from + self.limits.staged).min(snapshot.entries.len());
+        self.route(Event::Staged { entries: snapshot.entries.clone(), from, to });
+        let paused = self.clock.now() - begun;
+        if let Some(fronts) = &mut self.fronts {
+            fronts.staging_pause = fronts.staging_pause.max(paused);
+            fronts.staging = Some((snapshot, to));
+        }
+    }
+
+    /// What is staged is taken now: another list comes.
+    pub(super) fn finish_staging(&mut self) {
+        while self.is_staging() {
+            self.stage();
+        }
+    }
+
+    /// From here on invocations come under this revision; what it drains or takes away binds at once.
+    fn put_in_force(&mut self, snapshot: &Arc<Snapshot>, staged: bool) {
         let begun = self.clock.now();
-        let (entries, unwanted) = self.hosts.take(snapshot);
-        let count = entries.len();
-        unwanted.into_iter().for_each(|host| self.close_idle(host));
-        self.route(Event::Operators { set: snapshot.set.clone(), entries: entries.into() });
+        let entries = self.hosts.take(snapshot, staged);
+        let count = snapshot.changed.len();
+        self.close_unwanted();
+        self.route(Event::Operators { set: snapshot.set.clone(), entries });
         let (now, revision) = (self.clock.now(), snapshot.revision());
         let Some(fronts) = &mut self.fronts else { return };
         fronts.revision = revision;
         fronts.taken += 1;
-        fronts.longest_pause = fronts.longest_pause.max(now - begun);
-        info!(self.log, "a revision is in force"; "revision" => revision.0, "entries" => count,
-            "hosts" => self.hosts.len(), "pause_ms" => format!("{:.3}", 1e3 * (now - begun)),
+        let pause = std::mem::take(&mut fronts.staging_pause).max(now - begun);
+        fronts.longest_pause = fronts.longest_pause.max(pause);
+        info!(self.log, "a revision is in force"; "revision" => revision.0, "changed" => count,
+            "hosts" => self.hosts.len(), "pause_ms" => format!("{:.3}", 1e3 * pause),
             "since_commit_ms" => format!("{:.1}", 1e3 * (now - snapshot.at)));
         self.view_changed();
         self.settle();
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -220,7 +220,11 @@
     pub fn turn(&mut self) -> io::Result<Turn> {
         let now = self.clock.now();
         let next = self.alarms.next().map_or(self.limits.sleep, |at| at - now);
-        let sleep = if self.later.is_empty() { next.clamp(0.0, self.limits.sleep) } else { 0.0 };
+        let sleep = if self.later.is_empty() && !self.is_staging() {
+            next.clamp(0.0, self.limits.sleep)
+        } else {
+            0.0
+        };
         let (sockets, signalled) = self.net.wait(sleep)?;
         // Since the last look: what the work of the last turn took, and a sleep longer than asked for.
         let woken = self.clock.now();
@@ -240,6 +244,7 @@
             self.serve(id);
             self.settle();
         }
+        self.stage();
         // Only what was due before anything was read: answers that are here go before time-outs.
         while let Some(due) = self.alarms.due(woken) {
             self.due(due);
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -301,6 +301,15 @@
         }
     }
 
+    /// Closes what is without use and leads to hosts that are gone, drained or elsewhere.
+    pub(super) fn close_unwanted(&mut self) {
+        let idle = self.pools.ids();
+        let unwanted = |id: &SocketId| self.links.get(id).is_some_and(|l| !self.hosts.wanted(l.host, l.to));
+        for id in idle.into_iter().filter(unwanted).collect::<Vec<_>>() {
+            self.end_use(id, |_| Verdict::Moot);
+        }
+    }
+
     pub(super) fn use_over(&mut self, id: SocketId, number: u64) {
         if self.links.get(&id).is_some_and(|link| link.number == number) {
             // A command whose last byte was never written has not been begun.
--- a/router/src/transport/pools.rs
+++ b/router/src/transport/pools.rs
@@ -33,8 +33,16 @@
         Some(taken)
     }
 
+    pub fn ids(&self) -> Vec<SocketId> {
+        self.idle.values().flatten().map(|(id, _)| *id).collect()
+    }
+
     pub fn forget(&mut self, to: K, id: SocketId) {
-        self.remove(|key, (other, _)| *key == to && *other == id);
+        if let Some(ids) = self.idle.get_mut(&to) {
+            let before = ids.len();
+            ids.retain(|(other, _)| *other != id);
+            self.count -= before - ids.len();
+        }
     }
 
     pub fn take_all(&mut self, to: K) -> Vec<SocketId> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 use rand_distr::{Beta, Distribution};
 
 use crate::interface::*;
-use crate::narrow::{Weighed, in_force};
+use crate::narrow::{Weighed, put_in_force};
 use crate::record::*;
 
 const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
@@ -113,6 +113,11 @@
 
 const UNKNOWN: Health = Health { faults: 0.0, pace: 1.5, aside_until: 0.0, aside_for: ASIDE[0] };
 
+fn new_host(entry: &HostEntry) -> Box<Host> {
+    let (out, used, health, since, weight) = (vec![], f64::MIN, UNKNOWN, Revision(0), 1.0);
+    Box::new(Host { entry: *entry, usable: false, out, used, health, since, next: Next::Unsaid, weight })
+}
+
 pub struct Router {
     s: State,
     rng: ChaCha8Rng,
@@ -165,6 +170,9 @@
         }
         match event {
             Event::Hosts { scope, entries } => self.list(now, scope, &entries),
+            Event::Staged { entries, from, to } => {
+                self.stage_hosts(entries.get(from..to).unwrap_or_default())
+            }
             Event::Operators { set, entries } => {
                 self.s.set = set;
                 self.list(now, ListScope::Changes, &entries);
@@ -202,52 +210,62 @@
         effects.push(Effect::SetAlarm { at, key: AlarmKey(self.s.next_alarm) });
     }
 
+    /// Noted ahead: nothing of it counts before the list that it belongs to is taken.
+    fn stage_hosts(&mut self, entries: &[HostEntry]) {
+        for entry in entries {
+            let host = self.s.hosts.entry(entry.host).or_insert_with(|| new_host(entry));
+            host.stage(entry, UNKNOWN);
+        }
+    }
+
     fn list(&mut self, now: f64, scope: ListScope, entries: &[HostEntry]) {
         self.s.follow_wait = REFOLLOW[0];
-        if scope != ListScope::Changes {
-            self.s.hosts.values_mut().for_each(|h| h.usable = false);
-        }
-        for entry in entries {
-            let since = self.s.set.revision;
-            let (out, used, health, weight) = (vec![], f64::MIN, UNKNOWN, 1.0);
-            let new = || Host { entry: *entry, usable: false, out, used, health, since, weight };
-            let host = self.s.hosts.entry(entry.host).or_insert_with(new);
-            let same = host.entry.same_process(entry);
-            if !same {
-                (host.health, host.out) = (UNKNOWN, vec![]); // another machine: nothing of it is its own yet
-            }
+        self.stage_hosts(entries);
+        let (whole, set) = (scope != ListScope::Changes, self.s.set.clone());
+        let (mut size, mut count, mut least, mut weighed) = (0.0, 0, None, vec![]);
+        let (mut hosts, mut weight) = (std::mem::take(&mut self.s.hosts), set.in_order());
+        for host in hosts.values_mut() {
             // Invocations of an earlier revision do not go to what came with a later one.
-            host.since = if same && host.usable { host.since } else { since };
-            (host.entry, host.usable) = (*entry, entry.state == HostState::Running);
+            host.settle(whole, set.revision, UNKNOWN);
+            if host.usable {
+                (size, count) = (size + host.entry.size, count + 1);
+                least = Some(least.map_or(host.entry.build, |build| host.entry.build.min(build)));
+                weighed.extend(self.weighs().then(|| self.weighed(&host.entry, now, &mut weight)));
+            }
         }
-        self.weigh(now);
+        (self.s.hosts, self.s.least_build) = (hosts, least);
+        self.weigh(weighed);
         if self.s.fleet <= 0.0 {
-            self.s.open_most = OPEN[0] * self.usable().count() as f64 * self.s.share;
+            self.s.open_most = OPEN[0] * f64::from(count) * self.s.share;
         }
-        self.s.fleet = self.s.fleet.max(self.usable().map(|h| h.entry.size).sum());
-        self.s.hosts.retain(|_, h| h.usable || !h.out.is_empty() || now - h.used < REMEMBERED);
+        self.s.fleet = self.s.fleet.max(size);
+    }
+
+    /// Whether weights are set, or were until now.
+    fn weighs(&self) -> bool {
+        self.s.weighs || !self.s.set.weights.is_empty()
     }
 
     /// A host that has just started has its weight only as far as it carries it, whenever it was set.
-    fn weights(&self, now: f64, set: &OperatorSet) -> BTreeMap<HostId, f64> {
-        let weighed = |h: &HostEntry| {
-            let (weight, warmth) = (set.weight(h.host), self.warmth(h, now));
-            Weighed { size: h.size, weight, warmth }
-        };
-        let (ids, hosts): (Vec<_>, Vec<_>) = self.usable().map(|h| (h.entry.host, weighed(&h.entry))).unzip();
-        ids.into_iter().zip(in_force(&hosts, self.s.fall_multiple)).collect()
+    fn weighed(&self, host: &HostEntry, now: f64, weight: &mut impl FnMut(HostId) -> f64) -> Weighed {
+        Weighed { size: host.size, weight: weight(host.host), warmth: self.warmth(host, now) }
     }
 
-    fn weigh(&mut self, now: f64) {
-        let none = self.s.set.weights.is_empty();
-        let weights = if none { BTreeMap::new() } else { self.weights(now, &self.s.set) };
-        let weighed = self.s.hosts.iter_mut().filter(|_| !none || self.s.weighed);
-        weighed.for_each(|(id, host)| host.weight = weights.get(id).copied().unwrap_or(1.0));
-        self.s.weighed = !none;
+    /// All hosts in use, in their order, with their weights under a revision.
+    fn all_weighed(&self, now: f64, set: &OperatorSet) -> Vec<Weighed> {
+        let mut weight = set.in_order();
+        self.usable().map(|h| self.weighed(&h.entry, now, &mut weight)).collect()
+    }
+
+    fn weigh(&mut self, mut weighed: Vec<Weighed>) {
+        put_in_force(&mut weighed, self.s.fall_multiple);
+        let usable = self.s.hosts.values_mut().filter(|host| host.usable);
+        usable.zip(weighed).for_each(|(host, weighed)| host.weight = weighed.weight);
+        self.s.weighs = !self.s.set.weights.is_empty();
     }
 
     fn usable(&self) -> impl Iterator<Item = &Host> {
-        self.s.hosts.values().filter(|h| h.usable)
+        self.s.hosts.values().map(|h| &**h).filter(|h| h.usable)
     }
 
     fn trial_part(&self) -> (f64, f64) {
@@ -272,7 +290,7 @@
             Some(news) if build == news.build => news.phase,
             Some(_) => Phase::OnTrial,
             // Before any news, only the lowest listed build is known to be no later one.
-            None if self.usable().all(|h| build <= h.entry.build) => Phase::Released,
+            None if self.s.least_build.is_none_or(|least| build <= least) => Phase::Released,
             None => Phase::Withdrawn,
         }
     }
@@ -509,10 +527,14 @@
         let ((first, _), bound) = (self.trace(now, inv), self.bound_to(&inv.key));
         let group = self.s.operations[inv.operation].group;
         // An invocation is decided under the revision it came under; what was taken out since, is out.
-        let own = (inv.set.revision != self.s.set.revision).then(|| self.weights(now, &inv.set));
+        let own = (inv.set.revision != self.s.set.revision).then(|| {
+            let mut weighed = self.all_weighed(now, &inv.set);
+            put_in_force(&mut weighed, self.s.fall_multiple);
+            weighed
+        });
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
         let mut open: Vec<(usize, u8, HostId, f64, bool, f64)> = vec![];
-        for host in self.usable().filter(|host| host.since <= inv.set.revision) {
+        for (number, host) in self.usable().enumerate().filter(|of| of.1.since <= inv.set.revision) {
             let build = host.entry.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
@@ -533,7 +555,7 @@
                 let tier = if tried { 2 } else { u8::from(doubtful) };
                 let arm = usize::from(self.phase(build) == Phase::OnTrial);
                 let warmth = self.warmth(&host.entry, now);
-                let weight = own.as_ref().map_or(host.weight, |own| own.get(&id).copied().unwrap_or(1.0));
+                let weight = own.as_ref().map_or(host.weight, |own| own[number].weight);
                 open.push((arm, tier, id, weight * host.entry.size * warmth, warmth < 1.0, weight));
             }
         }
@@ -602,7 +624,12 @@
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
-        self.weigh(now);
+        if self.weighs() {
+            self.weigh(self.all_weighed(now, &self.s.set));
+        }
+        let kept =
+            |h: &Host| h.usable || h.next != Next::Unsaid || !h.out.is_empty() || now - h.used < REMEMBERED;
+        self.s.hosts.retain(|_, h| kept(h));
         (self.s.part, self.s.trial_hosts) = self.trial_part();
         let part = self.s.part;
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,9 +208,17 @@
 }
 
 impl OperatorSet {
-    pub fn weight(&self, host: HostId) -> f64 {
-        let place = self.weights.binary_search_by_key(&host, |weight| weight.0);
-        place.map_or(1.0, |place| self.weights[place].1)
+    /// Tells the weights of hosts that are asked for in ascending order.
+    pub fn in_order(&self) -> impl FnMut(HostId) -> f64 {
+        let mut left = &self.weights[..];
+        move |host| {
+            while let [(first, _), rest @ ..] = left
+                && *first < host
+            {
+                left = rest;
+            }
+            left.first().filter(|(first, _)| *first == host).map_or(1.0, |(_, weight)| *weight)
+        }
     }
 }
 
@@ -294,7 +302,13 @@
         scope: ListScope,
         entries: Arc<[HostEntry]>,
     },
-    /// A new revision is in force, with the entries that it changes.
+    /// Part of a long list that is told ahead: nothing of it counts before the next `Operators` or `Hosts`.
+    Staged {
+        entries: Arc<[HostEntry]>,
+        from: usize,
+        to: usize,
+    },
+    /// A revision is in force, with all that was staged for it and these entries.
     Operators {
         set: Arc<OperatorSet>,
         entries: Arc<[HostEntry]>,
--- a/src/narrow.rs
+++ b/src/narrow.rs
@@ -33,13 +33,13 @@
     if weights > 0.0 && size > 0.0 { host.weight * size / weights } else { 1.0 }
 }
 
-/// What each weight counts for, 1 being an even share: no cold host's exceeds what it may carry, measured by
-/// the level of all weights as they count themselves.
-pub fn in_force(hosts: &[Weighed], fall_multiple: f64) -> Vec<f64> {
+/// Puts in each weight's place what it counts for, 1 being an even share: no cold host's exceeds what it may
+/// carry, measured by the level of all weights as they count themselves.
+pub fn put_in_force(hosts: &mut [Weighed], fall_multiple: f64) {
     let size: f64 = hosts.iter().map(|host| host.size).sum();
     let first = hosts.first().map_or(1.0, |host| host.weight);
     if size <= 0.0 || hosts.iter().all(|host| host.weight == first) {
-        return vec![1.0; hosts.len()];
+        return hosts.iter_mut().for_each(|host| host.weight = 1.0);
     }
     // From below: a level that is too low only narrows. At the least weight every host counts alike, and warm
     // hosts count in full whatever the level is.
@@ -52,5 +52,5 @@
         level = mean(level).max(level);
     }
     let all = mean(level);
-    hosts.iter().map(|host| counts(host, level) / all).collect()
+    hosts.iter_mut().for_each(|host| host.weight = counts(host, level) / all);
 }
--- a/src/record.rs
+++ b/src/record.rs
@@ -43,10 +43,63 @@
     pub(crate) health: Health,
     /// The revision that it came with, or came back with.
     pub(crate) since: Revision,
+    /// What the list that is being told changes about it.
+    pub(crate) next: Next,
     /// What its weight counts for now, 1 being an even share.
     pub(crate) weight: f64,
 }
 
+/// What becomes of a host when the list that is being told is whole.
+#[derive(Clone, Default, PartialEq)]
+pub(crate) enum Next {
+    #[default]
+    Unsaid,
+    Comes,
+    Goes,
+    /// It stays, with another entry, or begins anew at another place.
+    Changes(Box<(HostEntry, bool)>),
+}
+
+impl Host {
+    /// Notes an entry of a list that is being told; nothing of it counts yet.
+    pub(crate) fn stage(&mut self, entry: &HostEntry, unknown: Health) {
+        let runs = entry.state == HostState::Running;
+        let left = self.next == Next::Goes;
+        self.next = match (self.usable, runs) {
+            (_, false) => Next::Goes,
+            (true, true) => Next::Changes(Box::new((*entry, left))),
+            (false, true) => {
+                self.replace(entry, unknown);
+                Next::Comes
+            }
+        };
+    }
+
+    /// The list is whole: what was noted counts from here on, in a whole list also that nothing was.
+    pub(crate) fn settle(&mut self, whole: bool, now: Revision, unknown: Health) {
+        match std::mem::take(&mut self.next) {
+            Next::Unsaid => self.usable &= !whole,
+            Next::Goes => self.usable = false,
+            Next::Comes => (self.usable, self.since) = (true, now),
+            Next::Changes(change) => {
+                let (entry, anew) = *change;
+                if anew || !self.entry.same_process(&entry) {
+                    self.since = now;
+                }
+                self.replace(&entry, unknown);
+            }
+        }
+    }
+
+    /// Another process begins afresh: nothing is known of it yet.
+    fn replace(&mut self, entry: &HostEntry, unknown: Health) {
+        if !self.entry.same_process(entry) {
+            (self.health, self.out) = (unknown, vec![]);
+        }
+        self.entry = *entry;
+    }
+}
+
 #[derive(Clone, Copy)]
 pub(crate) struct Sent {
     pub(crate) to: HostEntry,
@@ -128,12 +181,15 @@
     // Seen since.
     pub(crate) set: Arc<OperatorSet>,
     /// Some host's weight may be other than 1.
-    pub(crate) weighed: bool,
-    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) weighs: bool,
+    /// Boxed: lists of thousands are taken at once, and a map moves what it holds.
+    pub(crate) hosts: BTreeMap<HostId, Box<Host>>,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) alarms: BTreeMap<u64, Task>,
     pub(crate) next_alarm: u64,
     pub(crate) follow_wait: f64,
+    /// The lowest build that is listed.
+    pub(crate) least_build: Option<BuildId>,
     /// The largest size that was ever listed at once.
     pub(crate) fleet: f64,
     /// Succeeded dispatches a second, and all, fading, as of a time.
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -8,7 +8,7 @@
 
 use fake::*;
 use kestreltide::interface::*;
-use kestreltide::narrow::{Weighed, carried, in_force, share};
+use kestreltide::narrow::{Weighed, carried, put_in_force, share};
 use rstest::rstest;
 
 fn set(revision: u64, weights: &[(u64, f64)]) -> Arc<OperatorSet> {
@@ -152,6 +152,12 @@
     assert!(light * 4 < even, "{light} {even}");
 }
 
+fn in_force(hosts: &[Weighed], fall_multiple: f64) -> Vec<f64> {
+    let mut hosts = hosts.to_vec();
+    put_in_force(&mut hosts, fall_multiple);
+    hosts.into_iter().map(|host| host.weight).collect()
+}
+
 fn weighed(weight: f64, warmth: f64) -> Weighed {
     Weighed { size: 1.0, weight, warmth }
 }
