--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -178,14 +178,14 @@
             Err(e) => break Err(format!("the event loop failed: {e}")),
         }
     };
-    match &ended {
-        Ok(()) => info!(log, "stopped"),
-        Err(why) => error!(log, "broken"; "why" => why),
-    }
     drop(routing);
     if let Some(fronts) = fronts {
         fronts.end();
     }
+    match &ended {
+        Ok(()) => info!(log, "stopped"),
+        Err(why) => error!(log, "broken"; "why" => why),
+    }
     drop(guard);
     ended
 }
--- a/router/tests/operators.rs
+++ b/router/tests/operators.rs
@@ -235,10 +235,9 @@
     program.logged("ready");
     program.signal("TERM");
     program.logged("stopped");
-    thread::sleep(Duration::from_millis(50));
     files.put("hosts.ini", "generation = 2\n[hots b]\n");
     let program = files.alone();
-    program.logged("the start is with the last good revision");
+    assert!(program.began.iter().any(|line| line.contains("the start is with the last good revision")));
     assert_eq!(ask(&mut program.client(), "1"), "of a");
     drop(program);
     // The same with what was remembered spoilt: it is put aside, and nothing is left to start with.
@@ -303,7 +302,6 @@
     program.logged("the files are refused");
     program.signal("TERM");
     program.logged("stopped");
-    thread::sleep(Duration::from_millis(50));
     let (well, said) = files.command(&["revisions", "--operator", "operator.ini"]);
     assert!(well, "{said}");
     for part in [
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -15,6 +15,8 @@
 pub struct Program {
     pub child: Child,
     pub at: SocketAddr,
+    /// What it said before it listened.
+    pub began: Vec<String>,
     config: PathBuf,
     log: Receiver<String>,
 }
@@ -45,8 +47,15 @@
         let lines = BufReader::new(child.stderr.take().expect("standard error")).lines();
         let (sender, log) = channel();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut program = Program { child, at: ([127, 0, 0, 1], 0).into(), config: path, log };
-        let line = program.logged("listening");
+        let (at, began) = (([127, 0, 0, 1], 0).into(), vec![]);
+        let mut program = Program { child, at, began, config: path, log };
+        let line = loop {
+            let line = program.logged("");
+            if line.contains("listening") {
+                break line;
+            }
+            program.began.push(line);
+        };
         let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next());
         program.at = at.and_then(|at| at.parse().ok()).expect("the line names the address");
         program
