--- a/router/tests/operators.rs
+++ b/router/tests/operators.rs
@@ -349,3 +349,22 @@
     program.logged("ready");
     assert!(threads(&program) > 3);
 }
+
+#[test]
+fn two_files_of_which_one_stays_old_are_held_for_good_and_taken_once_they_agree() {
+    let files =
+        Files::new("[watch]\nhosts = hosts.ini\nweights = weights.ini\ndiscovery = off\nsettle = 0.005\n");
+    let (a, b) = (named("of a"), named("of b"));
+    files.hosts("1", &[("a", a, "")]);
+    files.states("1", &[]);
+    let program = files.alone();
+    let mut client = program.client();
+    files.hosts("2", &[("b", b, "")]);
+    let line = program.logged("files do not belong together yet");
+    assert!(line.contains("weights.ini: generation: is of another generation than"), "{line}");
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(ask(&mut client, "1"), "of a");
+    files.states("2", &[]);
+    program.logged("a revision is in force, router: n0, revision: 2");
+    assert_eq!(ask(&mut client, "2"), "of b");
+}
