--- a/benchlink/src/codec.rs
+++ b/benchlink/src/codec.rs
@@ -66,6 +66,7 @@
             time_left: line.time("time_budget")?,
             work: line.maybe_whole("cost")?.map(seconds),
             again: line.flag("retry")?,
+            pool: None,
         }),
         "UNDER_WAY" => Event::Streaming { inv: inv()?, dispatch: dispatch()?, host: host()? },
         "ENDED" => Event::Ended {
--- a/datastore/src/check.rs
+++ b/datastore/src/check.rs
@@ -10,7 +10,8 @@
 
 use crate::fault::{Fault, Faults, Rule};
 use crate::merge::{Listed, merge};
-use crate::tree::{AdminState, Difference, HostName, Leaf, Path, Tree, Value};
+use crate::snapshot::routes;
+use crate::tree::{AdminState, Difference, HostName, Leaf, Path, RouteSet, Tree, Value};
 
 /// Hosts that a router keeps at most.
 pub const HOSTS_MOST: usize = 16 * 1024;
@@ -22,17 +23,20 @@
 const GREW: f64 = 1.0001;
 
 /// What of the terms the checks go by.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RuleTerms {
+    /// Names of the service's operations.
+    pub operations: Vec<String>,
     pub routers: u32,
     pub cold_share: f64,
     pub cold_time: f64,
     pub fall_multiple: f64,
 }
 
-impl From<&ServiceTerms> for RuleTerms {
-    fn from(terms: &ServiceTerms) -> Self {
+impl RuleTerms {
+    pub fn new(terms: &ServiceTerms, operations: Vec<String>) -> Self {
         RuleTerms {
+            operations,
             routers: terms.routers.max(1),
             cold_share: terms.cold_share,
             cold_time: terms.cold_time,
@@ -110,6 +114,17 @@
         Context { terms, facts, old, new, drained, was, is, changes }
     }
 
+    /// The released build: the newest that is no trial any more, or every listed one before any news.
+    fn released(&self, hosts: &BTreeMap<Arc<str>, Listed>) -> Vec<BuildId> {
+        let builds: BTreeSet<_> = hosts.values().map(|host| host.build).collect();
+        let earlier = |news: &StageNews| builds.range(..news.build).next_back().copied();
+        match &self.facts.news {
+            Some(news) if news.phase == Phase::Released => vec![news.build],
+            Some(news) => earlier(news).into_iter().collect(),
+            None => builds.into_iter().collect(),
+        }
+    }
+
     /// Nothing but less: hosts taken out, drained or no longer listed.
     fn only_narrows(&self) -> bool {
         let out = |state: &Option<Value>| matches!(state, Some(Value::State(state)) if *state != AdminState::InService);
@@ -137,7 +152,7 @@
 type Check = fn(&Context, &mut Faults);
 
 /// Every check, in the order in which their faults are shown.
-const CHECKS: [Check; 9] = [
+const CHECKS: [Check; 13] = [
     entries_whole,
     hosts_kept,
     addresses_apart,
@@ -147,6 +162,10 @@
     places_left,
     removal_small,
     cold_hosts_carried,
+    routes_known,
+    routes_apart,
+    pools_served,
+    ring_known,
 ];
 
 /// All faults of a candidate.
@@ -282,15 +301,8 @@
         let of = |host: &Listed| host.zone == zone;
         left("guards/least-hosts-zone", format!("zone {zone}"), least_zone, &of);
     }
-    let builds: BTreeSet<_> = context.was.values().map(|host| host.build).collect();
-    let earlier = |news: &StageNews| builds.range(..news.build).next_back().copied();
-    let wanted = match &context.facts.news {
-        Some(news) if news.phase == Phase::OnTrial => vec![Some(news.build), earlier(news)],
-        Some(news) if news.phase == Phase::Released => vec![Some(news.build)],
-        Some(news) => vec![earlier(news)],
-        None => builds.iter().map(|build| Some(*build)).collect(),
-    };
-    for build in wanted.into_iter().flatten() {
+    let trial = context.facts.news.filter(|news| news.phase == Phase::OnTrial).map(|news| news.build);
+    for build in context.released(&context.was).into_iter().chain(trial) {
         let of = |host: &Listed| host.build == build;
         left("guards/least-hosts-build", format!("build {}", build.0), least_build, &of);
     }
@@ -363,3 +375,108 @@
         faults.push(fault.by(Rule::ColdHostsCarried).passing(passes));
     }
 }
+
+/// A route speaks of what there is: operations of the service, hosts that are listed.
+fn routes_known(context: &Context, faults: &mut Faults) {
+    let none = BTreeSet::new();
+    for (name, route) in &context.new.routes {
+        let known =
+            |operation: &&Arc<str>| !context.terms.operations.iter().any(|known| **known == ***operation);
+        for operation in route.operations.as_ref().unwrap_or(&none).iter().filter(known) {
+            let path = Path::Route(name.clone(), Leaf::Operations);
+            let taken = context.terms.operations.join(", ");
+            faults.push(Fault::new(path, "no such operation", operation, taken));
+        }
+        let missing = |host: &&Arc<str>| !context.is.contains_key(*host);
+        for host in route.hosts.as_ref().unwrap_or(&none).iter().filter(missing) {
+            let path = Path::Route(name.clone(), Leaf::Hosts);
+            let was = context.was.contains_key(host);
+            let what =
+                if was { "refers to a host that would be listed no more" } else { "no such host is listed" };
+            faults.push(Fault::new(path, what, host, "a host that is listed"));
+        }
+        if *route == (RouteSet { precedence: route.precedence, ..RouteSet::default() }) {
+            let what = "says neither which invocations it is for nor which hosts they use";
+            faults.push(Fault::new(
+                format!("routes/{name}"),
+                what,
+                "nothing",
+                "operation, key-prefix, zone, kind or host",
+            ));
+        }
+    }
+}
+
+/// Which of two routes an invocation takes is never left to chance.
+fn routes_apart(context: &Context, faults: &mut Faults) {
+    let all = routes(context.new);
+    for (one, other) in kestreltide_routes::unordered(&all) {
+        let what = format!("overlaps with route {} and nothing says which goes first", other.name);
+        let given = one.precedence.map_or("no precedence".into(), |given| given.to_string());
+        let path = format!("routes/{}/precedence", one.name);
+        faults.push(Fault::new(path, what, given, "a precedence for each, not the same"));
+    }
+}
+
+/// A pool is never without a host of the released build while one is listed: its invocations could go nowhere, or
+/// to the trial alone.
+fn pools_served(context: &Context, faults: &mut Faults) {
+    let released = context.released(&context.is);
+    let serves = |host: &&Listed| host.serves() && released.contains(&host.build);
+    if !context.is.values().any(|host| serves(&host)) {
+        return;
+    }
+    for route in routes(context.new) {
+        let held = context.is.values().filter(serves).any(|host| route.pool.holds(&host.entry()));
+        if !held {
+            let what = "its pool would have no host of the released build in service";
+            let fault = Fault::new(format!("routes/{}", route.name), what, "no such host", "at least one");
+            faults.push(fault.by(Rule::ExposureCapped));
+        }
+    }
+}
+
+/// Rule 5: what is asked of a trial only ever shows it to less, and is of the build that it says.
+fn ring_known(context: &Context, faults: &mut Faults) {
+    let ring = &context.new.ring;
+    if context.old.ring == *ring {
+        return;
+    }
+    let asks = ring.hold == Some(true) || ring.back == Some(true) || ring.cap.is_some();
+    let news = context.facts.news;
+    match (ring.build, news) {
+        (None, _) if asks => {
+            faults.push(Fault::new(
+                "ring/build",
+                "does not say which build is meant",
+                "nothing",
+                "the build on trial",
+            ));
+        }
+        (Some(build), Some(news)) if asks => {
+            if build != u32::from(news.build.0) {
+                let taken = format!("{}, the newest build", news.build.0);
+                faults.push(Fault::new(
+                    "ring/build",
+                    "is not the build that the platform tells of",
+                    build,
+                    taken,
+                ));
+            }
+            if let Some(cap) = ring.cap.filter(|cap| *cap > news.cap) {
+                let taken = format!("{} at most, the cap told", news.cap);
+                let fault = Fault::new("ring/cap", "would be raised, and can only be lowered", cap, taken);
+                faults.push(fault.by(Rule::ExposureCapped));
+            }
+        }
+        (Some(build), None) if asks => {
+            faults.push(Fault::new(
+                "ring/build",
+                "the platform has told of no build",
+                build,
+                "a build on trial",
+            ));
+        }
+        _ => {}
+    }
+}
--- a/datastore/src/draft.rs
+++ b/datastore/src/draft.rs
@@ -40,7 +40,7 @@
 
     /// A leaf and its text; where it stands is for those who read what is wrong.
     pub fn set(&mut self, place: &str, path: Path, text: &str) {
-        let (Path::Host(_, leaf) | Path::Guards(leaf)) = &path;
+        let leaf = path.leaf();
         match leaf.parse(text) {
             Ok(value) => {
                 if let Some(first) = self.said.insert(path.clone(), place.into()) {
--- a/datastore/src/lib.rs
+++ b/datastore/src/lib.rs
@@ -18,4 +18,6 @@
 pub use merge::Listed;
 pub use snapshot::Snapshot;
 pub use store::{Author, Candidate, Change, Datastore, History, Memory, RevisionRecord, Source};
-pub use tree::{AdminState, Guards, HostName, HostSet, Leaf, Path, Tree, Value};
+pub use tree::{
+    AdminState, Guards, HostName, HostSet, Leaf, Path, Place, RingSet, RouteName, RouteSet, Tree, Value,
+};
--- a/datastore/src/merge.rs
+++ b/datastore/src/merge.rs
@@ -116,6 +116,7 @@
     let told = |of: fn(&Listed) -> Arc<str>| discovery.map(of);
     let first = |a, _| a;
     let state = set.state.map(AdminState::host_state);
+    let build = set.build.and_then(|build| u16::try_from(build).ok()).map(BuildId);
     let started = set.started.or(since.filter(|_| discovery.is_none()));
     Some(Listed {
         name: discovery.map_or_else(|| name.shared(), |told| told.name.clone()),
@@ -124,7 +125,7 @@
         cell: pick(Leaf::Cell, discovery.map(|told| told.cell), set.cell, |a, _| a).unwrap_or(0),
         kind: pick(Leaf::Kind, told(|told| told.kind.clone()), set.kind.clone(), |a, _| a)?,
         size: pick(Leaf::Size, discovery.map(|told| told.size), set.size, |a, _| a).unwrap_or(1.0),
-        build: pick(Leaf::Build, discovery.map(|told| told.build), set.build.map(BuildId), |a, _| a)?,
+        build: pick(Leaf::Build, discovery.map(|told| told.build), build, |a, _| a)?,
         started: pick(Leaf::Started, discovery.and_then(|told| told.started), started, f64::max),
         state: pick(Leaf::State, discovery.map(|told| told.state), state, |a, b| {
             if care(a) >= care(b) { a } else { b }
--- a/datastore/src/snapshot.rs
+++ b/datastore/src/snapshot.rs
@@ -1,9 +1,11 @@
 //! A revision as the router's loop takes it: immutable, and worked out beforehand as far as the loop need not
 //! know it. What depends on discovery's latest word is merged where that word is known, in the loop.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use kestreltide::interface::*;
+use kestreltide_routes::{Match, Route, Routes};
 
 use crate::check::Seen;
 use crate::merge::{Listed, merge};
@@ -34,6 +36,7 @@
     pub entries: Arc<[HostEntry]>,
     /// The revision that the changes are from.
     pub follows: Revision,
+    pub routes: Arc<Routes>,
     /// When it was committed.
     pub at: f64,
 }
@@ -63,14 +66,15 @@
             .iter()
             .filter_map(|change| match &change.path {
                 Path::Host(name, _) => Some(HostId::named(name.as_str())),
-                Path::Guards(_) => None,
+                Path::Guards(_) | Path::Route(..) | Path::Ring(_) => None,
             })
             .collect();
         changed.sort();
         changed.dedup();
-        let set = Arc::new(OperatorSet { revision, weights });
+        let set = Arc::new(OperatorSet { revision, weights, ring: ring(tree) });
+        let routes = Arc::new(Routes::new(routes(tree)));
         let (follows, entries) = (old.revision(), Arc::default());
-        let mut new = Snapshot { set, hosts, changed: changed.into(), entries, follows, at };
+        let mut new = Snapshot { set, hosts, changed: changed.into(), entries, follows, routes, at };
         let none = |_: HostId| None;
         new.entries = new.changes(old, &new.changed, none, none).into();
         new
@@ -108,3 +112,29 @@
         place.ok().map(|place| &self.hosts[place])
     }
 }
+
+/// What operators ask of the build on trial, if they ask anything.
+fn ring(tree: &Tree) -> Option<RingWish> {
+    let ring = &tree.ring;
+    let build = BuildId(u16::try_from(ring.build?).ok()?);
+    let (hold, back) = (ring.hold == Some(true), ring.back == Some(true));
+    Some(RingWish { build, hold, back, cap: ring.cap.unwrap_or(1.0) })
+}
+
+/// The routes of a tree, each with its pool.
+pub fn routes(tree: &Tree) -> Vec<Route> {
+    let routes = tree.routes.iter().map(|(name, set)| {
+        let named = |names: &Option<BTreeSet<Arc<str>>>| names.clone().unwrap_or_default();
+        let pool = Pool {
+            zones: named(&set.zones).iter().map(|zone| ZoneId::named(zone)).collect(),
+            kinds: named(&set.kinds).iter().map(|kind| KindId::named(kind)).collect(),
+            hosts: named(&set.hosts).iter().map(|host| HostId::named(host)).collect(),
+        };
+        let of = Match {
+            operations: named(&set.operations),
+            key_prefix: set.key_prefix.clone().unwrap_or_default(),
+        };
+        Route { name: name.shared(), precedence: set.precedence, of, pool: Arc::new(pool) }
+    });
+    routes.collect()
+}
--- a/datastore/src/tree.rs
+++ b/datastore/src/tree.rs
@@ -1,7 +1,8 @@
 //! The typed tree of what operators set: hosts (entries, weights, administrative states) and guards. Every
 //! value stands at a leaf with a path; two trees differ by leaves, and a change is a list of them.
 
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -11,11 +12,6 @@
 
 use crate::fault::{Fault, Faults};
 
-/// A host's name, the same as discovery's id where both list it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub struct HostName(Arc<str>);
-
 /// Characters of a name, of a host, a zone or a kind.
 const NAME_MOST: usize = 128;
 
@@ -29,44 +25,62 @@
     }
 }
 
-impl HostName {
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
 
-    pub fn shared(&self) -> Arc<str> {
-        self.0.clone()
-    }
-}
+        impl $name {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
 
-impl FromStr for HostName {
-    type Err = String;
+            pub fn shared(&self) -> Arc<str> {
+                self.0.clone()
+            }
+        }
 
-    fn from_str(text: &str) -> Result<Self, String> {
-        name(text).map(HostName)
-    }
-}
+        impl FromStr for $name {
+            type Err = String;
 
-impl TryFrom<String> for HostName {
-    type Error = String;
+            fn from_str(text: &str) -> Result<Self, String> {
+                name(text).map($name)
+            }
+        }
 
-    fn try_from(text: String) -> Result<Self, String> {
-        text.parse()
-    }
-}
+        impl TryFrom<String> for $name {
+            type Error = String;
 
-impl From<HostName> for String {
-    fn from(name: HostName) -> String {
-        name.0.as_ref().into()
-    }
-}
+            fn try_from(text: String) -> Result<Self, String> {
+                text.parse()
+            }
+        }
 
-impl fmt::Display for HostName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().into()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
 }
 
+name_type!(
+    /// A host's name, the same as discovery's id where both list it.
+    HostName
+);
+name_type!(
+    /// A route's name.
+    RouteName
+);
+
 /// What operators want of a host, whatever it does itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -88,7 +102,7 @@
     }
 }
 
-/// The leaves of a host, in the order in which they are shown.
+/// A leaf of a host, the guards, a route or the ring, in the order in which they are shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Leaf {
@@ -101,54 +115,92 @@
     Started,
     Weight,
     State,
-    // Of the guards.
     LargestRemoval,
     LeastHostsZone,
     LeastHostsBuild,
+    Precedence,
+    Operations,
+    KeyPrefix,
+    Zones,
+    Kinds,
+    Hosts,
+    RingBuild,
+    Hold,
+    Back,
+    Cap,
 }
 
-/// The name of each leaf, and what it takes.
-const LEAVES: [(Leaf, &str, &str); 12] = [
-    (Leaf::Endpoint, "endpoint", "an address and port, such as 10.1.0.18:6379"),
-    (Leaf::Zone, "zone", "a name of letters, digits and . _ : -"),
-    (Leaf::Cell, "cell", "a whole number from 0 to 4294967295"),
-    (Leaf::Kind, "kind", "a name of letters, digits and . _ : -"),
-    (Leaf::Size, "size", "a number over 0, at most 1000000, 1 for a usual host"),
-    (Leaf::Build, "build", "a whole number from 0 to 65535"),
-    (Leaf::Started, "started", "a time such as 2026-12-01T03:00:00Z, or seconds since 1970"),
-    (Leaf::Weight, "weight", "a number from 0.01 to 100, 1 for an even share"),
-    (Leaf::State, "state", "in-service, draining or out"),
-    (Leaf::LargestRemoval, "largest-removal", "a share from 0 to 1 of the hosts in service"),
-    (Leaf::LeastHostsZone, "least-hosts-zone", "a whole number from 0 to 16384"),
-    (Leaf::LeastHostsBuild, "least-hosts-build", "a whole number from 0 to 16384"),
-];
+/// What a leaf is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    Host,
+    Guards,
+    Route,
+    Ring,
+}
 
-const HOST_LEAVES: usize = 9;
+const NAMED: &str = "a name of letters, digits and . _ : -";
+const NAMES: &str = "names of letters, digits and . _ : -";
+
+/// What each leaf is of, its name there, and what it takes.
+const LEAVES: [(Leaf, Place, &str, &str); 22] = [
+    (Leaf::Endpoint, Place::Host, "endpoint", "an address and port, such as 10.1.0.18:6379"),
+    (Leaf::Zone, Place::Host, "zone", NAMED),
+    (Leaf::Cell, Place::Host, "cell", "a whole number from 0 to 4294967295"),
+    (Leaf::Kind, Place::Host, "kind", NAMED),
+    (Leaf::Size, Place::Host, "size", "a number over 0, at most 1000000, 1 for a usual host"),
+    (Leaf::Build, Place::Host, "build", "a whole number from 0 to 65535"),
+    (Leaf::Started, Place::Host, "started", "a time such as 2026-12-01T03:00:00Z, or seconds since 1970"),
+    (Leaf::Weight, Place::Host, "weight", "a number from 0.01 to 100, 1 for an even share"),
+    (Leaf::State, Place::Host, "state", "in-service, draining or out"),
+    (Leaf::LargestRemoval, Place::Guards, "largest-removal", "a share from 0 to 1 of the hosts in service"),
+    (Leaf::LeastHostsZone, Place::Guards, "least-hosts-zone", "a whole number from 0 to 16384"),
+    (Leaf::LeastHostsBuild, Place::Guards, "least-hosts-build", "a whole number from 0 to 16384"),
+    (Leaf::Precedence, Place::Route, "precedence", "a whole number from 0 to 4294967295, lower first"),
+    (Leaf::Operations, Place::Route, "operation", "names of the service's operations"),
+    (Leaf::KeyPrefix, Place::Route, "key-prefix", "up to 128 characters"),
+    (Leaf::Zones, Place::Route, "zone", NAMES),
+    (Leaf::Kinds, Place::Route, "kind", NAMES),
+    (Leaf::Hosts, Place::Route, "host", NAMES),
+    (Leaf::RingBuild, Place::Ring, "build", "the number of the build on trial"),
+    (Leaf::Hold, Place::Ring, "hold", "true or false"),
+    (Leaf::Back, Place::Ring, "back", "true or false"),
+    (Leaf::Cap, Place::Ring, "cap", "a share from 0 to 1, at most the cap told"),
+];
 
 impl Leaf {
+    fn row(self) -> &'static (Leaf, Place, &'static str, &'static str) {
+        // The table has them in the order of their numbers; a story walks all of them.
+        &LEAVES[self as usize]
+    }
+
     pub fn name(self) -> &'static str {
-        LEAVES.iter().find(|row| row.0 == self).map_or("", |row| row.1)
+        self.row().2
     }
 
     /// What the leaf takes, in words.
     pub fn takes(self) -> &'static str {
-        LEAVES.iter().find(|row| row.0 == self).map_or("", |row| row.2)
+        self.row().3
     }
 
-    pub fn of_host(name: &str) -> Option<Leaf> {
-        LEAVES[..HOST_LEAVES].iter().find(|row| row.1 == name).map(|row| row.0)
+    pub fn place(self) -> Place {
+        self.row().1
     }
 
-    pub fn of_guards(name: &str) -> Option<Leaf> {
-        LEAVES[HOST_LEAVES..].iter().find(|row| row.1 == name).map(|row| row.0)
+    pub fn named(place: Place, name: &str) -> Option<Leaf> {
+        Leaf::all_of(place).find(|leaf| leaf.name() == name)
     }
 
-    pub fn all_of_host() -> impl Iterator<Item = Leaf> {
-        LEAVES[..HOST_LEAVES].iter().map(|row| row.0)
+    pub fn all_of(place: Place) -> impl Iterator<Item = Leaf> {
+        LEAVES.iter().filter(move |row| row.1 == place).map(|row| row.0)
     }
 
-    pub fn all_of_guards() -> impl Iterator<Item = Leaf> {
-        LEAVES[HOST_LEAVES..].iter().map(|row| row.0)
+    pub fn of_host(name: &str) -> Option<Leaf> {
+        Leaf::named(Place::Host, name)
+    }
+
+    pub fn of_guards(name: &str) -> Option<Leaf> {
+        Leaf::named(Place::Guards, name)
     }
 
     /// The value that a text says; why it says none.
@@ -183,8 +235,24 @@
                     STATES.iter().find(|(_, name)| *name == text).map(|(state, _)| Value::State(*state));
                 state.ok_or_else(|| "is no administrative state".into())
             }
-            Leaf::LargestRemoval => number(0.0, 1.0),
+            Leaf::LargestRemoval | Leaf::Cap => number(0.0, 1.0),
             Leaf::LeastHostsZone | Leaf::LeastHostsBuild => whole(16 * 1024),
+            Leaf::Precedence => whole(u32::MAX),
+            Leaf::RingBuild => whole(u32::from(u16::MAX)),
+            Leaf::Operations | Leaf::Zones | Leaf::Kinds | Leaf::Hosts => {
+                let words = text.split([',', ' ']).filter(|word| !word.is_empty());
+                words.map(name).collect::<Result<_, _>>().map(Value::Names)
+            }
+            Leaf::KeyPrefix => match text {
+                _ if text.len() > NAME_MOST => Err(format!("is longer than {NAME_MOST} bytes")),
+                _ if text.chars().any(char::is_control) => Err("has control characters".into()),
+                _ => Ok(Value::Text(text.into())),
+            },
+            Leaf::Hold | Leaf::Back => match text {
+                "true" => Ok(Value::Flag(true)),
+                "false" => Ok(Value::Flag(false)),
+                _ => Err("is neither true nor false".into()),
+            },
         }
     }
 }
@@ -215,6 +283,9 @@
     Whole(u32),
     Number(f64),
     State(AdminState),
+    Flag(bool),
+    /// In no order.
+    Names(BTreeSet<Arc<str>>),
 }
 
 impl fmt::Display for Value {
@@ -225,6 +296,11 @@
             Value::Whole(number) => number.fmt(f),
             Value::Number(number) => number.fmt(f),
             Value::State(state) => state.fmt(f),
+            Value::Flag(flag) => flag.fmt(f),
+            Value::Names(names) => {
+                let names: Vec<&str> = names.iter().map(|name| &**name).collect();
+                f.write_str(&names.join(" "))
+            }
         }
     }
 }
@@ -234,6 +310,16 @@
 pub enum Path {
     Host(HostName, Leaf),
     Guards(Leaf),
+    Route(RouteName, Leaf),
+    Ring(Leaf),
+}
+
+impl Path {
+    pub fn leaf(&self) -> Leaf {
+        match self {
+            Path::Host(_, leaf) | Path::Guards(leaf) | Path::Route(_, leaf) | Path::Ring(leaf) => *leaf,
+        }
+    }
 }
 
 impl fmt::Display for Path {
@@ -241,6 +327,8 @@
         match self {
             Path::Host(host, leaf) => write!(f, "hosts/{host}/{}", leaf.name()),
             Path::Guards(leaf) => write!(f, "guards/{}", leaf.name()),
+            Path::Route(route, leaf) => write!(f, "routes/{route}/{}", leaf.name()),
+            Path::Ring(leaf) => write!(f, "ring/{}", leaf.name()),
         }
     }
 }
@@ -249,30 +337,49 @@
     type Err = Fault;
 
     fn from_str(text: &str) -> Result<Self, Fault> {
-        let unknown = |what: &str, takes: String| Fault::new(text, what, text, takes);
-        let names =
-            |leaves: &mut dyn Iterator<Item = Leaf>| leaves.map(Leaf::name).collect::<Vec<_>>().join(", ");
+        let unknown = |what: &str, takes: &str| Fault::new(text, what, text, takes);
+        let leaf = |place: Place, name: &str| {
+            let names = || Leaf::all_of(place).map(Leaf::name).collect::<Vec<_>>().join(", ");
+            Leaf::named(place, name).ok_or_else(|| unknown("no such leaf", &names()))
+        };
+        let well = |why: String| unknown(&format!("the name {why}"), NAMED);
         let parts: Vec<_> = text.trim_start_matches('/').split('/').collect();
         match parts.as_slice() {
-            ["hosts", host, leaf] => {
-                let takes = "a name of letters, digits and . _ : -".into();
-                let host =
-                    host.parse().map_err(|why: String| unknown(&format!("the host's name {why}"), takes))?;
-                let leaf = Leaf::of_host(leaf);
-                let leaf =
-                    leaf.ok_or_else(|| unknown("no such leaf of a host", names(&mut Leaf::all_of_host())))?;
-                Ok(Path::Host(host, leaf))
-            }
-            ["guards", leaf] => {
-                let leaf = Leaf::of_guards(leaf);
-                let leaf = leaf.ok_or_else(|| unknown("no such guard", names(&mut Leaf::all_of_guards())))?;
-                Ok(Path::Guards(leaf))
+            ["hosts", host, name] => Ok(Path::Host(host.parse().map_err(well)?, leaf(Place::Host, name)?)),
+            ["routes", route, name] => {
+                Ok(Path::Route(route.parse().map_err(well)?, leaf(Place::Route, name)?))
             }
-            _ => Err(unknown("no such path", "hosts/NAME/LEAF or guards/LEAF".into())),
+            ["guards", name] => Ok(Path::Guards(leaf(Place::Guards, name)?)),
+            ["ring", name] => Ok(Path::Ring(leaf(Place::Ring, name)?)),
+            _ => Err(unknown("no such path", "hosts/NAME/LEAF, routes/NAME/LEAF, guards/LEAF or ring/LEAF")),
         }
     }
 }
 
+/// The getter and setter of a set of leaves, each of a kind of value. Setting tells whether the value was of the
+/// leaf's type.
+macro_rules! leaves {
+    ($set:ident { $($leaf:ident => $field:ident : $kind:ident),+ $(,)? }) => {
+        impl $set {
+            pub fn get(&self, leaf: Leaf) -> Option<Value> {
+                match leaf {
+                    $(Leaf::$leaf => self.$field.clone().map(Value::$kind),)+
+                    _ => None,
+                }
+            }
+
+            fn set(&mut self, leaf: Leaf, value: Option<Value>) -> bool {
+                match (leaf, value) {
+                    $((Leaf::$leaf, Some(Value::$kind(value))) => self.$field = Some(value),
+                    (Leaf::$leaf, None) => self.$field = None,)+
+                    _ => return false,
+                }
+                true
+            }
+        }
+    };
+}
+
 /// What is set of one host. With an endpoint it is an entry of its own; without one it says more of a host that
 /// discovery lists.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -282,64 +389,56 @@
     pub cell: Option<u32>,
     pub kind: Option<Arc<str>>,
     pub size: Option<f64>,
-    pub build: Option<u16>,
+    pub build: Option<u32>,
     pub started: Option<f64>,
     pub weight: Option<f64>,
     pub state: Option<AdminState>,
 }
 
-impl HostSet {
-    pub fn get(&self, leaf: Leaf) -> Option<Value> {
-        match leaf {
-            Leaf::Endpoint => self.endpoint.map(Value::Address),
-            Leaf::Zone => self.zone.clone().map(Value::Text),
-            Leaf::Cell => self.cell.map(Value::Whole),
-            Leaf::Kind => self.kind.clone().map(Value::Text),
-            Leaf::Size => self.size.map(Value::Number),
-            Leaf::Build => self.build.map(|build| Value::Whole(build.into())),
-            Leaf::Started => self.started.map(Value::Number),
-            Leaf::Weight => self.weight.map(Value::Number),
-            Leaf::State => self.state.map(Value::State),
-            Leaf::LargestRemoval | Leaf::LeastHostsZone | Leaf::LeastHostsBuild => None,
-        }
-    }
+leaves!(HostSet {
+    Endpoint => endpoint: Address,
+    Zone => zone: Text,
+    Cell => cell: Whole,
+    Kind => kind: Text,
+    Size => size: Number,
+    Build => build: Whole,
+    Started => started: Number,
+    Weight => weight: Number,
+    State => state: State,
+});
+
+/// What is set of one route: which invocations it is for, and which hosts they may use.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RouteSet {
+    /// Lower goes first.
+    pub precedence: Option<u32>,
+    pub operations: Option<BTreeSet<Arc<str>>>,
+    pub key_prefix: Option<Arc<str>>,
+    pub zones: Option<BTreeSet<Arc<str>>>,
+    pub kinds: Option<BTreeSet<Arc<str>>>,
+    pub hosts: Option<BTreeSet<Arc<str>>>,
+}
 
-    /// False where the value is not of the leaf's type.
-    fn set(&mut self, leaf: Leaf, value: Option<Value>) -> bool {
-        macro_rules! put {
-            ($field:ident, $kind:ident) => {
-                match value {
-                    Some(Value::$kind(value)) => self.$field = Some(value),
-                    None => self.$field = None,
-                    Some(_) => return false,
-                }
-            };
-        }
-        match leaf {
-            Leaf::Endpoint => put!(endpoint, Address),
-            Leaf::Zone => put!(zone, Text),
-            Leaf::Cell => put!(cell, Whole),
-            Leaf::Kind => put!(kind, Text),
-            Leaf::Size => put!(size, Number),
-            Leaf::Started => put!(started, Number),
-            Leaf::Weight => put!(weight, Number),
-            Leaf::State => put!(state, State),
-            Leaf::Build => match value
-                .map(|value| if let Value::Whole(n) = value { u16::try_from(n).ok() } else { None })
-            {
-                Some(None) => return false,
-                build => self.build = build.flatten(),
-            },
-            Leaf::LargestRemoval | Leaf::LeastHostsZone | Leaf::LeastHostsBuild => return false,
-        }
-        true
-    }
+leaves!(RouteSet {
+    Precedence => precedence: Whole,
+    Operations => operations: Names,
+    KeyPrefix => key_prefix: Text,
+    Zones => zones: Names,
+    Kinds => kinds: Names,
+    Hosts => hosts: Names,
+});
 
-    fn is_nothing(&self) -> bool {
-        *self == HostSet::default()
-    }
+/// What operators ask of the build on trial.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RingSet {
+    pub build: Option<u32>,
+    pub hold: Option<bool>,
+    pub back: Option<bool>,
+    pub cap: Option<f64>,
 }
 
+leaves!(RingSet { RingBuild => build: Whole, Hold => hold: Flag, Back => back: Flag, Cap => cap: Number });
+
 /// What a single change may do at most; unset ones are as in [`Guards::IN_FORCE`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Guards {
@@ -360,30 +459,14 @@
         let least = (self.least_hosts_zone.unwrap_or(zone), self.least_hosts_build.unwrap_or(build));
         (self.largest_removal.unwrap_or(removal), least.0, least.1)
     }
-
-    fn get(&self, leaf: Leaf) -> Option<Value> {
-        match leaf {
-            Leaf::LargestRemoval => self.largest_removal.map(Value::Number),
-            Leaf::LeastHostsZone => self.least_hosts_zone.map(Value::Whole),
-            Leaf::LeastHostsBuild => self.least_hosts_build.map(Value::Whole),
-            _ => None,
-        }
-    }
-
-    fn set(&mut self, leaf: Leaf, value: Option<Value>) -> bool {
-        match (leaf, value) {
-            (Leaf::LargestRemoval, Some(Value::Number(share))) => self.largest_removal = Some(share),
-            (Leaf::LargestRemoval, None) => self.largest_removal = None,
-            (Leaf::LeastHostsZone, Some(Value::Whole(hosts))) => self.least_hosts_zone = Some(hosts),
-            (Leaf::LeastHostsZone, None) => self.least_hosts_zone = None,
-            (Leaf::LeastHostsBuild, Some(Value::Whole(hosts))) => self.least_hosts_build = Some(hosts),
-            (Leaf::LeastHostsBuild, None) => self.least_hosts_build = None,
-            _ => return false,
-        }
-        true
-    }
 }
 
+leaves!(Guards {
+    LargestRemoval => largest_removal: Number,
+    LeastHostsZone => least_hosts_zone: Whole,
+    LeastHostsBuild => least_hosts_build: Whole,
+});
+
 /// A leaf that differs: what it was, and what it is.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Difference {
@@ -404,6 +487,10 @@
 pub struct Tree {
     pub hosts: BTreeMap<HostName, HostSet>,
     pub guards: Guards,
+    #[serde(default)]
+    pub routes: BTreeMap<RouteName, RouteSet>,
+    #[serde(default)]
+    pub ring: RingSet,
 }
 
 impl Tree {
@@ -411,68 +498,58 @@
         match path {
             Path::Host(host, leaf) => self.hosts.get(host)?.get(*leaf),
             Path::Guards(leaf) => self.guards.get(*leaf),
+            Path::Route(route, leaf) => self.routes.get(route)?.get(*leaf),
+            Path::Ring(leaf) => self.ring.get(*leaf),
         }
     }
 
-    /// Sets a leaf, or takes it away. A host of which nothing is set any more is no longer in the tree.
+    /// Sets a leaf, or takes it away. A host or route of which nothing is set any more is no longer in the tree.
     pub fn set(&mut self, path: &Path, value: Option<Value>) -> Result<(), Fault> {
-        let (leaf, given) = match path {
-            Path::Host(_, leaf) | Path::Guards(leaf) => (*leaf, value.as_ref().map(Value::to_string)),
-        };
+        let given = value.as_ref().map(Value::to_string).unwrap_or_default();
         let well = match path {
             Path::Host(host, leaf) => {
                 let set = self.hosts.entry(host.clone()).or_default();
                 let well = set.set(*leaf, value);
-                if set.is_nothing() {
+                if *set == HostSet::default() {
                     self.hosts.remove(host);
                 }
                 well
             }
+            Path::Route(route, leaf) => {
+                let set = self.routes.entry(route.clone()).or_default();
+                let well = set.set(*leaf, value);
+                if *set == RouteSet::default() {
+                    self.routes.remove(route);
+                }
+                well
+            }
             Path::Guards(leaf) => self.guards.set(*leaf, value),
+            Path::Ring(leaf) => self.ring.set(*leaf, value),
         };
-        let given = given.unwrap_or_default();
-        if well { Ok(()) } else { Err(Fault::new(path, "is of another type", given, leaf.takes())) }
+        if well { Ok(()) } else { Err(Fault::new(path, "is of another type", given, path.leaf().takes())) }
     }
 
     /// The leaves that differ, in the order of their paths.
     pub fn differences(&self, new: &Tree) -> Vec<Difference> {
         let mut found = Vec::new();
-        let nothing = HostSet::default();
-        let mut host = |name: &HostName, old: &HostSet, new: &HostSet| {
-            if old != new {
-                for leaf in Leaf::all_of_host() {
-                    let (old, new) = (old.get(leaf), new.get(leaf));
-                    if old != new {
-                        found.push(Difference { path: Path::Host(name.clone(), leaf), old, new });
-                    }
-                }
-            }
-        };
-        let (mut olds, mut news) = (self.hosts.iter().peekable(), new.hosts.iter().peekable());
-        loop {
-            match (olds.peek(), news.peek()) {
-                (Some((a, old)), Some((b, new))) if a == b => {
-                    host(a, old, new);
-                    olds.next();
-                    news.next();
-                }
-                (Some((a, old)), other) if other.is_none_or(|(b, _)| a < b) => {
-                    host(a, old, &nothing);
-                    olds.next();
-                }
-                (_, Some((b, new))) => {
-                    host(b, &nothing, new);
-                    news.next();
-                }
-                (_, None) => break,
-            }
-        }
-        for leaf in Leaf::all_of_guards() {
-            let (old, new) = (self.guards.get(leaf), new.guards.get(leaf));
-            if old != new {
-                found.push(Difference { path: Path::Guards(leaf), old, new });
-            }
-        }
+        both(&self.hosts, &new.hosts, |name, old, new| {
+            differ(
+                Place::Host,
+                |leaf| (old.get(leaf), new.get(leaf)),
+                |leaf| Path::Host(name.clone(), leaf),
+                &mut found,
+            );
+        });
+        differ(Place::Guards, |leaf| (self.guards.get(leaf), new.guards.get(leaf)), Path::Guards, &mut found);
+        both(&self.routes, &new.routes, |name, old, new| {
+            differ(
+                Place::Route,
+                |leaf| (old.get(leaf), new.get(leaf)),
+                |leaf| Path::Route(name.clone(), leaf),
+                &mut found,
+            );
+        });
+        differ(Place::Ring, |leaf| (self.ring.get(leaf), new.ring.get(leaf)), Path::Ring, &mut found);
         found
     }
 
@@ -486,3 +563,50 @@
         faults.into_result().map(|()| tree)
     }
 }
+
+/// Walks two maps by their keys, where what stands there differs.
+fn both<K: Ord, V: Default + PartialEq>(
+    old: &BTreeMap<K, V>, new: &BTreeMap<K, V>, mut differs: impl FnMut(&K, &V, &V),
+) {
+    let nothing = V::default();
+    let (mut olds, mut news) = (old.iter().peekable(), new.iter().peekable());
+    loop {
+        let order = match (olds.peek(), news.peek()) {
+            (Some((a, _)), Some((b, _))) => a.cmp(b),
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (None, None) => return,
+        };
+        let old = if order == Ordering::Greater { None } else { olds.next() };
+        let new = if order == Ordering::Less { None } else { news.next() };
+        let Some((key, _)) = old.or(new) else { return };
+        let (old, new) = (old.map_or(&nothing, |old| old.1), new.map_or(&nothing, |new| new.1));
+        if old != new {
+            differs(key, old, new);
+        }
+    }
+}
+
+fn differ(
+    place: Place, values: impl Fn(Leaf) -> (Option<Value>, Option<Value>), path: impl Fn(Leaf) -> Path,
+    found: &mut Vec<Difference>,
+) {
+    for leaf in Leaf::all_of(place) {
+        let (old, new) = values(leaf);
+        if old != new {
+            found.push(Difference { path: path(leaf), old, new });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_leaf_stands_at_its_place_in_the_table() {
+        for (number, row) in LEAVES.iter().enumerate() {
+            assert_eq!((row.0 as usize, Leaf::named(row.1, row.2)), (number, Some(row.0)));
+        }
+    }
+}
--- a/datastore/tests/commits.rs
+++ b/datastore/tests/commits.rs
@@ -12,7 +12,8 @@
 const NOW: f64 = 1_000_000.0;
 
 fn rules() -> RuleTerms {
-    RuleTerms { routers: 4, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 }
+    let operations = vec!["read".into(), "set".into()];
+    RuleTerms { operations, routers: 4, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 }
 }
 
 fn facts(at: f64) -> Facts {
@@ -31,7 +32,7 @@
 fn edit(tree: &mut Tree, edits: &[(&str, &str)]) {
     for (at, text) in edits {
         let path = path(at);
-        let (Path::Host(_, leaf) | Path::Guards(leaf)) = &path;
+        let leaf = path.leaf();
         let value = (*text != "-").then(|| leaf.parse(text).expect("a value"));
         tree.set(&path, value).expect("of its type");
     }
@@ -363,6 +364,57 @@
     assert!(faults[0].path.ends_with(at) && faults[0].what.contains(why), "{}", faults[0]);
 }
 
+/// What is said of routes, and the first reason why not.
+#[rstest]
+#[case::well(&[("routes/r/operation", "read"), ("routes/r/zone", "north")], None)]
+#[case::ordered(&[("routes/r/operation", "read"), ("routes/r/precedence", "1"), ("routes/s/key-prefix", "b"), ("routes/s/precedence", "2")], None)]
+#[case::unordered(&[("routes/r/operation", "read"), ("routes/s/key-prefix", "b")], Some("routes/r/precedence: overlaps with route s"))]
+#[case::operation(&[("routes/r/operation", "write")], Some("routes/r/operation: no such operation (given: write; taken: read, set)"))]
+#[case::no_host(&[("routes/r/host", "h1 h9")], Some("routes/r/host: no such host is listed (given: h9"))]
+#[case::empty_pool(&[("routes/r/zone", "west")], Some("routes/r: its pool would have no host of the released build"))]
+#[case::empty_by_two(&[("routes/r/zone", "north"), ("routes/r/host", "h1")], Some("routes/r: its pool would have no host"))]
+#[case::nothing(&[("routes/r/precedence", "1")], Some("says neither which invocations it is for"))]
+fn routes_are_checked_with_what_there_is(#[case] edits: &[(&str, &str)], #[case] why: Option<&str>) {
+    let result = try_edits(&mut fleet(4), edits, &facts(0.0));
+    match why {
+        None => drop(result.expect("well")),
+        Some(why) => assert!(refused(result)[0].to_string().starts_with(why) || why.starts_with("says")),
+    }
+}
+
+#[test]
+fn a_host_that_a_route_needs_is_not_taken_away_under_it() {
+    let mut store = fleet(4);
+    try_edits(&mut store, &[("routes/r/host", "h1")], &facts(0.0)).expect("well");
+    let faults = refused(try_edits(&mut store, &[("hosts/h1/state", "out")], &facts(0.0)));
+    assert!(faults[0].to_string().starts_with("routes/r: its pool would have no host"), "{}", faults[0]);
+    let mut candidate = Candidate::of(store.in_force());
+    candidate.tree.hosts.remove(&"h1".parse().expect("a name"));
+    let faults = refused(store.commit(&candidate, author("test"), &facts(0.0)));
+    assert!(faults[0].what.contains("refers to a host that would be listed no more"), "{faults:?}");
+}
+
+#[rstest]
+#[case::hold(&[("ring/build", "42"), ("ring/hold", "true")], None)]
+#[case::lower(&[("ring/build", "42"), ("ring/cap", "0.05")], None)]
+#[case::raise(&[("ring/build", "42"), ("ring/cap", "0.2")], Some("ring/cap: would be raised, and can only be lowered (given: 0.2; taken: 0.1 at most"))]
+#[case::other(&[("ring/build", "41"), ("ring/back", "true")], Some("ring/build: is not the build that the platform tells of (given: 41"))]
+#[case::none(&[("ring/back", "true")], Some("ring/build: does not say which build is meant"))]
+fn what_is_asked_of_a_trial_only_narrows(#[case] edits: &[(&str, &str)], #[case] why: Option<&str>) {
+    let (verdict, phase) = (Verdict::Succeeded, Phase::OnTrial);
+    let news =
+        StageNews { verdict, build: BuildId(42), stage: 0, phase, cap: 0.1, age: 1.0, answers_vote: false };
+    let facts = Facts { news: Some(news), ..facts(0.0) };
+    let mut store = fleet(4);
+    match (try_edits(&mut store, edits, &facts), why) {
+        (result, None) => drop(result.expect("well")),
+        (result, Some(why)) => assert!(refused(result)[0].to_string().starts_with(why)),
+    }
+    // A wish of a build that has passed is in nobody's way.
+    let later = Facts { news: Some(StageNews { build: BuildId(43), ..news }), ..facts };
+    try_edits(&mut store, &[("hosts/h1/weight", "2")], &later).expect("well");
+}
+
 #[test]
 fn what_is_remembered_reads_back_as_it_was() {
     let mut store = fleet(6);
--- a/router/src/fronts/keeper.rs
+++ b/router/src/fronts/keeper.rs
@@ -101,7 +101,7 @@
                 Remembered::default()
             }
         };
-        let store = Datastore::remembering(terms.rules, terms.history, remembered.memory);
+        let store = Datastore::remembering(terms.rules.clone(), terms.history, remembered.memory);
         let base = store.in_force().clone();
         let (files, waiting, held) = (remembered.files, None, None);
         let (unsaved, saved, unsaved_told, lines) = (true, 0.0, false, (0.0, 0));
--- a/router/src/program/commands.rs
+++ b/router/src/program/commands.rs
@@ -58,8 +58,13 @@
             };
             if !watching.discovery {
                 // As a router that starts with it would check it; its terms are in its configuration.
-                let rules =
-                    RuleTerms { routers: 1, cold_share: 1.0, cold_time: 0.0, fall_multiple: f64::MAX };
+                let rules = RuleTerms {
+                    operations: vec![],
+                    routers: 1,
+                    cold_share: 1.0,
+                    cold_time: 0.0,
+                    fall_multiple: f64::MAX,
+                };
                 let mut store = Datastore::new(rules, History::default());
                 let mut candidate = Candidate::of(store.in_force());
                 candidate.tree = version.tree;
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -141,7 +141,9 @@
     let news = news.map(|news| news.state().news(false));
     let listed: Option<Vec<Listed>> =
         known.as_ref().map(|known| known.targets.iter().map(|t| t.listed()).collect());
-    let open = Opening { log: &log, clock, limits: &limits, router: &told.name, terms: &told.terms };
+    let operations = told.transport.operations.keys().cloned().collect();
+    let (router, terms) = (&told.name, &told.terms);
+    let open = Opening { log: &log, clock, limits: &limits, router, terms, operations };
     let joined = open.fronts(&mut net, &operators, listed, news)?;
     let terms = (told.terms, told.transport);
     let started = Routing::start(log.clone(), (limits, clock), net, terms, parties, told.seed);
@@ -227,6 +229,7 @@
     limits: &'a Limits,
     router: &'a str,
     terms: &'a ServiceTerms,
+    operations: Vec<String>,
 }
 
 type Joined = (FrontBox, Option<Arc<Snapshot>>, Fronts);
@@ -240,7 +243,7 @@
         let Some(watching) = watching else { return Ok(None) };
         let failed = |e: std::io::Error| format!("a thread cannot be started: {e}");
         let (open, post, view) = FrontBox::open(net, self.limits.posted).map_err(failed)?;
-        let rules = RuleTerms::from(self.terms);
+        let rules = RuleTerms::new(self.terms, self.operations.clone());
         let terms = KeeperTerms { router: self.router.into(), rules, history, folder };
         let (log, clock) = (self.log.clone(), self.clock);
         let mut keeper = Keeper::start(log.clone(), clock, terms)?;
--- a/router/src/routing/admit.rs
+++ b/router/src/routing/admit.rs
@@ -1,5 +1,7 @@
 //! Admit: an invocation is let in while there is room for it, and gets its id.
 
+use std::sync::Arc;
+
 use kestreltide::interface::*;
 
 use super::Routing;
@@ -11,6 +13,8 @@
 pub(super) struct Taken {
     pub(super) operation: OperationId,
     pub(super) key: Option<KeyId>,
+    /// The hosts that are for it, by the routes in force when it came.
+    pub(super) pool: Option<Arc<Pool>>,
     pub(super) time_left: f64,
     pub(super) again: bool,
     pub(super) kept: Kept,
@@ -27,7 +31,7 @@
 
 impl Routing {
     pub(super) fn admit(&mut self, client: SocketId, taken: Taken) {
-        let Taken { operation, key, time_left, again, kept } = taken;
+        let Taken { operation, key, pool, time_left, again, kept } = taken;
         // Nothing has been dispatched: a client may be told that trying again is harmless.
         if self.admitted.len() >= self.limits.invocations || self.held + kept.size() > self.limits.held {
             self.tally.no_room += 1;
@@ -50,6 +54,7 @@
             time_left,
             work: None,
             again,
+            pool,
         }));
     }
 
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -9,6 +9,7 @@
 use kestreltide::interface::*;
 use kestreltide_datastore::merge::merge;
 use kestreltide_datastore::{Listed, Snapshot};
+use kestreltide_routes::Route;
 
 use crate::protocol::discovery::Target;
 
@@ -53,6 +54,11 @@
         self.in_force(host).map(|host| host.endpoint)
     }
 
+    /// The route of an invocation; none: all hosts are for it.
+    pub(super) fn route(&self, operation: &str, key: &str) -> Option<&Route> {
+        self.revision.routes.of(operation, key)
+    }
+
     /// Whether a connection to this host at this address may be used again.
     pub(super) fn wanted(&self, host: HostId, at: SocketAddr) -> bool {
         self.in_force(host).is_some_and(|host| host.serves() && host.endpoint == at)
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -262,10 +262,11 @@
         }
         let kept: Kept = asked.keep();
         let key = (!asked.key.is_empty()).then(|| KeyId(asked.key.into()));
+        let pool = self.hosts.route(asked.operation, asked.key).map(|route| route.pool.clone());
         // A command that lay unread while this process stood still, be it in this turn, has less time left.
         let unread = self.stall + self.clock.now() - self.woken;
         let time_left = (asked.time_millis as f64 / 1e3 - unread).max(0.0);
-        Ok(Step::Take(Taken { operation, key, time_left, again: asked.again, kept }))
+        Ok(Step::Take(Taken { operation, key, pool, time_left, again: asked.again, kept }))
     }
 
     fn reject(&mut self, id: SocketId, why: &Malformed) -> bool {
--- /dev/null
+++ b/routes/tests/routes.rs
@@ -0,0 +1,55 @@
+//! Stories of routes.
+
+use std::sync::Arc;
+
+use kestreltide::interface::*;
+use kestreltide_routes::{Match, Route, Routes, unordered};
+use rstest::rstest;
+
+fn route(name: &str, precedence: Option<u32>, operations: &[&str], prefix: &str) -> Route {
+    let operations = operations.iter().map(|name| Arc::from(*name)).collect();
+    let of = Match { operations, key_prefix: prefix.into() };
+    Route { name: name.into(), precedence, of, pool: Arc::new(Pool::default()) }
+}
+
+#[rstest]
+#[case::by_precedence("read", "b-7", Some("narrow"))]
+#[case::by_operation("read", "c-7", Some("wide"))]
+#[case::none("set", "c-7", None)]
+#[case::no_key("read", "", Some("wide"))]
+fn the_first_route_that_fits_is_taken(
+    #[case] operation: &str, #[case] key: &str, #[case] expected: Option<&str>,
+) {
+    let routes =
+        vec![route("wide", Some(20), &["read"], ""), route("narrow", Some(10), &["read", "set"], "b-")];
+    assert_eq!(Routes::new(routes).of(operation, key).map(|route| &*route.name), expected);
+}
+
+#[rstest]
+#[case::ordered(Some(1), Some(2), &["read"], "b", false)]
+#[case::alike(Some(1), Some(1), &["read"], "b", true)]
+#[case::one_without(Some(1), None, &["read"], "b", true)]
+#[case::other_operation(None, None, &["set"], "b", false)]
+#[case::any_operation(None, None, &[], "b", true)]
+#[case::other_key(None, None, &["read"], "c", false)]
+#[case::longer_key(None, None, &["read"], "bc", true)]
+fn routes_that_overlap_need_an_order(
+    #[case] a: Option<u32>, #[case] b: Option<u32>, #[case] operations: &[&str], #[case] prefix: &str,
+    #[case] found: bool,
+) {
+    let routes = [route("one", a, &["read"], "b"), route("two", b, operations, prefix)];
+    assert_eq!(!unordered(&routes).is_empty(), found);
+}
+
+#[rstest]
+#[case::all(Pool::default(), true)]
+#[case::zone(Pool { zones: vec![ZoneId(1)], ..Pool::default() }, true)]
+#[case::other_zone(Pool { zones: vec![ZoneId(2)], ..Pool::default() }, false)]
+#[case::zone_and_kind(Pool { zones: vec![ZoneId(1)], kinds: vec![KindId(9)], ..Pool::default() }, false)]
+#[case::by_name(Pool { hosts: vec![HostId(5), HostId(7)], ..Pool::default() }, true)]
+fn a_pool_holds_what_all_its_conditions_fit(#[case] pool: Pool, #[case] holds: bool) {
+    let (build, zone, cell, kind) = (BuildId(1), ZoneId(1), CellId(0), KindId(1));
+    let state = HostState::Running;
+    let entry = HostEntry { host: HostId(7), build, zone, cell, kind, size: 1.0, started: None, state };
+    assert_eq!(pool.holds(&entry), holds);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -295,11 +295,17 @@
         }
     }
 
+    /// What operators ask of this build; they may hold it, take it back and show it to less, never more.
+    fn asked_of(&self, build: BuildId) -> Option<RingWish> {
+        self.s.set.ring.filter(|wish| wish.build == build)
+    }
+
     /// Rule 5: whether one more dispatch at this build stays within its cap.
     fn exposure_room(&self, now: f64, build: BuildId, operation: usize, new_key: bool) -> bool {
         let phase = self.phase(build);
         let news = self.s.news.filter(|news| news.build == build);
         let (cap, stage) = news.map_or((self.s.first_cap, 0), |news| (news.cap, news.stage));
+        let cap = self.asked_of(build).map_or(cap, |wish| cap.min(wish.cap));
         let guarded = stage < self.s.guarded_stages && self.s.operations[operation].window.is_finite();
         if phase != Phase::OnTrial || cap <= 0.0 || guarded {
             return phase == Phase::Released;
@@ -329,8 +335,8 @@
         let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, operation, bound));
         let (key, again, sent) = (inv.key, inv.again, vec![]);
-        let set = self.s.set.clone();
-        let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false, set };
+        let (set, pool) = (self.s.set.clone(), inv.pool);
+        let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false, pool, set };
         self.s.invs.insert(inv.id.clone(), record);
         self.s.asked = Self::rate(self.s.asked, now, 1.0);
         self.dispatch_or_end(now, &inv.id, false, effects);
@@ -534,7 +540,9 @@
         });
         let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
         let mut open: Vec<(usize, u8, HostId, f64, bool, f64)> = vec![];
-        for (number, host) in self.usable().enumerate().filter(|of| of.1.since <= inv.set.revision) {
+        let of_pool = |host: &Host| inv.pool.as_ref().is_none_or(|pool| pool.holds(&host.entry));
+        let of_inv = |of: &(usize, &Host)| of.1.since <= inv.set.revision && of_pool(of.1);
+        for (number, host) in self.usable().enumerate().filter(of_inv) {
             let build = host.entry.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
@@ -827,10 +835,13 @@
         self.s.worse_since = if look == Look::Worse { self.s.worse_since } else { now };
         let firm = look != Look::Worse || now - self.s.worse_since >= BACK_FIRM;
         let look = if firm { look } else { Look::Unclear };
+        // Operators' wishes stand beside the figures: the more careful of both counts, at once and at any rank.
+        let asked = self.asked_of(news.build).filter(|wish| wish.back || wish.hold && look != Look::Worse);
+        let look = asked.map_or(look, |wish| if wish.back { Look::Worse } else { Look::Dragging });
         let row = WISHES.iter().find(|row| row.0 == look);
         let of = |row: &(_, _, _)| if self.s.by_clock { row.2 } else { row.1 };
         let mut wish = row.and_then(of).unwrap_or(self.s.wish);
-        if wish == Sense::Hold {
+        if wish == Sense::Hold && asked.is_none() {
             self.s.held += SWAP_EVERY;
             wish = if self.s.held > HOLD_MOST { Sense::None } else { wish };
         }
@@ -841,7 +852,7 @@
         let nothing = wish == Sense::None && self.s.ballot_sense == Sense::None;
         let wait = if self.s.ballot == Ballot::Silent { ASK_AGAIN } else { self.s.renew_every };
         let due = wish != self.s.ballot_sense || now - self.s.ballot_at >= wait;
-        if !nothing && due && now - self.s.wish_since >= late {
+        if !nothing && due && (asked.is_some() || now - self.s.wish_since >= late) {
             self.vote(now, Push::Due, effects);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -198,6 +198,32 @@
     }
 }
 
+/// The hosts that a route's invocations may use; an empty list is no condition. It narrows and never widens.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    pub zones: Vec<ZoneId>,
+    pub kinds: Vec<KindId>,
+    pub hosts: Vec<HostId>,
+}
+
+impl Pool {
+    pub fn holds(&self, host: &HostEntry) -> bool {
+        let zone = self.zones.is_empty() || self.zones.contains(&host.zone);
+        let kind = self.kinds.is_empty() || self.kinds.contains(&host.kind);
+        zone && kind && (self.hosts.is_empty() || self.hosts.contains(&host.host))
+    }
+}
+
+/// What operators ask of a build on trial. It can only hold it, take it back or show it to less.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RingWish {
+    pub build: BuildId,
+    pub hold: bool,
+    pub back: bool,
+    /// The cap is this at most.
+    pub cap: f64,
+}
+
 /// What operators want weighed, as one whole. Weights are only a narrowing: they share out what the decisions
 /// let a host have.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -205,6 +231,7 @@
     pub revision: Revision,
     /// In ascending order of hosts; those that are not in it weigh 1.
     pub weights: Box<[(HostId, f64)]>,
+    pub ring: Option<RingWish>,
 }
 
 impl OperatorSet {
@@ -294,6 +321,8 @@
     /// Expected work, rough, in seconds of a standard core.
     pub work: Option<f64>,
     pub again: bool,
+    /// The hosts that are for it; none: all.
+    pub pool: Option<Arc<Pool>>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/record.rs
+++ b/src/record.rs
@@ -124,6 +124,7 @@
     pub(crate) limit: f64,
     pub(crate) sent: Vec<Sent>,
     pub(crate) over: bool,
+    pub(crate) pool: Option<Arc<Pool>>,
     /// What operators had set when it came.
     pub(crate) set: Arc<OperatorSet>,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -125,7 +125,15 @@
         self.taken += 1;
         let id = InvId(format!("inv-{}", self.taken).into());
         let key = key.map(|key| KeyId(key.into()));
-        let inv = Invocation { id: id.clone(), operation, key, time_left: 2.0, work: None, again: false };
+        let inv = Invocation {
+            id: id.clone(),
+            operation,
+            key,
+            time_left: 2.0,
+            work: None,
+            again: false,
+            pool: None,
+        };
         let effects = self.feed(Event::Arrived(inv));
         (id, effects)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -347,6 +347,7 @@
             time_left: 2.0,
             work: None,
             again,
+            pool: None,
         };
         (0..100).filter(|n| sent_to(&fake.feed(Event::Arrived(ask(*n)))).is_some()).count()
     };
@@ -600,7 +601,8 @@
     fake.run(4.0, |_, _| (Verdict::Succeeded, 0.3));
     let mut sent = |time_left: f64| {
         let id = InvId(format!("left-{time_left}").into());
-        let ask = Invocation { id, operation: READ, key: None, time_left, work: None, again: false };
+        let ask =
+            Invocation { id, operation: READ, key: None, time_left, work: None, again: false, pool: None };
         sent_to(&fake.feed(Event::Arrived(ask))).is_some()
     };
     assert!(sent(1.0) && !sent(0.1));
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -13,7 +13,7 @@
 
 fn set(revision: u64, weights: &[(u64, f64)]) -> Arc<OperatorSet> {
     let weights = weights.iter().map(|(host, weight)| (HostId(*host), *weight)).collect();
-    Arc::new(OperatorSet { revision: Revision(revision), weights })
+    Arc::new(OperatorSet { revision: Revision(revision), weights, ring: None })
 }
 
 fn operators(revision: u64, weights: &[(u64, f64)], entries: &[HostEntry]) -> Event {
@@ -184,3 +184,66 @@
     assert_eq!(in_force(&[weighed(7.0, 0.4), weighed(7.0, 1.0)], 3.0), [1.0, 1.0]);
     assert_eq!(in_force(&[], 3.0), [0.0; 0]);
 }
+
+fn asked(revision: u64, ring: RingWish) -> Event {
+    let set = OperatorSet { revision: Revision(revision), weights: [].into(), ring: Some(ring) };
+    Event::Operators { set: set.into(), entries: [].into() }
+}
+
+/// A trial that is fine, and what operators ask of it; what is voted and how much it gets then.
+#[rstest]
+#[case::nothing(RingWish { build: NEW, hold: false, back: false, cap: 1.0 }, Some(Sense::On), 0.29)]
+#[case::hold(RingWish { build: NEW, hold: true, back: false, cap: 1.0 }, None, 0.29)]
+#[case::back(RingWish { build: NEW, hold: false, back: true, cap: 1.0 }, Some(Sense::Back), 0.29)]
+#[case::back_and_hold(RingWish { build: NEW, hold: true, back: true, cap: 1.0 }, Some(Sense::Back), 0.29)]
+#[case::lower_cap(RingWish { build: NEW, hold: false, back: false, cap: 0.05 }, Some(Sense::On), 0.05)]
+#[case::no_cap(RingWish { build: NEW, hold: true, back: false, cap: 0.0 }, None, 0.0)]
+#[case::of_another_build(RingWish { build: BuildId(9), hold: true, back: true, cap: 0.0 }, Some(Sense::On), 0.29)]
+fn operators_hold_a_trial_take_it_back_or_show_it_to_less_and_never_more(
+    #[case] wish: RingWish, #[case] vote: Option<Sense>, #[case] most: f64,
+) {
+    let mut fake = Fake::new(ServiceTerms { exposure_spare: 0.0, ..terms() }, 4);
+    fake.run(4.0, well);
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.29));
+    fake.list((0..4).map(|id| host(id, if id == 0 { NEW } else { OLD }, None)).collect());
+    fake.feed(asked(1, wish));
+    let (votes, sent) = fake.run(12.0, well);
+    let votes: Vec<_> = votes.into_iter().filter(|sense| *sense != Sense::None).collect();
+    assert!(
+        votes.iter().all(|sense| Some(*sense) == vote) && votes.is_empty() == vote.is_none(),
+        "{votes:?}"
+    );
+    let share = shares(&sent).get(&0).copied().unwrap_or(0.0);
+    assert!(share <= most, "{share}");
+    assert!(most < 0.1 || share > 0.1, "{share}");
+}
+
+#[test]
+fn a_hold_does_not_keep_a_bad_build_from_going_back() {
+    let mut fake = Fake::new(terms(), 4);
+    fake.run(4.0, well);
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
+    fake.list((0..4).map(|id| host(id, if id == 0 { NEW } else { OLD }, None)).collect());
+    fake.feed(asked(1, RingWish { build: NEW, hold: true, back: false, cap: 1.0 }));
+    let bad = |h: &HostEntry, _| (if h.build == NEW { Verdict::Error } else { Verdict::Succeeded }, 0.1);
+    assert!(fake.run(12.0, bad).0.contains(&Sense::Back));
+}
+
+#[test]
+fn an_invocation_uses_only_the_hosts_of_its_pool_for_further_dispatches_too() {
+    let mut fake = Fake::new(terms(), 6);
+    let pool = Arc::new(Pool { hosts: vec![HostId(1), HostId(4)], ..Pool::default() });
+    for number in 0..50 {
+        let (id, key) = (InvId(format!("pool-{number}").into()), None);
+        let (operation, time_left, pool) = (READ, 2.0, Some(pool.clone()));
+        let inv = Invocation { id: id.clone(), operation, key, time_left, work: None, again: false, pool };
+        let mut next = sent_to(&fake.feed(Event::Arrived(inv)));
+        assert!(next.is_some());
+        let mut dispatch = 0;
+        while let Some(HostId(host)) = next {
+            assert!([1, 4].contains(&host), "{host}");
+            next = sent_to(&fake.end(&id, dispatch, Verdict::Full, 0.0));
+            dispatch += 1;
+        }
+    }
+}
--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -5,7 +5,7 @@
 use std::str;
 
 use kestreltide_datastore::draft::shown;
-use kestreltide_datastore::{Draft, Fault, Faults, HostName, Leaf, Path, Tree};
+use kestreltide_datastore::{Draft, Fault, Faults, HostName, Leaf, Path, Place, Tree};
 
 use crate::ini::{self, Section, unknown};
 use crate::read::Content;
@@ -165,13 +165,13 @@
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
-            leaves(place, section, wrong, Leaf::of_guards, Leaf::all_of_guards, |key, leaf, at| {
+            leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
                 draft.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
             let Some(host) = draft.host(&at, name.trim()) else { continue };
-            leaves(place, section, wrong, Leaf::of_host, Leaf::all_of_host, |key, leaf, at| {
+            leaves(place, section, wrong, Place::Host, |key, leaf, at| {
                 draft.set_host(at, &host, leaf, &key.value);
             });
         } else {
@@ -181,16 +181,15 @@
     count
 }
 
-fn leaves<I: Iterator<Item = Leaf>>(
-    place: &str, section: &Section, wrong: &mut Faults, of: fn(&str) -> Option<Leaf>, all: fn() -> I,
-    mut set: impl FnMut(&ini::Key, Leaf, &str),
+fn leaves(
+    place: &str, section: &Section, wrong: &mut Faults, of: Place, mut set: impl FnMut(&ini::Key, Leaf, &str),
 ) {
     for key in &section.keys {
         let at = format!("{place}:{}", key.line);
-        match of(&key.name) {
+        match Leaf::named(of, &key.name) {
             Some(leaf) => set(key, leaf, &at),
             None => {
-                let known: Vec<_> = all().map(Leaf::name).collect();
+                let known: Vec<_> = Leaf::all_of(of).map(Leaf::name).collect();
                 let path = format!("{at}: [{}] {}", section.name, shown(&key.name));
                 wrong.push(unknown(&path, "key", &key.name, known));
             }
