--- a/datastore/src/tree.rs
+++ b/datastore/src/tree.rs
@@ -268,7 +268,8 @@
             .ok()
             .and_then(|at| at.duration_since(std::time::UNIX_EPOCH).ok().map(|since| since.as_secs_f64())),
     };
-    let sense = seconds.filter(|at| (0.0..=LAST_TIME).contains(at));
+    // To the microsecond, so that a time that was written out and read again is the same.
+    let sense = seconds.map(|at| (at * 1e6).round() / 1e6).filter(|at| (0.0..=LAST_TIME).contains(at));
     sense.ok_or_else(|| "is no time".into())
 }
 
--- /dev/null
+++ b/model/src/json.rs
@@ -0,0 +1,50 @@
+//! Data by the schema as JSON (RFC 7951).
+
+use serde_json::{Map, Value};
+
+use crate::data::{Content, Data};
+use crate::schema::{NodeId, NodeKind, Schema};
+use crate::types::Type;
+
+/// Members for these nodes, those of one list together; names carry their module where it changes.
+pub fn members(schema: &Schema, data: &[Data], parent: Option<NodeId>) -> Map<String, Value> {
+    let mut out = Map::new();
+    for one in data {
+        let node = schema.node_of(one.node);
+        let changes = parent.is_none_or(|parent| schema.node_of(parent).module != node.module);
+        let name = if changes {
+            format!("{}:{}", schema.module_of(one.node).name, node.name)
+        } else {
+            node.name.clone()
+        };
+        let value = value(schema, one);
+        match (&node.kind, out.get_mut(&name)) {
+            (NodeKind::List { .. } | NodeKind::LeafList { .. }, Some(Value::Array(items))) => {
+                items.push(value)
+            }
+            (NodeKind::List { .. } | NodeKind::LeafList { .. }, _) => {
+                drop(out.insert(name, Value::Array(vec![value])))
+            }
+            _ => drop(out.insert(name, value)),
+        }
+    }
+    out
+}
+
+/// The value of one node: an object, or a leaf's own form.
+pub fn value(schema: &Schema, data: &Data) -> Value {
+    match (&data.content, &schema.node_of(data.node).kind) {
+        (Content::Leaf(text), NodeKind::Leaf { of, .. } | NodeKind::LeafList { of }) => leaf(of, text),
+        (Content::Leaf(text), _) => Value::String(text.clone()),
+        (Content::Inner(children), _) => Value::Object(members(schema, children, Some(data.node))),
+    }
+}
+
+fn leaf(of: &Type, text: &str) -> Value {
+    match of {
+        Type::Boolean => Value::Bool(text == "true"),
+        Type::Empty => Value::Array(vec![Value::Null]),
+        _ if of.json_text() => Value::String(text.into()),
+        _ => text.parse::<i64>().map_or_else(|_| Value::String(text.into()), Value::from),
+    }
+}
