--- /dev/null
+++ b/datastore/src/desk.rs
@@ -0,0 +1,273 @@
+//! The desk at which all fronts ask: locks, commits, and commits that are undone unless they are confirmed (RFC
+//! 6241, sections 7.5 and 8.4). Free of I/O; the keeper's thread gives it time and what the router knows.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::check::Facts;
+use crate::fault::{Fault, Faults};
+use crate::store::{Author, Candidate, Commit, Datastore, InForce, Source};
+use kestreltide::interface::Revision;
+
+/// A session of some front, as the desk numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SessionId(pub u32);
+
+impl fmt::Display for SessionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// What a lock keeps others from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// Committing.
+    Running,
+    /// The same here: each session has a candidate of its own.
+    Candidate,
+}
+
+/// A commit is undone unless it is confirmed in this time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Confirm {
+    /// Seconds.
+    pub within: f64,
+    /// By this name also another session may confirm it, and it outlives its own.
+    pub persist: Option<String>,
+}
+
+/// A commit that waits to be confirmed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pending {
+    /// The revision that comes back.
+    pub to: u64,
+    /// Unix seconds.
+    pub until: f64,
+    /// None after a restart: nobody of then is there any more.
+    pub session: Option<SessionId>,
+    pub persist: Option<String>,
+    pub author: Author,
+}
+
+/// Why the desk says no.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refused {
+    Faults(Faults),
+    /// Another session holds the lock.
+    Locked(SessionId),
+    /// Another's commit waits to be confirmed.
+    Waiting(Pending),
+    /// Nothing waits to be confirmed, or not by who asks.
+    NothingWaits,
+    /// The lock is not held by who lets it go.
+    NotHeld,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Faults(faults) => faults.fmt(f),
+            Refused::Locked(holder) => write!(f, "session {holder} holds the lock"),
+            Refused::Waiting(pending) => write!(f, "a commit ({}) waits to be confirmed", pending.author),
+            Refused::NothingWaits => f.write_str("no commit of this session or name waits to be confirmed"),
+            Refused::NotHeld => f.write_str("this session does not hold the lock"),
+        }
+    }
+}
+
+impl From<Faults> for Refused {
+    fn from(faults: Faults) -> Self {
+        Refused::Faults(faults)
+    }
+}
+
+/// Who asks: a session, or none, as watched files have none.
+pub type Asker = Option<SessionId>;
+
+pub struct Desk {
+    pub store: Datastore,
+    running: Asker,
+    candidate: Asker,
+    pending: Option<Pending>,
+    sessions: u32,
+}
+
+impl Desk {
+    /// After a restart a commit that was not confirmed is due to be undone at once.
+    pub fn new(store: Datastore, pending: Option<Pending>) -> Self {
+        let pending = pending.map(|pending| Pending { session: None, persist: None, until: 0.0, ..pending });
+        Desk { store, running: None, candidate: None, pending, sessions: 0 }
+    }
+
+    pub fn open(&mut self) -> SessionId {
+        self.sessions += 1;
+        SessionId(self.sessions)
+    }
+
+    pub fn pending(&self) -> Option<&Pending> {
+        self.pending.as_ref()
+    }
+
+    pub fn holder(&self, target: Target) -> Asker {
+        match target {
+            Target::Running => self.running,
+            Target::Candidate => self.candidate,
+        }
+    }
+
+    /// A lock is not given while another holds it, or another's commit waits to be confirmed.
+    pub fn lock(&mut self, session: SessionId, target: Target) -> Result<(), Refused> {
+        if let Some(holder) = self.holder(target) {
+            return Err(Refused::Locked(holder));
+        }
+        if let Some(pending) = self.pending.as_ref().filter(|pending| pending.session != Some(session)) {
+            return Err(Refused::Waiting(pending.clone()));
+        }
+        match target {
+            Target::Running => self.running = Some(session),
+            Target::Candidate => self.candidate = Some(session),
+        }
+        Ok(())
+    }
+
+    pub fn unlock(&mut self, session: SessionId, target: Target) -> Result<(), Refused> {
+        if self.holder(target) != Some(session) {
+            return Err(Refused::NotHeld);
+        }
+        match target {
+            Target::Running => self.running = None,
+            Target::Candidate => self.candidate = None,
+        }
+        Ok(())
+    }
+
+    /// Whether somebody else's lock keeps who asks from committing.
+    fn kept_out(&self, asker: Asker) -> Option<SessionId> {
+        let other = |holder: &SessionId| Some(*holder) != asker;
+        self.running.filter(other).or(self.candidate.filter(other))
+    }
+
+    /// Commits a candidate. While a commit waits to be confirmed only those that it waits for may commit, and an
+    /// ordinary commit of theirs confirms it.
+    pub fn commit(
+        &mut self, asker: Asker, candidate: &Candidate, author: Author, confirm: Option<Confirm>,
+        persist_id: Option<&str>, facts: &Facts,
+    ) -> Result<Commit, Refused> {
+        if let Some(holder) = self.kept_out(asker) {
+            return Err(Refused::Locked(holder));
+        }
+        let waited_for = self.waited_for(asker, persist_id);
+        match &self.pending {
+            Some(pending) if !waited_for => return Err(Refused::Waiting(pending.clone())),
+            None if persist_id.is_some() => return Err(Refused::NothingWaits),
+            _ => {}
+        }
+        let before = self.store.in_force().revision;
+        let commit = self.store.commit(candidate, author.clone(), facts)?;
+        self.pending = confirm.map(|confirm| {
+            // What comes back is what stood before the first of them.
+            let to = self.pending.as_ref().map_or(before.0, |pending| pending.to);
+            let until = facts.now + confirm.within;
+            Pending { to, until, session: asker, persist: confirm.persist, author }
+        });
+        Ok(commit)
+    }
+
+    fn waited_for(&self, asker: Asker, persist_id: Option<&str>) -> bool {
+        self.pending.as_ref().is_some_and(|pending| match (&pending.persist, persist_id) {
+            (Some(name), Some(said)) => name == said,
+            (None, None) => pending.session.is_some() && pending.session == asker,
+            _ => false,
+        })
+    }
+
+    /// What was committed stays.
+    pub fn confirm(&mut self, asker: Asker, persist_id: Option<&str>) -> Result<(), Refused> {
+        if !self.waited_for(asker, persist_id) {
+            return Err(Refused::NothingWaits);
+        }
+        self.pending = None;
+        Ok(())
+    }
+
+    /// What was committed is undone now.
+    pub fn cancel(
+        &mut self, asker: Asker, persist_id: Option<&str>, facts: &Facts,
+    ) -> Result<Commit, Refused> {
+        if !self.waited_for(asker, persist_id) {
+            return Err(Refused::NothingWaits);
+        }
+        self.undo(facts).map_err(Refused::Faults)
+    }
+
+    /// A session is over, however it ended: its locks are free, and what only it could confirm is undone.
+    pub fn ended(&mut self, session: SessionId, facts: &Facts) -> Option<Result<Commit, Faults>> {
+        let free = |holder: &mut Asker| *holder = holder.filter(|holder| *holder != session);
+        free(&mut self.running);
+        free(&mut self.candidate);
+        let only_its = |pending: &Pending| pending.session == Some(session) && pending.persist.is_none();
+        self.pending.as_ref().is_some_and(only_its).then(|| self.undo(facts))
+    }
+
+    /// When the desk has something to do by itself.
+    pub fn due(&self) -> Option<f64> {
+        self.pending.as_ref().map(|pending| pending.until)
+    }
+
+    /// Undoes what was not confirmed in time, whoever holds a lock.
+    pub fn tick(&mut self, facts: &Facts) -> Option<Result<Commit, Faults>> {
+        let late = self.due().is_some_and(|due| due <= facts.now);
+        late.then(|| self.undo(facts))
+    }
+
+    fn undo(&mut self, facts: &Facts) -> Result<Commit, Faults> {
+        let Some(pending) = self.pending.take() else { return Ok(Commit::Nothing) };
+        let author = Author { source: Source::Management, version: "not confirmed".into(), ..pending.author };
+        // The rules go before the promise: what would break one now is not brought back, and somebody is told.
+        self.store.roll_back(Revision(pending.to), author, facts)
+    }
+
+    /// An author's candidate is checked as a commit would, and nothing is done.
+    pub fn validate(&self, candidate: &Candidate, facts: &Facts) -> Result<(), Faults> {
+        self.store.validate(candidate, facts)
+    }
+}
+
+/// What fronts read of the desk, as one whole.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    pub in_force: Arc<InForce>,
+    /// The newest revisions, oldest first.
+    pub history: Arc<[crate::store::RevisionRecord]>,
+    pub refusal: Option<Arc<crate::store::Refusal>>,
+    pub pending: Option<Pending>,
+    pub locks: [Asker; 2],
+}
+
+/// How many of the newest revisions fronts read.
+const SHOWN: usize = 32;
+
+impl Desk {
+    pub fn publish(&self) -> Published {
+        let mut history: Vec<_> = self.store.history().rev().take(SHOWN).cloned().collect();
+        history.reverse();
+        Published {
+            in_force: self.store.in_force().clone(),
+            history: history.into(),
+            refusal: self.store.refusals().next_back().cloned().map(Arc::new),
+            pending: self.pending.clone(),
+            locks: [self.running, self.candidate],
+        }
+    }
+}
+
+/// The fault of a lock or a commit that waits, for a way in that knows only faults; it passes.
+pub fn as_faults(refused: Refused, again: f64) -> Faults {
+    match refused {
+        Refused::Faults(faults) => faults,
+        other => Fault::new("running", other.to_string(), "a commit", "the same later").passing(again).into(),
+    }
+}
--- a/datastore/src/lib.rs
+++ b/datastore/src/lib.rs
@@ -4,14 +4,18 @@
 //!
 //! Free of I/O: time, what the router knows of hosts and builds, and who asks are handed in.
 
+pub mod access;
 pub mod check;
+pub mod desk;
 pub mod draft;
 pub mod fault;
 pub mod merge;
 pub mod snapshot;
 pub mod store;
 pub mod tree;
+pub mod view;
 
+pub use access::{Key, Keys, Proof, Rights};
 pub use check::{Facts, RuleTerms};
 pub use draft::Draft;
 pub use fault::{Fault, Faults, Rule};
--- a/datastore/src/store.rs
+++ b/datastore/src/store.rs
@@ -83,6 +83,13 @@
     seen: Arc<Seen>,
 }
 
+impl InForce {
+    /// Since when hosts are listed whose start nobody tells.
+    pub fn seen(&self) -> &Seen {
+        &self.seen
+    }
+}
+
 /// What somebody wants in force, and the revision it was made from.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -95,6 +102,15 @@
         Candidate { base: base.clone(), tree: (*base.tree).clone() }
     }
 
+    /// Whether it is still what it was made from.
+    pub fn is_unchanged(&self) -> bool {
+        *self.base.tree == self.tree
+    }
+
+    pub fn base_tree(&self) -> &Tree {
+        &self.base.tree
+    }
+
     pub fn based_on(&self) -> Revision {
         self.base.revision
     }
--- a/router/src/routing/view.rs
+++ b/datastore/src/view.rs
@@ -3,7 +3,19 @@
 use std::sync::Arc;
 
 use kestreltide::interface::*;
-use kestreltide_datastore::{Facts, Listed};
+
+use crate::check::Facts;
+use crate::merge::Listed;
+
+/// Counts since the start of the program.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub taken: u64,
+    pub succeeded: u64,
+    pub throttled: u64,
+    pub terminated: u64,
+    pub dispatches: u64,
+}
 
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -22,6 +34,7 @@
     pub open: usize,
     pub clients: usize,
     pub links: usize,
+    pub counts: Counts,
 }
 
 impl View {
--- a/management/src/lib.rs
+++ b/management/src/lib.rs
@@ -1,5 +1,14 @@
-//! Management fronts.
+//! Management fronts: NETCONF over SSH and gNMI over TLS, by the published models. Nothing here writes to the
+//! router: every edit is a candidate that the desk checks and commits, and what is read is the published whole.
+//!
+//! Both fronts run in a thread of their own, with a runtime of their own.
 
+pub mod desk;
+pub mod gnmi;
+pub mod netconf;
+pub mod state;
+
+/// The gNMI service as its published specification describes it.
 pub mod proto {
     #![allow(missing_docs, clippy::all)]
     pub mod gnmi {
@@ -9,3 +18,43 @@
         tonic::include_proto!("gnmi_ext");
     }
 }
+
+pub use desk::{Ask, Handle, News};
+pub use russh::keys;
+
+/// What sessions may hold. Sizes in bytes, times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Of one message, and of one gNMI request.
+    pub message: usize,
+    /// Connections of one front, and sessions of them that have come in.
+    pub connections: usize,
+    pub sessions: usize,
+    /// To prove who one is, and to say hello.
+    pub enter: f64,
+    /// Between signs of life of a quiet connection, and how many may be missed.
+    pub alive: f64,
+    pub missed: usize,
+    /// Notifications that wait for one session.
+    pub news: usize,
+    /// Requests and streams of one gNMI connection.
+    pub streams: u32,
+    /// The least time between samples.
+    pub sample: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            message: 4 << 20,
+            connections: 1200,
+            sessions: 1100,
+            enter: 10.0,
+            alive: 10.0,
+            missed: 3,
+            news: 1024,
+            streams: 32,
+            sample: 0.05,
+        }
+    }
+}
--- /dev/null
+++ b/management/src/netconf/server.rs
@@ -0,0 +1,327 @@
+//! Carries NETCONF sessions over SSH: who comes in by a key of the file of keys asks for the subsystem `netconf`,
+//! and each session is served by a task of its own. What one party sends costs only that party its session.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use kestreltide_datastore::desk::{Refused, SessionId};
+use kestreltide_datastore::{Key, Proof, Rights};
+use kestreltide_model::bind::Bind;
+use kestreltide_model::{NodeId, Schema};
+use russh::keys::{PrivateKey, PublicKey};
+use russh::server::{Auth, ChannelOpenHandle, Handler, Msg, Session as Ssh, VerifiedPublicKey};
+use russh::{Channel, ChannelId, ChannelOpenFailure, MethodKind, MethodSet};
+use slog::{Logger, info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::{Notify, Semaphore, broadcast};
+use tokio::time::{interval, sleep, timeout};
+
+use super::framing::{Frames, Framing, write};
+use super::session::{Asked, Session, Step};
+use crate::desk::{Handle, News};
+use crate::{Limits, state};
+
+/// All that sessions share.
+pub struct Shared {
+    pub log: Logger,
+    pub desk: Handle,
+    pub limits: Limits,
+    pub schema: &'static Schema,
+    pub bind: Arc<Bind>,
+    /// Sessions that are served, and how each is told to end.
+    sessions: Mutex<BTreeMap<SessionId, Arc<Notify>>>,
+}
+
+impl Shared {
+    pub fn new(log: Logger, desk: Handle, limits: Limits) -> Result<Self, String> {
+        let schema = kestreltide_model::published()?;
+        let bind = Arc::new(Bind::new(schema)?);
+        Ok(Shared { log, desk, limits, schema, bind, sessions: Mutex::default() })
+    }
+
+    fn with_sessions<T>(&self, with: impl FnOnce(&mut BTreeMap<SessionId, Arc<Notify>>) -> T) -> T {
+        with(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub fn rights(&self, key: &Key) -> Option<Rights> {
+        self.desk.keys.load().rights(&key.name, &key.proof)
+    }
+}
+
+/// The key's kind and text as the file of keys has them.
+fn proof(key: &PublicKey) -> Option<Proof> {
+    let text = key.to_openssh().ok()?;
+    let mut words = text.split_whitespace();
+    Some(Proof::Ssh(format!("{} {}", words.next()?, words.next()?)))
+}
+
+/// Serves until the listener fails for good.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener, host_key: PrivateKey) {
+    let limits = &shared.limits;
+    let config = Arc::new(russh::server::Config {
+        methods: MethodSet::from(&[MethodKind::PublicKey][..]),
+        auth_rejection_time: Duration::from_millis(300),
+        auth_rejection_time_initial: Some(Duration::ZERO),
+        max_auth_attempts: 4,
+        keys: vec![host_key],
+        keepalive_interval: Some(Duration::from_secs_f64(limits.alive)),
+        keepalive_max: limits.missed,
+        inactivity_timeout: None,
+        nodelay: true,
+        ..Default::default()
+    });
+    let room = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                // Out of descriptors, most likely: others' sessions go on, and it is tried again.
+                warn!(shared.log, "a NETCONF client cannot be accepted"; "error" => %e);
+                sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let Ok(place) = room.clone().try_acquire_owned() else {
+            drop(stream);
+            continue;
+        };
+        let (shared, config) = (shared.clone(), config.clone());
+        tokio::spawn(async move {
+            let entered = Arc::new(AtomicBool::new(false));
+            let handler = Connection {
+                shared: shared.clone(),
+                entered: entered.clone(),
+                key: None,
+                channels: BTreeMap::new(),
+            };
+            let patience = Duration::from_secs_f64(shared.limits.enter);
+            // The exchange of versions and keys, then proving who one is: one time for all of it.
+            let served = async {
+                let running = timeout(patience, russh::server::run_stream(config, stream, handler)).await;
+                let Ok(Ok(running)) = running else { return };
+                tokio::pin!(running);
+                tokio::select! {
+                    _ = &mut running => return,
+                    _ = sleep(patience) => {}
+                }
+                if entered.load(Relaxed) {
+                    let _ = running.await;
+                }
+            };
+            served.await;
+            drop(place);
+            slog::debug!(shared.log, "a NETCONF connection ended"; "from" => %from);
+        });
+    }
+}
+
+struct Connection {
+    shared: Arc<Shared>,
+    entered: Arc<AtomicBool>,
+    key: Option<Key>,
+    /// Opened, and not asked for anything yet.
+    channels: BTreeMap<ChannelId, Channel<Msg>>,
+}
+
+impl Handler for Connection {
+    type Error = russh::Error;
+
+    async fn auth_publickey(&mut self, user: &str, key: VerifiedPublicKey<'_>) -> Result<Auth, Self::Error> {
+        let known =
+            proof(key.public_key).and_then(|proof| self.shared.desk.keys.load().find(&proof).cloned());
+        Ok(match known.filter(|key| key.name == user) {
+            Some(key) => {
+                self.entered.store(true, Relaxed);
+                self.key = Some(key);
+                Auth::Accept
+            }
+            None => Auth::reject(),
+        })
+    }
+
+    async fn channel_open_session(
+        &mut self, channel: Channel<Msg>, reply: ChannelOpenHandle, _: &mut Ssh,
+    ) -> Result<(), Self::Error> {
+        // One session a connection is what there is use for; a few may be opened and closed.
+        if self.channels.len() < 4 {
+            self.channels.insert(channel.id(), channel);
+            reply.accept().await;
+        } else {
+            reply.reject(ChannelOpenFailure::ResourceShortage).await;
+        }
+        Ok(())
+    }
+
+    async fn subsystem_request(
+        &mut self, id: ChannelId, name: &str, session: &mut Ssh,
+    ) -> Result<(), Self::Error> {
+        let (Some(channel), Some(key)) = (self.channels.remove(&id), self.key.clone()) else {
+            return session.channel_failure(id);
+        };
+        if name != "netconf" {
+            return session.channel_failure(id);
+        }
+        session.channel_success(id)?;
+        tokio::spawn(session_over(self.shared.clone(), key, channel));
+        Ok(())
+    }
+}
+
+/// One session from its hello to its end, whatever ends it.
+async fn session_over(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
+    let Some(id) = shared.desk.open().await else { return };
+    let killed = Arc::new(Notify::new());
+    let room = shared.with_sessions(|sessions| {
+        let room = sessions.len() < shared.limits.sessions;
+        if room {
+            sessions.insert(id, killed.clone());
+        }
+        room
+    });
+    if room {
+        info!(shared.log, "a NETCONF session began"; "session" => id.0, "key" => &key.name);
+        let why = talk(&shared, id, &key, channel, &killed).await;
+        info!(shared.log, "a NETCONF session ended"; "session" => id.0, "key" => &key.name, "why" => why);
+    } else {
+        warn!(shared.log, "no room for one more NETCONF session"; "key" => &key.name);
+    }
+    shared.with_sessions(|sessions| sessions.remove(&id));
+    // Its locks are let go, and what only it could confirm is undone.
+    (shared.desk.ask)(crate::Ask::Ended { session: id });
+}
+
+async fn talk(
+    shared: &Shared, id: SessionId, key: &Key, channel: Channel<Msg>, killed: &Notify,
+) -> &'static str {
+    let mut session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
+    let (mut reading, mut writing) = tokio::io::split(channel.into_stream());
+    let mut frames = Frames::new(shared.limits.message);
+    if writing.write_all(&write(Framing::EndMark, &session.hello())).await.is_err()
+        || writing.flush().await.is_err()
+    {
+        return "it went away";
+    }
+    let mut news: Option<broadcast::Receiver<News>> = None;
+    let mut missed = 0;
+    let mut buffer = vec![0; 16 * 1024];
+    let mut look = interval(Duration::from_secs(1));
+    let begun = tokio::time::Instant::now();
+    loop {
+        let told = async {
+            match &mut news {
+                Some(news) => news.recv().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = killed.notified() => return "it was killed",
+            _ = look.tick() => {
+                if shared.rights(key).is_none() {
+                    return "its key is no longer in the file of keys";
+                }
+                if !session.chunked() && frames.framing() == Framing::EndMark && !session.greeted()
+                    && begun.elapsed().as_secs_f64() > shared.limits.enter
+                {
+                    return "it did not say hello";
+                }
+            }
+            told = told => {
+                let data = match told {
+                    Ok(told) => notice(shared, &told, std::mem::take(&mut missed)),
+                    Err(RecvError::Lagged(count)) => {
+                        missed += count;
+                        continue;
+                    }
+                    Err(RecvError::Closed) => return "the router stops",
+                };
+                if let Some((at, data)) = data {
+                    let text = write(frames.framing(), &session.notification(at, &data));
+                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
+                        return "it went away";
+                    }
+                }
+            }
+            read = reading.read(&mut buffer) => {
+                match read {
+                    Ok(0) | Err(_) => return "it went away",
+                    Ok(count) => frames.push(&buffer[..count]),
+                }
+                loop {
+                    let message = match frames.next() {
+                        Ok(Some(message)) => message,
+                        Ok(None) => break,
+                        Err(_) => return "its messages cannot be read",
+                    };
+                    let Some(rights) = shared.rights(key) else { return "its key is no longer in the file of keys" };
+                    let step = session.message(&message, rights, &shared.desk);
+                    let (reply, over) = match step {
+                        Step::Reply(reply) => (reply, None),
+                        Step::Close(reply) => (reply, Some("it closed")),
+                        Step::Over(why) => return why,
+                        Step::Subscribe(reply) => {
+                            news = Some(shared.desk.news.subscribe());
+                            (reply, None)
+                        }
+                        Step::Kill(other, reply) => {
+                            let found = shared.with_sessions(|sessions| sessions.get(&other).cloned());
+                            found.inspect(|killed| killed.notify_one());
+                            (reply, None)
+                        }
+                        Step::Ask(asked) => {
+                            let answer = ask(shared, id, &session, &asked).await;
+                            (session.answered(&asked, answer), None)
+                        }
+                    };
+                    let text = if reply.is_empty() { vec![] } else { write(frames.framing(), &reply) };
+                    // From the message after the hello both sides speak in chunks, if both can.
+                    if session.chunked() {
+                        frames.use_chunks();
+                    }
+                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
+                        return "it went away";
+                    }
+                    if let Some(why) = over {
+                        let _ = writing.shutdown().await;
+                        return why;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn ask(shared: &Shared, id: SessionId, session: &Session, asked: &Asked) -> Result<(), Refused> {
+    let desk = &shared.desk;
+    match asked.clone() {
+        Asked::Lock(target) => desk.lock(id, target).await,
+        Asked::Unlock(target) => desk.unlock(id, target).await,
+        Asked::Validate(candidate) => desk.validate(candidate).await,
+        Asked::Commit { candidate, confirm, persist_id } => {
+            desk.commit(Some(id), candidate, session.asked_by(), confirm, persist_id).await.map(|_| ())
+        }
+        Asked::Confirm { persist_id } => desk.confirm(Some(id), persist_id).await,
+        Asked::Cancel { persist_id } => desk.cancel(Some(id), persist_id).await,
+    }
+}
+
+/// What happened, as a notification and when; none where the model has no such.
+fn notice(shared: &Shared, told: &News, missed: u64) -> Option<(f64, kestreltide_model::Data)> {
+    let node = |name: &str| -> Option<NodeId> { shared.schema.notifications.get(name).copied() };
+    Some(match told {
+        News::Committed(record) => {
+            (record.at, state::committed(shared.schema, node("revision-committed")?, record, missed))
+        }
+        News::Refused(refusal) => {
+            (refusal.at, state::refused(shared.schema, node("candidate-refused")?, refusal))
+        }
+    })
+}
+
+/// Unix seconds.
+pub fn now() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64())
+}
--- a/router/src/fronts/keeper.rs
+++ b/router/src/fronts/keeper.rs
@@ -8,16 +8,20 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use kestreltide_datastore::desk::{Desk, Published, Refused, as_faults};
 use kestreltide_datastore::store::{Commit, InForce};
+use kestreltide_datastore::view::View;
 use kestreltide_datastore::{
     Author, Candidate, Datastore, Facts, Fault, Faults, History, RuleTerms, Snapshot, Source, Tree,
 };
+use kestreltide_management::News;
 use kestreltide_watch::form::{Spoken, Version};
-use kestreltide_watch::watch::{Told, Watched, look};
+use kestreltide_watch::watch::{Told, look, spoken};
 use slog::{Logger, info, warn};
+use tokio::sync::broadcast;
 
 use super::memory::{self, Held, Remembered};
-use crate::routing::view::View;
+use super::terms::Watching;
 use crate::routing::{Notice, Pulse};
 use crate::transport::{Clock, Post};
 
@@ -25,19 +29,13 @@
 #[derive(Debug)]
 pub enum Ask {
     /// The watched files say this now.
-    Files(Told),
+    Files(Told<Version>),
+    /// A front asks the desk.
+    Desk(kestreltide_management::Ask),
     /// What is not saved yet is saved, and the thread ends.
     Stop,
 }
 
-/// Which files are watched, and who edits them.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Watching {
-    pub watched: Watched,
-    /// Whether discovery is asked too.
-    pub discovery: bool,
-}
-
 #[derive(Clone, Debug)]
 pub struct KeeperTerms {
     pub router: String,
@@ -50,6 +48,8 @@
 const SAVE: f64 = 0.5;
 const ROUND: f64 = 0.25;
 const AGAIN: f64 = 0.05;
+/// News that wait for one who reads slowly.
+const NEWS: usize = 1024;
 /// Lines a second about what is not taken.
 const LINES: u32 = 10;
 
@@ -64,7 +64,12 @@
     log: Logger,
     clock: Clock,
     terms: KeeperTerms,
-    store: Datastore,
+    desk: Desk,
+    /// What fronts read of the desk, and where they are told what happens.
+    published: Arc<ArcSwap<Published>>,
+    news: broadcast::Sender<News>,
+    /// The newest of both that was told.
+    told: (u64, Option<f64>),
     /// What the files said when they were last taken, and what was in force then.
     files: Tree,
     generation: String,
@@ -103,13 +108,19 @@
         };
         let store = Datastore::remembering(terms.rules.clone(), terms.history, remembered.memory);
         let base = store.in_force().clone();
+        let desk = Desk::new(store, remembered.pending);
+        let published = Arc::new(ArcSwap::from_pointee(desk.publish()));
+        let told = (base.revision.0, desk.store.refusals().next_back().map(|refusal| refusal.at));
         let (files, waiting, held) = (remembered.files, None, None);
         let (unsaved, saved, unsaved_told, lines) = (true, 0.0, false, (0.0, 0));
         Ok(Keeper {
             log,
             clock,
             terms,
-            store,
+            desk,
+            published,
+            news: broadcast::channel(NEWS).0,
+            told,
             files,
             generation: remembered.generation,
             base,
@@ -130,16 +141,16 @@
     ) -> Result<(Option<Arc<Snapshot>>, Option<u64>), String> {
         let mut known = None;
         if let Some(watching) = watching {
-            let (spoken, digest) = look(&watching.watched);
+            let (spoken, digest) = look(&watching.watched, |contents| spoken(&watching.files, contents));
             known = Some(digest);
             let faults = match spoken {
-                Spoken::Whole(version) => self.offer(version, facts).err(),
+                Spoken::Whole(version) => self.offer(version, facts, false).err(),
                 Spoken::Apart(faults) | Spoken::Torn(faults) | Spoken::Wrong(faults) => {
                     self.refused("", faults.clone());
                     Some(faults)
                 }
             };
-            let last_good = self.store.in_force().revision.0 > 0;
+            let last_good = self.desk.store.in_force().revision.0 > 0;
             // What only waits for discovery's list is no reason not to start: discovery's hosts serve till then.
             let waits =
                 watching.discovery && faults.as_ref().is_some_and(|faults| faults.pass_at().is_some());
@@ -147,12 +158,12 @@
                 Some(faults) if !last_good && !waits => return Err(faults.to_string()),
                 Some(_) if last_good => {
                     warn!(self.log, "the start is with the last good revision, not with what the files say";
-                        "revision" => self.store.in_force().revision.0);
+                        "revision" => self.desk.store.in_force().revision.0);
                 }
                 _ => {}
             }
         }
-        let snapshot = self.store.snapshot();
+        let snapshot = self.desk.store.snapshot();
         Ok(((snapshot.revision().0 > 0).then(|| snapshot.clone()), known))
     }
 
@@ -161,24 +172,32 @@
         loop {
             let now = self.clock.now();
             pulse.beat(now);
-            let due = self.waiting.as_ref().map_or(ROUND, |waiting| waiting.again - now);
+            let due = self.waiting.as_ref().map(|waiting| waiting.again).into_iter().chain(self.desk.due());
+            let due = due.fold(now + ROUND, f64::min) - now;
             let sleep = Duration::from_secs_f64(due.clamp(0.0, ROUND));
             let ask = match asked.recv_timeout(sleep) {
                 Ok(Ask::Stop) | Err(RecvTimeoutError::Disconnected) => break,
-                Ok(Ask::Files(told)) => Some(told),
+                Ok(ask) => Some(ask),
                 Err(RecvTimeoutError::Timeout) => None,
             };
             let facts = view.load().facts(self.clock.now());
-            let taken = match ask {
-                Some(told) => self.told(told, &facts),
-                None => self.try_again(&facts),
+            let undone = self.desk.tick(&facts).and_then(|undone| self.undone(undone));
+            let reply = match ask {
+                Some(Ask::Files(told)) => Served::only(self.told(told, &facts)),
+                Some(Ask::Desk(ask)) => self.asked(ask, &facts),
+                Some(Ask::Stop) | None => Served::only(self.try_again(&facts)),
             };
-            // A full box holds this thread up, never the loop; a loop that is gone needs nothing more.
-            if let Some(snapshot) = taken {
+            let mut gone = false;
+            for snapshot in undone.into_iter().chain(reply.taken.clone()) {
                 self.posted.push_back(snapshot.clone());
-                if post.send(Notice::Revision(snapshot)).is_err() {
-                    break;
-                }
+                // A full box holds this thread up, never the loop; a loop that is gone needs nothing more.
+                gone |= post.send(Notice::Revision(snapshot)).is_err();
+            }
+            self.publish();
+            // Whoever is told that it is committed can read it.
+            reply.answer();
+            if gone {
+                break;
             }
             let view = view.load();
             // The loop holds the one in force, and lets the one before go as it takes it.
@@ -192,13 +211,132 @@
         pulse.beat(0.0);
     }
 
-    fn told(&mut self, told: Told, facts: &Facts) -> Option<Arc<Snapshot>> {
+    /// What fronts hold to reach this thread.
+    pub fn published(&self) -> (Arc<ArcSwap<Published>>, broadcast::Sender<News>) {
+        (self.published.clone(), self.news.clone())
+    }
+
+    /// Publishes what the desk has, and tells what happened since the last time.
+    fn publish(&mut self) {
+        let store = &self.desk.store;
+        let new: Vec<_> =
+            store.history().rev().take_while(|record| record.number > self.told.0).cloned().collect();
+        for record in new.into_iter().rev() {
+            self.told.0 = record.number;
+            let _ = self.news.send(News::Committed(Arc::new(record)));
+        }
+        let refusal = store.refusals().next_back();
+        if refusal.is_some_and(|refusal| self.told.1 != Some(refusal.at)) {
+            self.told.1 = refusal.map(|refusal| refusal.at);
+            refusal
+                .into_iter()
+                .for_each(|refusal| drop(self.news.send(News::Refused(Arc::new(refusal.clone())))));
+        }
+        let published = self.desk.publish();
+        let before = self.published.load();
+        let same = before.in_force.revision == published.in_force.revision
+            && before.pending == published.pending
+            && before.locks == published.locks
+            && before.refusal.as_ref().map(|refusal| refusal.at)
+                == published.refusal.as_ref().map(|refusal| refusal.at);
+        if !same {
+            self.unsaved = true;
+            self.published.store(Arc::new(published));
+        }
+    }
+
+    /// A commit that was not confirmed has been undone, or could not be.
+    fn undone(&mut self, undone: Result<Commit, Faults>) -> Option<Arc<Snapshot>> {
+        match undone {
+            Ok(commit) => {
+                info!(self.log, "a commit that was not confirmed is undone";
+                    "revision" => self.desk.store.in_force().revision.0);
+                if let Commit::Taken(snapshot) = commit { Some(snapshot) } else { None }
+            }
+            Err(faults) => {
+                self.tell("a commit that was not confirmed cannot be undone", "", &faults);
+                None
+            }
+        }
+    }
+
+    /// A front's question; who does not wait for the answer any more gets none.
+    fn asked(&mut self, ask: kestreltide_management::Ask, facts: &Facts) -> Served {
+        use kestreltide_management::Ask;
+        match ask {
+            Ask::Open { reply } => {
+                let _ = reply.send(self.desk.open());
+            }
+            Ask::Ended { session } => {
+                let undone = self.desk.ended(session, facts);
+                return Served::only(undone.and_then(|undone| self.undone(undone)));
+            }
+            Ask::Lock { session, target, reply } => {
+                let _ = reply.send(self.desk.lock(session, target));
+            }
+            Ask::Unlock { session, target, reply } => {
+                let _ = reply.send(self.desk.unlock(session, target));
+            }
+            Ask::Validate { candidate, reply } => {
+                let _ = reply.send(self.desk.validate(&candidate, facts));
+            }
+            Ask::Confirm { asker, persist_id, reply } => {
+                let _ = reply.send(self.desk.confirm(asker, persist_id.as_deref()));
+            }
+            Ask::Cancel { asker, persist_id, reply } => {
+                let cancelled = self.desk.cancel(asker, persist_id.as_deref(), facts);
+                let taken = match &cancelled {
+                    Ok(Commit::Taken(snapshot)) => Some(snapshot.clone()),
+                    _ => None,
+                };
+                return Served {
+                    taken,
+                    reply: Some(Box::new(move || drop(reply.send(cancelled.map(|_| ()))))),
+                };
+            }
+            Ask::Denied { author, fault } => {
+                let faults = fault.into();
+                self.tell("an edit is beyond the rights of who tries it", &author.name, &faults);
+                self.desk.store.refuse(author, facts.now, faults);
+            }
+            Ask::Commit(ask) => {
+                let author = ask.author.clone();
+                let committed = self.desk.commit(
+                    ask.asker,
+                    &ask.candidate,
+                    ask.author,
+                    ask.confirm,
+                    ask.persist_id.as_deref(),
+                    facts,
+                );
+                match &committed {
+                    Ok(Commit::Taken(snapshot)) => {
+                        info!(self.log, "a commit is taken"; "by" => %author, "revision" => snapshot.revision().0,
+                            "changes" => self.desk.store.history().next_back().map_or(0, |record| record.changes.len()));
+                    }
+                    Ok(Commit::Nothing) => {}
+                    Err(Refused::Faults(faults)) => {
+                        let faults = faults.clone();
+                        self.tell("a commit is refused", &author.to_string(), &faults);
+                    }
+                    Err(_) => {}
+                }
+                let taken =
+                    if let Ok(Commit::Taken(snapshot)) = &committed { Some(snapshot.clone()) } else { None };
+                let reply = ask.reply;
+                return Served { taken, reply: Some(Box::new(move || drop(reply.send(committed)))) };
+            }
+        }
+        Served::only(None)
+    }
+
+    fn told(&mut self, told: Told<Version>, facts: &Facts) -> Option<Arc<Snapshot>> {
         // Whatever waited is no longer what the files say.
         self.waiting = None;
         match told {
             Told::Version(version) => {
                 self.held = None;
-                self.offer(version, facts).ok().flatten()
+                self.offer(version, facts, false).ok().flatten()
             }
             Told::Refused(faults) => {
                 self.held = None;
@@ -219,13 +357,14 @@
         let waiting = self.waiting.take_if(|_| due)?;
         // It was told of when it began to wait, and is again only where that is over.
         let looked =
-            self.candidate(&waiting.version).and_then(|candidate| self.store.validate(&candidate, facts));
+            self.candidate(&waiting.version).and_then(|candidate| self.desk.validate(&candidate, facts));
         match looked.err().and_then(|faults| faults.pass_at()) {
             Some(at) => {
                 self.waiting = Some(Waiting { again: at.max(facts.now + AGAIN), ..waiting });
                 None
             }
-            None => self.offer(waiting.version, facts).ok().flatten(),
+            // Well by now, unless somebody's lock still keeps it out.
+            None => self.offer(waiting.version, facts, true).ok().flatten(),
         }
     }
 
@@ -242,7 +381,9 @@
 
     /// What the files changed since they were last taken, on top of what is in force: whoever else changed the
     /// same leaves meanwhile is not overruled in silence.
-    fn offer(&mut self, version: Version, facts: &Facts) -> Result<Option<Arc<Snapshot>>, Faults> {
+    fn offer(
+        &mut self, version: Version, facts: &Facts, quiet: bool,
+    ) -> Result<Option<Arc<Snapshot>>, Faults> {
         self.unsaved = true;
         let candidate = match self.candidate(&version) {
             Ok(candidate) => candidate,
@@ -251,17 +392,19 @@
                 return Err(faults);
             }
         };
-        match self.store.commit(&candidate, author(&version.generation), facts) {
+        let committed = self.desk.commit(None, &candidate, author(&version.generation), None, None, facts);
+        // A lock, or a commit that waits, passes: the files are what operators want all the same.
+        match committed.map_err(|refused| as_faults(refused, facts.now + AGAIN)) {
             Ok(commit) => {
                 let snapshot = match commit {
                     Commit::Taken(snapshot) => Some(snapshot),
                     Commit::Nothing => None,
                 };
                 info!(self.log, "the files are taken"; "generation" => &version.generation,
-                    "revision" => self.store.in_force().revision.0,
+                    "revision" => self.desk.store.in_force().revision.0,
                     "changes" => snapshot.as_ref().map_or(0, |snapshot| snapshot.changed.len()));
                 (self.files, self.generation) = (version.tree, version.generation);
-                self.base = self.store.in_force().clone();
+                self.base = self.desk.store.in_force().clone();
                 Ok(snapshot)
             }
             Err(faults) => {
@@ -273,7 +416,9 @@
                             author: author(&version.generation),
                             faults: faults.clone(),
                         };
-                        self.tell("the files are held back", &version.generation, &faults);
+                        if !quiet {
+                            self.tell("the files are held back", &version.generation, &faults);
+                        }
                         self.waiting = Some(Waiting { version, held, again });
                     }
                     None => self.tell("the files are refused", &version.generation, &faults),
@@ -286,7 +431,7 @@
     /// Files that cannot be read as a version at all.
     fn refused(&mut self, generation: &str, faults: Faults) {
         self.tell("the files are refused", generation, &faults);
-        self.store.refuse(author(generation), self.clock.now(), faults);
+        self.desk.store.refuse(author(generation), self.clock.now(), faults);
         self.unsaved = true;
     }
 
@@ -300,7 +445,7 @@
             let why = faults.first.first().map(ToString::to_string).unwrap_or_default();
             warn!(self.log, "{}", what; "generation" => generation, "why" => why,
                 "further" => faults.first.len().saturating_sub(1) + faults.more,
-                "stays" => self.store.in_force().revision.0);
+                "stays" => self.desk.store.in_force().revision.0);
         }
     }
 
@@ -315,10 +460,11 @@
         let remembered = Remembered {
             router: self.terms.router.clone(),
             written: now,
-            memory: self.store.memory(),
+            memory: self.desk.store.memory(),
             files: self.files.clone(),
             generation: self.generation.clone(),
             held,
+            pending: self.desk.pending().cloned(),
             taken: view.map_or(0, |view| view.taken),
             longest_pause: view.map_or(0.0, |view| view.longest_pause),
         };
@@ -334,6 +480,24 @@
     }
 }
 
+/// What a question led to: a revision for the loop, and the answer, which is given once it is posted.
+struct Served {
+    taken: Option<Arc<Snapshot>>,
+    reply: Option<Box<dyn FnOnce()>>,
+}
+
+impl Served {
+    fn only(taken: Option<Arc<Snapshot>>) -> Self {
+        Served { taken, reply: None }
+    }
+
+    fn answer(self) {
+        if let Some(reply) = self.reply {
+            reply();
+        }
+    }
+}
+
 fn author(generation: &str) -> Author {
     Author { source: Source::Files, name: "operators".into(), version: generation.into() }
 }
--- a/router/src/fronts/memory.rs
+++ b/router/src/fronts/memory.rs
@@ -5,6 +5,7 @@
 use std::io::{self, BufWriter, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
+use kestreltide_datastore::desk::Pending;
 use kestreltide_datastore::{Author, Faults, Memory, Tree};
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +33,9 @@
     pub files: Tree,
     pub generation: String,
     pub held: Option<Held>,
+    /// A commit that waits to be confirmed: a start undoes it.
+    #[serde(default)]
+    pub pending: Option<Pending>,
     /// Revisions that the loop took, and its longest pause for one, in seconds, since the program's start.
     pub taken: u64,
     pub longest_pause: f64,
--- /dev/null
+++ b/router/src/fronts/open.rs
@@ -0,0 +1,135 @@
+//! Opens what the operator file asks for beside the loop: everything that can be wrong is told before the router
+//! serves.
+
+use std::sync::Arc;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use kestreltide::interface::{ServiceTerms, StageNews};
+use kestreltide_datastore::{Facts, Listed, RuleTerms, Snapshot};
+use kestreltide_management::Handle;
+use kestreltide_watch::watch::{spoken, wakes};
+use slog::Logger;
+
+use super::keeper::{Ask, Keeper, KeeperTerms};
+use super::management::Opened;
+use super::supervise;
+use super::terms::OperatorTerms;
+use crate::limits::Limits;
+use crate::routing::{FrontBox, Pulse};
+use crate::transport::{Clock, Net};
+
+/// The threads beside the loop, as the program holds them.
+pub struct Fronts {
+    asks: SyncSender<Ask>,
+    wake: Option<SyncSender<()>>,
+    keeper: JoinHandle<u32>,
+    pub pulses: Vec<Pulse>,
+}
+
+/// Seconds that the program waits for the keeper to save what it has.
+const LAST_SAVE: f64 = 1.0;
+
+impl Fronts {
+    /// The watched files are looked at now, whatever notices say.
+    pub fn look(&self) {
+        if let Some(wake) = &self.wake {
+            let _ = wake.try_send(());
+        }
+    }
+
+    pub fn end(self) {
+        let until = Instant::now() + Duration::from_secs_f64(LAST_SAVE);
+        // Questions may stand before it.
+        while self.asks.try_send(Ask::Stop).is_err() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+        while !self.keeper.is_finished() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// What opening needs of the program.
+pub struct Opening<'a> {
+    pub log: &'a Logger,
+    pub clock: Clock,
+    pub limits: &'a Limits,
+    pub router: &'a str,
+    pub terms: &'a ServiceTerms,
+    /// Names of the service's operations.
+    pub operations: Vec<String>,
+}
+
+/// The loop's end, what it starts with, and the threads.
+pub type Joined = (FrontBox, Option<Arc<Snapshot>>, Fronts);
+
+impl Opening<'_> {
+    /// Starts the threads that the operator file asks for; none where it asks for none.
+    pub fn fronts(
+        &self, net: &mut Net, operators: &OperatorTerms, listed: Option<Vec<Listed>>, news: Option<StageNews>,
+    ) -> Result<Option<Joined>, String> {
+        let OperatorTerms { folder, history, watching, management } = operators.clone();
+        if watching.is_none() && management.is_none() {
+            return Ok(None);
+        }
+        let failed = |e: std::io::Error| format!("a thread cannot be started: {e}");
+        let (log, clock) = (self.log.clone(), self.clock);
+        let opened = management.as_ref().map(|terms| Opened::open(&log, terms)).transpose()?;
+        let (open, of_loop) = FrontBox::open(net, self.limits.posted).map_err(failed)?;
+        let rules = RuleTerms::new(self.terms, self.operations.clone());
+        let terms = KeeperTerms { router: self.router.into(), rules, history, folder };
+        let mut keeper = Keeper::start(log.clone(), clock, terms)?;
+        let heard = listed.is_some() || operators.alone();
+        let discovery = (!operators.alone()).then(|| listed.unwrap_or_default().into());
+        let facts = Facts { now: clock.now(), discovery, heard, news };
+        let (first, known) = keeper.begin(watching.as_ref(), &facts)?;
+        let (asks, asked) = sync_channel(self.limits.asked);
+        let (published, told) = keeper.published();
+        let (kept, of_keeper) = (Pulse::new("keeper"), of_loop.clone());
+        let mut pulses = vec![kept.clone()];
+        let keeper = supervise(log.clone(), "keeper", move || {
+            keeper.run(&asked, &of_keeper.view, &of_keeper.post, &kept);
+        });
+        let keeper = keeper.map_err(failed)?;
+        let mut wake = None;
+        if let Some(watching) = watching {
+            let ((waker, nudged), tell, pulse) = (wakes(), asks.clone(), Pulse::new("watch"));
+            wake = Some(waker.clone());
+            pulses.push(pulse.clone());
+            let mut known = known;
+            supervise(log.clone(), "watch", move || {
+                // After a death everything is told anew; what is in force already changes nothing.
+                let alive = || pulse.beat(clock.now());
+                let says = |contents: &[kestreltide_watch::Content]| spoken(&watching.files, contents);
+                let tell = |told| tell.send(Ask::Files(told)).is_ok();
+                kestreltide_watch::run(
+                    &watching.watched,
+                    known.take(),
+                    (waker.clone(), &nudged),
+                    alive,
+                    says,
+                    tell,
+                );
+                pulse.beat(0.0);
+            })
+            .map_err(failed)?;
+        }
+        if let Some(opened) = opened {
+            let ask = asks.clone();
+            let desk = Handle {
+                ask: Arc::new(move |asked| ask.try_send(Ask::Desk(asked)).is_ok()),
+                published,
+                view: of_loop.view.clone(),
+                in_force: of_loop.in_force.clone(),
+                news: told,
+                keys: opened.keys.clone(),
+            };
+            let pulse = Pulse::new("management");
+            pulses.push(pulse.clone());
+            opened.start(&log, clock, desk, pulse).map_err(failed)?;
+        }
+        Ok(Some((open, first, Fronts { asks, wake, keeper, pulses })))
+    }
+}
--- /dev/null
+++ b/router/src/fronts/terms.rs
@@ -0,0 +1,57 @@
+//! What the operator file says of the threads beside the loop.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use kestreltide_datastore::History;
+use kestreltide_watch::form::Kind;
+use kestreltide_watch::watch::Watched;
+
+/// Which files are watched, and who else lists hosts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Watching {
+    pub files: Vec<(Kind, PathBuf)>,
+    pub watched: Watched,
+    /// Whether discovery is asked too.
+    pub discovery: bool,
+}
+
+/// Where management fronts listen, and by what who comes in is known.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ManagementTerms {
+    pub netconf: Option<NetconfTerms>,
+    pub gnmi: Option<GnmiTerms>,
+    /// The file of keys, watched as all files are.
+    pub keys: Watched,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct NetconfTerms {
+    pub listen: SocketAddr,
+    pub host_key: PathBuf,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct GnmiTerms {
+    pub listen: SocketAddr,
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+    /// Who signs clients' certificates.
+    pub client_ca: PathBuf,
+}
+
+/// What the operator file says, with defaults for what it does not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorTerms {
+    pub folder: Option<PathBuf>,
+    pub history: History,
+    pub watching: Option<Watching>,
+    pub management: Option<ManagementTerms>,
+}
+
+impl OperatorTerms {
+    /// Whether operators' files alone list the hosts.
+    pub fn alone(&self) -> bool {
+        self.watching.as_ref().is_some_and(|watching| !watching.discovery)
+    }
+}
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -107,6 +107,8 @@
     pub stop_last: f64,
     /// What other threads have posted and the loop has not taken.
     pub posted: usize,
+    /// Questions of fronts that wait for the keeper.
+    pub asked: usize,
     /// Hosts that come or go with a revision and are told to the decisions at one turn.
     pub staged: usize,
     /// After a change, before fronts get the new view of it.
@@ -182,6 +184,7 @@
             stop_serving: 0.45,
             stop_last: longest + 0.6,
             posted: 16,
+            asked: 1024,
             staged: 1024,
             view: 0.1,
             front_stall: 5.0,
--- a/router/src/program/commands.rs
+++ b/router/src/program/commands.rs
@@ -7,7 +7,7 @@
 use kestreltide_datastore::{Author, Candidate, Datastore, Source};
 use kestreltide_datastore::{Facts, Faults, History, RevisionRecord, RuleTerms};
 use kestreltide_watch::form::Spoken;
-use kestreltide_watch::watch::look;
+use kestreltide_watch::watch::{look, spoken};
 
 use super::operator;
 use crate::fronts::{Held, load};
@@ -46,11 +46,37 @@
     newest: usize,
 }
 
+/// print the published models: their tree, or one whole
+#[derive(FromArgs)]
+#[argh(subcommand, name = "models")]
+pub(super) struct Models {
+    /// a module's name: its text
+    #[argh(positional)]
+    module: Option<String>,
+}
+
+impl Models {
+    pub(super) fn run(&self) -> Result<(), String> {
+        let schema = kestreltide_model::published()?;
+        let Some(name) = &self.module else {
+            (0..schema.modules.len())
+                .for_each(|module| println!("{}", kestreltide_model::tree::print(schema, module)));
+            return Ok(());
+        };
+        let known: Vec<_> = schema.modules.iter().map(|module| module.name.as_str()).collect();
+        let found = schema.modules.iter().find(|module| module.name == *name);
+        let found = found
+            .ok_or_else(|| format!("module: no such module (given: {name}; taken: {})", known.join(", ")))?;
+        print!("{}", found.text);
+        Ok(())
+    }
+}
+
 impl CheckOperator {
     pub(super) fn run(&self) -> Result<(), String> {
         let terms = operator::load(&self.file)?;
         if let Some(watching) = &terms.watching {
-            let version = match look(&watching.watched).0 {
+            let version = match look(&watching.watched, |contents| spoken(&watching.files, contents)).0 {
                 Spoken::Whole(version) => version,
                 Spoken::Apart(faults) | Spoken::Torn(faults) | Spoken::Wrong(faults) => {
                     return Err(faults.to_string());
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -7,23 +7,16 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::mpsc::{SyncSender, sync_channel};
-use std::thread::JoinHandle;
-use std::time::Duration;
 
 use argh::FromArgs;
-use kestreltide::interface::{ServiceTerms, StageNews};
-use kestreltide_datastore::{Facts, Listed, RuleTerms, Snapshot};
-use kestreltide_watch::watch::wakes;
+use kestreltide_datastore::Listed;
 use slog::{Logger, error, info, warn};
 
-use crate::fronts::{Ask, Keeper, KeeperTerms, supervise};
+use crate::fronts::{Fronts, Opening, OperatorTerms};
 use crate::limits::Limits;
-use crate::routing::{FrontBox, Parties, Pulse, Routing, Turn};
+use crate::routing::{Parties, Routing, Turn};
 use crate::transport::{Clock, Net};
 use config::{Fixed, Told, When};
-use operator::OperatorTerms;
 
 /// kestreltide splits invocations between an earlier and a trial build of a service, and votes the trial on
 /// or back.
@@ -39,6 +32,7 @@
     Serve(Serve),
     CheckConfig(CheckConfig),
     ShowLimits(ShowLimits),
+    Models(commands::Models),
     CheckOperator(commands::CheckOperator),
     ShowOperator(commands::ShowOperator),
     Revisions(commands::Revisions),
@@ -91,6 +85,7 @@
             .and_then(|text| config::read(&text, When::Start).map(|told| println!("{} is well", told.name))),
         Command::ShowLimits(ShowLimits { config }) => config::load(config)
             .and_then(|text| config::read(&text, When::Start).map(|told| println!("{:#?}", limits(&told)))),
+        Command::Models(models) => models.run(),
         Command::CheckOperator(check) => check.run(),
         Command::ShowOperator(show) => show.run(),
         Command::Revisions(revisions) => revisions.run(),
@@ -135,7 +130,7 @@
         peers: told.peers,
         peers_all: told.peers_all,
     };
-    let alone = operators.watching.as_ref().is_some_and(|watching| !watching.discovery);
+    let alone = operators.alone();
     let known = told.known.filter(|_| !alone);
     let news = told.platform.as_ref().and_then(|platform| platform.news.as_ref());
     let news = news.map(|news| news.state().news(false));
@@ -197,81 +192,6 @@
     path.map_or_else(|| Ok(OperatorTerms::default()), |path| operator::load(&path))
 }
 
-/// The threads beside the loop, as the program holds them.
-struct Fronts {
-    asks: SyncSender<Ask>,
-    wake: SyncSender<()>,
-    keeper: JoinHandle<u32>,
-    pulses: Vec<Pulse>,
-}
-
-/// Seconds that the program waits for the keeper to save what it has.
-const LAST_SAVE: f64 = 1.0;
-
-impl Fronts {
-    /// The watched files are looked at now, whatever notices say.
-    fn look(&self) {
-        let _ = self.wake.try_send(());
-    }
-
-    fn end(self) {
-        let _ = self.asks.try_send(Ask::Stop);
-        let until = std::time::Instant::now() + Duration::from_secs_f64(LAST_SAVE);
-        while !self.keeper.is_finished() && std::time::Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-struct Opening<'a> {
-    log: &'a Logger,
-    clock: Clock,
-    limits: &'a Limits,
-    router: &'a str,
-    terms: &'a ServiceTerms,
-    operations: Vec<String>,
-}
-
-type Joined = (FrontBox, Option<Arc<Snapshot>>, Fronts);
-
-impl Opening<'_> {
-    /// Starts the threads that the operator file asks for, with what they start from; none where it asks for none.
-    fn fronts(
-        &self, net: &mut Net, operators: &OperatorTerms, listed: Option<Vec<Listed>>, news: Option<StageNews>,
-    ) -> Result<Option<Joined>, String> {
-        let OperatorTerms { folder, history, watching } = operators.clone();
-        let Some(watching) = watching else { return Ok(None) };
-        let failed = |e: std::io::Error| format!("a thread cannot be started: {e}");
-        let (open, post, view) = FrontBox::open(net, self.limits.posted).map_err(failed)?;
-        let rules = RuleTerms::new(self.terms, self.operations.clone());
-        let terms = KeeperTerms { router: self.router.into(), rules, history, folder };
-        let (log, clock) = (self.log.clone(), self.clock);
-        let mut keeper = Keeper::start(log.clone(), clock, terms)?;
-        let heard = listed.is_some() || !watching.discovery;
-        let discovery = watching.discovery.then(|| listed.unwrap_or_default().into());
-        let facts = Facts { now: clock.now(), discovery, heard, news };
-        let (first, known) = keeper.begin(Some(&watching), &facts)?;
-        let ((asks, asked), (wake, nudged)) = (sync_channel(self.limits.posted), wakes());
-        let [kept, watched] = [Pulse::new("keeper"), Pulse::new("watch")];
-        let pulses = vec![kept.clone(), watched.clone()];
-        let keeper = supervise(log.clone(), "keeper", move || keeper.run(&asked, &view, &post, &kept))
-            .map_err(failed)?;
-        let (tell, wakes) = (asks.clone(), wake.clone());
-        let mut known = Some(known).flatten();
-        supervise(log, "watch", move || {
-            let terms = &watching.watched;
-            // After a death everything is told anew; what is in force already changes nothing.
-            let alive = || watched.beat(clock.now());
-            kestreltide_watch::run(terms, known.take(), &nudged, wakes.clone(), alive, |told| {
-                tell.send(Ask::Files(told)).is_ok()
-            });
-            watched.beat(0.0);
-        })
-        .map_err(failed)?;
-        Ok(Some((open, first, Fronts { asks, wake, keeper, pulses })))
-    }
-}
-
 /// Takes from the configuration what may change while the program runs, if all of it is well.
 fn reread(log: &Logger, routing: &mut Routing, serve: &Serve, fixed: &Fixed) -> Result<(), String> {
     let text = config::load(serve.config.clone())?;
--- a/router/src/program/operator.rs
+++ b/router/src/program/operator.rs
@@ -3,7 +3,8 @@
 
 use std::fmt::Write;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::Path;
 
 use kestreltide_datastore::draft::shown;
 use kestreltide_datastore::{Fault, Faults, History};
@@ -12,17 +13,9 @@
 use kestreltide_watch::settle::Patience;
 use kestreltide_watch::watch::Watched;
 
-use crate::fronts::Watching;
+use crate::fronts::{GnmiTerms, ManagementTerms, NetconfTerms, OperatorTerms, Watching};
 use crate::limits::Limits;
 
-/// What the operator file says, with defaults for what it does not.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct OperatorTerms {
-    pub folder: Option<PathBuf>,
-    pub history: History,
-    pub watching: Option<Watching>,
-}
-
 /// What a key takes.
 #[derive(Clone, Copy, Debug)]
 enum Takes {
@@ -37,12 +30,13 @@
         least: f64,
         most: f64,
     },
+    Address,
 }
 
 /// Section, key, what it takes, its default in words, what it is for.
 type Row = (&'static str, &'static str, Takes, &'static str, &'static str);
 
-const ROWS: [Row; 9] = [
+const ROWS: [Row; 16] = [
     (
         "datastore",
         "state-directory",
@@ -76,6 +70,13 @@
         "1",
         "between readings though nothing seems changed",
     ),
+    ("management", "netconf", Takes::Address, "", "where NETCONF over SSH is listened for; none: not"),
+    ("management", "ssh-host-key", Takes::Path, "", "the private key by which clients know this router"),
+    ("management", "gnmi", Takes::Address, "", "where gNMI over TLS is listened for; none: not"),
+    ("management", "certificate", Takes::Path, "", "this router's certificate, in PEM"),
+    ("management", "key", Takes::Path, "", "its private key, in PEM"),
+    ("management", "client-ca", Takes::Path, "", "who signs clients' certificates, in PEM"),
+    ("management", "keys", Takes::Path, "", "the file of keys: who may come in, and what they may do"),
 ];
 
 /// Bytes of a watched file.
@@ -94,6 +95,10 @@
     match takes {
         Takes::Path if text.is_empty() => Err(("is empty", "a path".into())),
         Takes::Path => Ok(()),
+        Takes::Address => match text.parse::<SocketAddr>() {
+            Ok(_) => Ok(()),
+            Err(_) => Err(("is no address and port", "an address such as 127.0.0.1:830".into())),
+        },
         Takes::Flag if ["on", "off"].contains(&text) => Ok(()),
         Takes::Flag => Err(("is neither", "on or off".into())),
         Takes::Whole { least, most } => match text.parse::<usize>() {
@@ -142,7 +147,24 @@
     let files: Vec<_> = files.into_iter().filter_map(|(kind, path)| Some((kind, path?))).collect();
     let (discovery, watch) =
         (text("watch", "discovery") == "on", read.iter().find(|section| section.name == "watch"));
+    let management = read.iter().find(|section| section.name == "management");
     let mut faults = Faults::default();
+    if let Some(section) = management {
+        // A front that cannot prove itself, or let anybody in, is a mistake.
+        let (netconf, gnmi) = (said("management", "netconf").is_some(), said("management", "gnmi").is_some());
+        let needs = [
+            ("keys", netconf || gnmi),
+            ("ssh-host-key", netconf),
+            ("certificate", gnmi),
+            ("key", gnmi),
+            ("client-ca", gnmi),
+        ];
+        for (key, _) in needs.into_iter().filter(|(key, needed)| *needed && said("management", key).is_none())
+        {
+            let at = format!("{name}:{}: [management] {key}", section.line);
+            faults.push(Fault::new(at, "is missing", "nothing", "a path"));
+        }
+    }
     if let Some(section) = watch {
         let at = format!("{name}:{}: [watch]", section.line);
         if files.is_empty() {
@@ -161,12 +183,25 @@
     let patience =
         Patience { settle, longest: LONGEST * settle, poll: seconds("watch", "poll"), apart: APART * settle };
     let (compare, notices) = (seconds("watch", "compare"), text("watch", "notices") == "on");
-    let watched = Watched { files, most: FILE_MOST, patience, compare, notices };
+    let paths = files.iter().map(|(_, path)| path.clone()).collect();
+    let watched = Watched { files: paths, most: FILE_MOST, patience, compare, notices };
+    let address = |key| said("management", key).and_then(|text| text.parse::<SocketAddr>().ok());
+    let file = |key| path("management", key).unwrap_or_default();
+    let netconf = address("netconf").map(|listen| NetconfTerms { listen, host_key: file("ssh-host-key") });
+    let gnmi = address("gnmi").map(|listen| GnmiTerms {
+        listen,
+        certificate: file("certificate"),
+        key: file("key"),
+        client_ca: file("client-ca"),
+    });
+    let keys = Watched { files: vec![file("keys")], ..watched.clone() };
+    let management = (netconf.is_some() || gnmi.is_some()).then_some(ManagementTerms { netconf, gnmi, keys });
     let revisions = text("datastore", "history").parse().unwrap_or(History::default().revisions);
     Ok(OperatorTerms {
         folder: path("datastore", "state-directory"),
         history: History { revisions, ..History::default() },
-        watching: watch.map(|_| Watching { watched, discovery }),
+        management,
+        watching: watch.map(|_| Watching { files, watched, discovery }),
     })
 }
 
@@ -248,7 +283,7 @@
         let terms =
             parse(Path::new("/etc/k/o.ini"), "[watch]\nhosts = h.ini\nweights = /w.ini\n").expect("well");
         let files = terms.watching.expect("on").watched.files;
-        let paths: Vec<_> = files.iter().map(|(_, path)| path.to_str()).collect();
+        let paths: Vec<_> = files.iter().map(|path| path.to_str()).collect();
         assert_eq!(paths, [Some("/etc/k/h.ini"), Some("/w.ini")]);
     }
 
@@ -270,6 +305,15 @@
     #[case::number("[watch]\nhosts = h\npoll = NaN\n", "poll: is out of range")]
     #[case::none("[watch]\npoll = 1\n", "names no file to watch")]
     #[case::nobody("[watch]\nweights = w\ndiscovery = off\n", "nobody would list hosts")]
+    #[case::no_keys(
+        "[management]\nnetconf = 127.0.0.1:0\nssh-host-key = k\n",
+        "o.ini:1: [management] keys: is missing"
+    )]
+    #[case::no_certificate(
+        "[management]\ngnmi = 127.0.0.1:0\nkeys = k\n",
+        "[management] certificate: is missing"
+    )]
+    #[case::no_address("[management]\ngnmi = here\n", "gnmi: is no address and port (given: here")]
     #[case::before("hosts = h\n", "a key stands before the first section")]
     fn what_is_wrong_is_told_with_its_line(#[case] text: &str, #[case] why: &str) {
         let faults = parse(Path::new("o.ini"), text).expect_err("wrong").to_string();
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -8,6 +8,7 @@
 
 use kestreltide::interface::*;
 use kestreltide_datastore::merge::merge;
+use kestreltide_datastore::view::Counts;
 use kestreltide_datastore::{Listed, Snapshot};
 use kestreltide_routes::Route;
 
@@ -164,9 +165,23 @@
     unlogged: u64,
     second: (f64, u64),
     ends: [u64; VERDICTS.len()],
+    /// Of what was told before.
+    before: Counts,
 }
 
 impl Tally {
+    /// Counts since the program's start.
+    pub(super) fn all(&self) -> Counts {
+        let before = &self.before;
+        Counts {
+            taken: before.taken + self.taken,
+            succeeded: before.succeeded + self.succeeded,
+            throttled: before.throttled + self.throttled,
+            terminated: before.terminated + self.terminated,
+            dispatches: before.dispatches + self.dispatches,
+        }
+    }
+
     pub(super) fn count(&mut self, verdict: Verdict) {
         if let Some(place) = VERDICTS.iter().position(|(of, _)| *of == verdict) {
             self.ends[place] += 1;
@@ -210,7 +225,7 @@
         for ((_, name), count) in VERDICTS.iter().zip(self.ends).filter(|(_, count)| *count > 0) {
             let _ = write!(line, " {name} {count}");
         }
-        *self = Tally { told: now, second: self.second, ..Tally::default() };
+        *self = Tally { told: now, second: self.second, before: self.all(), ..Tally::default() };
         Some(line)
     }
 }
--- a/router/src/routing/fronts.rs
+++ b/router/src/routing/fronts.rs
@@ -6,9 +6,9 @@
 use arc_swap::ArcSwap;
 use kestreltide::interface::*;
 use kestreltide_datastore::Snapshot;
+use kestreltide_datastore::view::View;
 use slog::{info, warn};
 
-use super::view::View;
 use super::{Due, FRONTS, Routing};
 use crate::transport::{Mail, Net, Post, SocketId};
 
@@ -44,14 +44,26 @@
 pub struct Box {
     mail: Mail<Notice>,
     view: Arc<ArcSwap<View>>,
+    in_force: Arc<AtomicU64>,
+}
+
+/// What fronts hold of the loop.
+#[derive(Clone)]
+pub struct Loop {
+    pub post: Post<Notice>,
+    pub view: Arc<ArcSwap<View>>,
+    /// The revision in force there.
+    pub in_force: Arc<AtomicU64>,
 }
 
 impl Box {
     /// The two ends: the loop's, and what fronts hold.
-    pub fn open(net: &mut Net, most: usize) -> std::io::Result<(Self, Post<Notice>, Arc<ArcSwap<View>>)> {
+    pub fn open(net: &mut Net, most: usize) -> std::io::Result<(Self, Loop)> {
         let (mail, post) = net.mail(most, FRONTS)?;
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
-        Ok((Box { mail, view: view.clone() }, post, view))
+        let in_force = Arc::new(AtomicU64::new(0));
+        let of_loop = Loop { post, view: view.clone(), in_force: in_force.clone() };
+        Ok((Box { mail, view, in_force }, of_loop))
     }
 }
 
@@ -155,6 +167,7 @@
         let (now, revision) = (self.clock.now(), snapshot.revision());
         let Some(fronts) = &mut self.fronts else { return };
         fronts.revision = revision;
+        fronts.open.in_force.store(revision.0, Relaxed);
         fronts.taken += 1;
         let pause = std::mem::take(&mut fronts.staging_pause).max(now - begun);
         fronts.longest_pause = fronts.longest_pause.max(pause);
@@ -187,6 +200,7 @@
             open: self.admitted.len(),
             clients: self.clients.len(),
             links: self.links.len(),
+            counts: self.tally.all(),
         };
         fronts.open.view.store(Arc::new(view));
     }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -12,7 +12,6 @@
 mod send;
 mod stop;
 mod take_in;
-pub mod view;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
@@ -30,7 +29,7 @@
 use admit::Admitted;
 use book::{Hosts, Tally};
 use discovery::Discovery;
-pub use fronts::{Box as FrontBox, Notice, Pulse};
+pub use fronts::{Box as FrontBox, Loop, Notice, Pulse};
 use peers::Peers;
 use platform::Platform;
 use send::Link;
--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -5,7 +5,9 @@
 use std::str;
 
 use kestreltide_datastore::draft::shown;
-use kestreltide_datastore::{Draft, Fault, Faults, HostName, Leaf, Path, Place, Tree};
+use kestreltide_datastore::{
+    Draft, Fault, Faults, HostName, Key, Keys, Leaf, Path, Place, Proof, Rights, Tree,
+};
 
 use crate::ini::{self, Section, unknown};
 use crate::read::Content;
@@ -17,6 +19,8 @@
     Hosts,
     /// `[weights]` and `[states]`, by hosts' names.
     Weights,
+    /// `[key NAME]` of those who may come in, with their rights.
+    Keys,
 }
 
 /// Characters of a generation's name.
@@ -32,8 +36,8 @@
 
 /// Why there is no version.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Spoken {
-    Whole(Version),
+pub enum Spoken<V> {
+    Whole(V),
     /// Each file is whole, but they do not belong together: one may still be written.
     Apart(Faults),
     /// Some file may still be written.
@@ -47,31 +51,18 @@
 }
 
 /// What these files say together; `place` is how each is called in what is shown.
-pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken {
+pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken<Version> {
     let (mut draft, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
     let mut generations: Vec<(&str, String)> = vec![];
     for (kind, place, content) in files {
-        let text = match content {
-            Ok(bytes) => match str::from_utf8(bytes) {
-                Ok(text) => text,
-                Err(e) => {
-                    // A character cut in two at the end is a file cut in two.
-                    let fault = Fault::new(
-                        *place,
-                        format!("is not UTF-8 from byte {}", e.valid_up_to()),
-                        "other bytes",
-                        "UTF-8",
-                    );
-                    if e.error_len().is_none() {
-                        torn.push(fault)
-                    } else {
-                        wrong.push(fault)
-                    }
-                    continue;
-                }
-            },
-            Err(why) => {
-                torn.push(Fault::new(*place, "cannot be read", &why.0, "a file of text"));
+        let text = match text_of(place, content) {
+            Ok(text) => text,
+            Err((true, fault)) => {
+                torn.push(fault);
+                continue;
+            }
+            Err((false, fault)) => {
+                wrong.push(fault);
                 continue;
             }
         };
@@ -102,8 +93,138 @@
     }
 }
 
+/// The text of a file; with an error, whether the file may only be torn.
+fn text_of<'a>(place: &str, content: &'a Content) -> Result<&'a str, (bool, Fault)> {
+    match content {
+        Ok(bytes) => str::from_utf8(bytes).map_err(|e| {
+            // A character cut in two at the end is a file cut in two.
+            let what = format!("is not UTF-8 from byte {}", e.valid_up_to());
+            (e.error_len().is_none(), Fault::new(place, what, "other bytes", "UTF-8"))
+        }),
+        Err(why) => Err((true, Fault::new(place, "cannot be read", &why.0, "a file of text"))),
+    }
+}
+
+/// Who may come in, as a file of keys says.
+pub fn keys(place: &str, content: &Content) -> Spoken<Keys> {
+    let text = match text_of(place, content) {
+        Ok(text) => text,
+        Err((true, fault)) => return Spoken::Torn(fault.into()),
+        Err((false, fault)) => return Spoken::Wrong(fault.into()),
+    };
+    let (mut found, mut wrong) = (vec![], Faults::default());
+    let read = framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
+        key_sections(place, body, &mut found, wrong)
+    });
+    match read {
+        Err(fault) => Spoken::Torn(fault.into()),
+        Ok(_) if !wrong.is_empty() => Spoken::Wrong(wrong),
+        Ok(Ends { generation }) => {
+            Spoken::Whole(Keys { generation: generation.unwrap_or_default(), keys: found })
+        }
+    }
+}
+
+fn key_sections(place: &str, body: &[Section], found: &mut Vec<Key>, wrong: &mut Faults) -> usize {
+    for section in body {
+        let at = format!("{place}:{}", section.line);
+        let Some(name) = section.name.strip_prefix("key ").map(str::trim).filter(|name| !name.is_empty())
+        else {
+            wrong.push(unknown(&at, "section", &section.name, ["key NAME", END]));
+            continue;
+        };
+        ini::known_keys(place, section, &["ssh", "certificate", "rights"], wrong);
+        let said = |key: &str| section.keys.iter().find(|said| said.name == key);
+        let rights = match said("rights").map(|key| (key, Rights::parse(&key.value))) {
+            Some((_, Ok(rights))) => rights,
+            Some((key, Err(why))) => {
+                let path = format!("{place}:{}: [key {name}] rights", key.line);
+                wrong.push(Fault::new(path, why, shown(&key.value), "read, weights, routes, ring"));
+                continue;
+            }
+            None => {
+                wrong.push(Fault::new(
+                    format!("{at}: [key {name}] rights"),
+                    "is missing",
+                    "nothing",
+                    "read, weights, routes, ring",
+                ));
+                continue;
+            }
+        };
+        let mut proofs = vec![];
+        if let Some(key) = said("ssh") {
+            let words: Vec<_> = key.value.split_whitespace().collect();
+            match words.as_slice() {
+                [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
+                _ => {
+                    let path = format!("{place}:{}: [key {name}] ssh", key.line);
+                    wrong.push(Fault::new(
+                        path,
+                        "is no public key",
+                        shown(&key.value),
+                        "a line as in id_ed25519.pub",
+                    ));
+                }
+            }
+        }
+        if let Some(key) = said("certificate") {
+            match hash(&key.value) {
+                Some(hash) => proofs.push(Proof::Certificate(hash)),
+                None => {
+                    let path = format!("{place}:{}: [key {name}] certificate", key.line);
+                    wrong.push(Fault::new(path, "is no SHA-256", shown(&key.value), "64 hexadecimal digits"));
+                }
+            }
+        }
+        if proofs.is_empty() && wrong.is_empty() {
+            wrong.push(Fault::new(
+                format!("{at}: [key {name}]"),
+                "has neither of both",
+                "nothing",
+                "ssh or certificate",
+            ));
+        }
+        for proof in proofs {
+            if let Some(other) = found.iter().find(|key| key.proof == proof) {
+                wrong.push(Fault::new(
+                    &at,
+                    format!("is the key of {} too", other.name),
+                    name,
+                    "a key of its own",
+                ));
+            }
+            found.push(Key { name: name.into(), proof, rights });
+        }
+    }
+    body.len()
+}
+
+fn hash(text: &str) -> Option<[u8; 32]> {
+    let digits: Vec<u8> = text.bytes().filter(|byte| *byte != b':').collect();
+    let mut hash = [0; 32];
+    if digits.len() != 64 {
+        return None;
+    }
+    for (byte, pair) in hash.iter_mut().zip(digits.chunks(2)) {
+        *byte = u8::from_str_radix(str::from_utf8(pair).ok()?, 16).ok()?;
+    }
+    Some(hash)
+}
+
 /// Reads one file into the draft. An error means that it is not whole, whatever else is wrong with it.
 fn one(kind: Kind, place: &str, text: &str, draft: &mut Draft, wrong: &mut Faults) -> Result<Ends, Fault> {
+    framed(kind, place, text, wrong, |body, wrong| match kind {
+        Kind::Weights => weights(place, body, draft, wrong),
+        Kind::Hosts | Kind::Keys => hosts(place, body, draft, wrong),
+    })
+}
+
+/// The head and the end that every file has; what stands between is read by its kind, and counted.
+fn framed(
+    kind: Kind, place: &str, text: &str, wrong: &mut Faults,
+    between: impl FnOnce(&[Section], &mut Faults) -> usize,
+) -> Result<Ends, Fault> {
     if text.trim().is_empty() {
         return Err(Fault::new(place, "is empty", "nothing", "a generation, entries and an [end]"));
     }
@@ -132,10 +253,7 @@
         }
         return Err(Fault::new(place, "has no [end]", "nothing", "[end] with the count and the generation"));
     };
-    let count = match kind {
-        Kind::Hosts => hosts(place, body, draft, wrong),
-        Kind::Weights => weights(place, body, draft, wrong),
-    };
+    let count = between(body, wrong);
     ended(kind, place, end, count, generation.as_deref(), wrong)?;
     Ok(Ends { generation })
 }
@@ -231,6 +349,7 @@
     let counted = match kind {
         Kind::Hosts => "hosts",
         Kind::Weights => "entries",
+        Kind::Keys => "keys",
     };
     ini::known_keys(place, end, &[counted, "generation"], wrong);
     let key = |name: &str, taken: &dyn std::fmt::Display| {
--- a/watch/src/lib.rs
+++ b/watch/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod settle;
 pub mod watch;
 
-pub use form::{Kind, Spoken, Version, version};
+pub use form::{Kind, Spoken, Version, keys, version};
 pub use read::{Content, Unread};
 pub use settle::{Patience, Settle, Step};
-pub use watch::{Told, Watched, look, run};
+pub use watch::{Told, Watched, look, run, spoken};
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -14,7 +14,7 @@
 /// Which files, and how.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Watched {
-    pub files: Vec<(Kind, PathBuf)>,
+    pub files: Vec<PathBuf>,
     /// Bytes of one file that are read at most.
     pub most: usize,
     pub patience: Patience,
@@ -26,8 +26,8 @@
 
 /// What there is to tell.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Told {
-    Version(Version),
+pub enum Told<V> {
+    Version(V),
     /// It is not taken as it stands, and would not be later.
     Refused(Faults),
     /// It may become a version: its files do not belong together yet.
@@ -35,32 +35,33 @@
 }
 
 /// Reads everything now, as a start needs it.
-pub fn look(watched: &Watched) -> (Spoken, u64) {
+pub fn look<V>(watched: &Watched, read: impl Fn(&[Content]) -> Spoken<V>) -> (Spoken<V>, u64) {
     let contents = contents(watched);
-    (spoken(watched, &contents), digest(&contents))
+    (read(&contents), digest(&contents))
 }
 
 fn contents(watched: &Watched) -> Vec<Content> {
-    watched.files.iter().map(|(_, path)| read(path, watched.most)).collect()
+    watched.files.iter().map(|path| read(path, watched.most)).collect()
 }
 
-fn spoken(watched: &Watched, contents: &[Content]) -> Spoken {
-    let places: Vec<_> = watched.files.iter().map(|(_, path)| path.display().to_string()).collect();
-    let files = watched.files.iter().zip(&places).zip(contents);
+/// What files of these kinds say together.
+pub fn spoken(files: &[(Kind, PathBuf)], contents: &[Content]) -> Spoken<Version> {
+    let places: Vec<_> = files.iter().map(|(_, path)| path.display().to_string()).collect();
+    let files = files.iter().zip(&places).zip(contents);
     let files: Vec<_> = files.map(|(((kind, _), place), content)| (*kind, place.as_str(), content)).collect();
     version(&files)
 }
 
 /// Watches until nobody listens any more. `known` is the digest of what is in force already; `nudged` ends a
 /// sleep early, `alive` is called each time round.
-pub fn run(
-    watched: &Watched, known: Option<u64>, nudged: &Receiver<()>, wake: SyncSender<()>, alive: impl Fn(),
-    mut tell: impl FnMut(Told) -> bool,
+pub fn run<V>(
+    watched: &Watched, known: Option<u64>, (wake, nudged): (SyncSender<()>, &Receiver<()>), alive: impl Fn(),
+    says: impl Fn(&[Content]) -> Spoken<V>, mut tell: impl FnMut(Told<V>) -> bool,
 ) {
     let started = Instant::now();
     let now = || started.elapsed().as_secs_f64();
-    let paths: Vec<PathBuf> = watched.files.iter().map(|(_, path)| path.clone()).collect();
-    let mut notices = watched.notices.then(|| Notices::open(&paths, wake));
+    let paths = &watched.files;
+    let mut notices = watched.notices.then(|| Notices::open(paths, wake));
     let mut settle = Settle::new(watched.patience);
     known.into_iter().for_each(|digest| settle.dealt_with(now() - watched.patience.apart, digest));
     let (mut marks, mut compared): (Vec<Option<Mark>>, f64) = (vec![], f64::MIN);
@@ -76,14 +77,14 @@
             compared = now();
             let told = match settle.read(compared, number) {
                 Step::Nothing => None,
-                Step::Try => match spoken(watched, &contents) {
+                Step::Try => match says(&contents) {
                     Spoken::Whole(version) => {
                         settle.dealt_with(compared, number);
                         Some(Told::Version(version))
                     }
                     _ => None,
                 },
-                Step::Offer => Some(match spoken(watched, &contents) {
+                Step::Offer => Some(match says(&contents) {
                     Spoken::Whole(version) => Told::Version(version),
                     Spoken::Apart(faults) => Told::Held(faults),
                     Spoken::Torn(faults) | Spoken::Wrong(faults) => Told::Refused(faults),
--- a/watch/tests/versions.rs
+++ b/watch/tests/versions.rs
@@ -37,14 +37,14 @@
     )
 }
 
-fn spoken(hosts: &str, weights: Option<&str>) -> Spoken {
+fn spoken(hosts: &str, weights: Option<&str>) -> Spoken<Version> {
     let (hosts, weights) = (Ok(hosts.as_bytes().to_vec()), weights.map(|text| Ok(text.as_bytes().to_vec())));
     let mut files = vec![(Kind::Hosts, "hosts.ini", &hosts)];
     files.extend(weights.iter().map(|text| (Kind::Weights, "weights.ini", text)));
     version(&files)
 }
 
-fn whole(spoken: Spoken) -> Version {
+fn whole(spoken: Spoken<Version>) -> Version {
     match spoken {
         Spoken::Whole(version) => version,
         other => panic!("whole: {other:?}"),
@@ -135,6 +135,42 @@
     }
 }
 
+const KEYS: &str = "generation = 3\n[key ana]\nssh = ssh-ed25519 AAAAC3NzaC1lZDI1NTE5AAAA ana@home\nrights = read, weights\n[end]\nkeys = 1\ngeneration = 3\n";
+
+/// What is done to a well file of keys, and why it is not taken.
+#[rstest]
+#[case::well("", "", None)]
+#[case::right(
+    "read, weights",
+    "read, write",
+    Some("keys.ini:4: [key ana] rights: write is none of read, weights, routes, ring")
+)]
+#[case::no_right("rights = read, weights\n", "", Some("[key ana] rights: is missing"))]
+#[case::no_key("ssh = ssh-ed25519 AAAAC3NzaC1lZDI1NTE5AAAA ana@home\n", "", Some("has neither of both"))]
+#[case::half_a_key("AAAAC3NzaC1lZDI1NTE5AAAA ana@home", "AAAA", Some("is no public key"))]
+#[case::certificate(
+    "ssh = ssh-ed25519 AAAAC3NzaC1lZDI1NTE5AAAA ana@home",
+    "certificate = 00ff",
+    Some("is no SHA-256")
+)]
+#[case::section("[key ana]", "[kay ana]", Some("no such section"))]
+#[case::cut("keys = 1", "keys = 2", Some("1 stand in the file"))]
+fn a_file_of_keys_is_taken_whole_or_not_at_all(
+    #[case] is: &str, #[case] becomes: &str, #[case] why: Option<&str>,
+) {
+    let text = KEYS.replacen(is, becomes, 1);
+    match (kestreltide_watch::keys("keys.ini", &Ok(text.into_bytes())), why) {
+        (Spoken::Whole(keys), None) => {
+            let [key] = keys.keys.as_slice() else { panic!("one key: {keys:?}") };
+            assert!(key.name == "ana" && key.rights.weights && !key.rights.ring);
+        }
+        (Spoken::Torn(faults) | Spoken::Wrong(faults), Some(why)) => {
+            assert!(faults.to_string().contains(why), "{faults}");
+        }
+        (other, _) => panic!("{other:?}"),
+    }
+}
+
 /// Times and contents that are seen, and what is done with each.
 #[rstest]
 #[case::it_settles(&[(0.00, 1, Step::Nothing), (0.01, 1, Step::Nothing), (0.02, 1, Step::Offer), (0.03, 1, Step::Nothing)])]
@@ -151,7 +187,7 @@
 
 struct Watch {
     folder: TempDir,
-    told: Receiver<Told>,
+    told: Receiver<Told<Version>>,
     nudge: SyncSender<()>,
 }
 
@@ -161,12 +197,14 @@
         let folder = tempfile::tempdir().expect("a folder");
         prepare(folder.path());
         let files = vec![(Kind::Hosts, folder.path().join(place))];
-        let watched = Watched { files, most: 1 << 20, patience: QUICK, compare: 0.2, notices };
+        let paths = files.iter().map(|(_, path): &(Kind, PathBuf)| path.clone()).collect();
+        let watched = Watched { files: paths, most: 1 << 20, patience: QUICK, compare: 0.2, notices };
         let ((nudge, nudged), (sender, told)) = (wakes(), channel());
         let wake = nudge.clone();
-        let known = look(&watched).1;
+        let known = look(&watched, |contents| kestreltide_watch::spoken(&files, contents)).1;
         thread::spawn(move || {
-            run(&watched, Some(known), &nudged, wake, || (), |told| sender.send(told).is_ok())
+            let says = |contents: &[kestreltide_watch::Content]| kestreltide_watch::spoken(&files, contents);
+            run(&watched, Some(known), (wake, &nudged), || (), says, |told| sender.send(told).is_ok())
         });
         Watch { folder, told, nudge }
     }
@@ -176,7 +214,7 @@
     }
 
     /// What is told next.
-    fn next(&self) -> Told {
+    fn next(&self) -> Told<Version> {
         self.told.recv_timeout(PATIENCE).expect("something is told")
     }
 
