Stories of engineers at a running router over NETCONF and gNMI, and of bad parties there

Found by them: the published state lagged the start, leaf by leaf work was done for each subscriber (15 s for 60 commits with 40 of them; shared now).

--- a/management/src/gnmi.rs
+++ b/management/src/gnmi.rs
@@ -4,12 +4,13 @@
 use std::collections::BTreeMap;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::task::{Context, Poll as Ready};
 use std::time::Duration;
 
-use kestreltide_datastore::desk::{Confirm, Refused, SessionId};
+use kestreltide_datastore::desk::{Confirm, Published, Refused, SessionId};
 use kestreltide_datastore::store::Commit;
+use kestreltide_datastore::view::View;
 use kestreltide_datastore::{Author, Candidate, Key, Proof, Rights, Source};
 use kestreltide_model::bind::Bind;
 use kestreltide_model::data::{Data, Instance, Step};
@@ -45,8 +46,82 @@
 /// Seconds that a commit waits to be confirmed where nothing is said.
 const CONFIRM: f64 = 600.0;
 
-/// What all streams read: everything as data, made anew when something changed, and how often it was.
-type Whole = (u64, Arc<Vec<Data>>);
+/// What all streams read, made when the first of them wants it: what many want is worked out once.
+struct Whole {
+    /// How often something changed so far, each revision counted.
+    number: u64,
+    make: Box<dyn Fn() -> Vec<Data> + Send + Sync>,
+    data: OnceLock<Vec<Data>>,
+    found: Mutex<BTreeMap<Wish, Arc<Leaves>>>,
+    differences: Mutex<BTreeMap<(Wish, usize), Difference>>,
+}
+
+/// A path and an encoding.
+type Wish = (Pattern, i32);
+/// Leaf by leaf, where it stands and its value.
+type Leaves = BTreeMap<Instance, TypedValue>;
+
+/// From which leaves, and what differs.
+type Difference = (Arc<Leaves>, Arc<Changes>);
+
+/// What differs between two times, and what is gone.
+#[derive(Default)]
+struct Changes {
+    updates: Vec<(Instance, TypedValue)>,
+    gone: Vec<Path>,
+}
+
+impl Whole {
+    fn new(number: u64, make: Box<dyn Fn() -> Vec<Data> + Send + Sync>) -> Self {
+        let (data, found, differences) = (OnceLock::new(), Mutex::default(), Mutex::default());
+        Whole { number, make, data, found, differences }
+    }
+
+    fn data(&self) -> &[Data] {
+        self.data.get_or_init(&self.make)
+    }
+
+    /// All leaves that a path wants, in an encoding.
+    fn leaves(&self, schema: &Schema, wish: &Wish) -> Arc<Leaves> {
+        let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(leaves) = found.get(wish) {
+            return leaves.clone();
+        }
+        let (pattern, encoding) = (&wish.0, Encoding::try_from(wish.1).unwrap_or_default());
+        let data = self.data();
+        let instances: Vec<(Instance, &Data)> = if pattern.0.is_empty() {
+            data.iter().map(|data| (Instance(vec![data.step(schema)]), data)).collect()
+        } else {
+            pattern.select(schema, data)
+        };
+        let mut leaves = Leaves::new();
+        instances.iter().for_each(|(at, data)| collect(schema, encoding, at, data, &mut leaves));
+        let leaves = Arc::new(leaves);
+        // Bounded by what streams there are; the next change begins anew.
+        found.insert(wish.clone(), leaves.clone());
+        leaves
+    }
+
+    /// What differs from what a stream has sent.
+    fn changes(&self, schema: &Schema, wish: &Wish, sent: &Arc<Leaves>) -> (Arc<Leaves>, Arc<Changes>) {
+        let now = self.leaves(schema, wish);
+        if Arc::ptr_eq(&now, sent) {
+            return (now, Arc::default());
+        }
+        // Held with it, so that the place in memory stays that of these leaves.
+        let key = (wish.clone(), Arc::as_ptr(sent) as usize);
+        let mut differences = self.differences.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, changes)) = differences.get(&key) {
+            return (now, changes.clone());
+        }
+        let differs = |(at, value): &(&Instance, &TypedValue)| sent.get(*at) != Some(*value);
+        let updates = now.iter().filter(differs).map(|(at, value)| (at.clone(), value.clone())).collect();
+        let gone = sent.keys().filter(|at| !now.contains_key(*at)).map(path_of).collect();
+        let changes = Arc::new(Changes { updates, gone });
+        differences.insert(key, (sent.clone(), changes.clone()));
+        (now, changes)
+    }
+}
 
 pub struct Service {
     log: Logger,
@@ -54,7 +129,7 @@
     limits: Limits,
     schema: &'static Schema,
     bind: Arc<Bind>,
-    whole: watch::Receiver<Whole>,
+    whole: watch::Receiver<Arc<Whole>>,
     /// The highest election id of each role: who has it may set.
     masters: Mutex<BTreeMap<String, (u64, u64)>>,
     /// Sessions at the desk of those whose commits wait to be confirmed, by name.
@@ -555,7 +630,7 @@
                     text(&path)
                 )));
             }
-            wanted.push(Wanted::new(pattern, one, &self.limits)?);
+            wanted.push(Wanted::new((pattern, encoding.into()), one, &self.limits)?);
         }
         if wanted.is_empty() || wanted.len() > MOST {
             return Err(wrong(
@@ -570,7 +645,6 @@
             service: self.clone_for_stream(),
             key,
             wanted,
-            encoding,
             updates_only: list.updates_only,
             sender,
             prefix: list
@@ -642,14 +716,14 @@
 /// What a stream holds of the service.
 struct Reader {
     schema: &'static Schema,
-    whole: watch::Receiver<Whole>,
+    whole: watch::Receiver<Arc<Whole>>,
     desk: Handle,
     log: Logger,
 }
 
 /// One subscription of a stream.
 struct Wanted {
-    pattern: Pattern,
+    wish: Wish,
     on_change: bool,
     /// Between samples, and between signs of life; none: never.
     sample: Option<Duration>,
@@ -658,11 +732,11 @@
     due: Option<Instant>,
     beat: Option<Instant>,
     /// What was sent last.
-    sent: BTreeMap<Instance, TypedValue>,
+    sent: Arc<Leaves>,
 }
 
 impl Wanted {
-    fn new(pattern: Pattern, of: &crate::proto::gnmi::Subscription, limits: &Limits) -> Result<Self, Status> {
+    fn new(wish: Wish, of: &crate::proto::gnmi::Subscription, limits: &Limits) -> Result<Self, Status> {
         let mode = SubscriptionMode::try_from(of.mode).map_err(|_| {
             wrong("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
         })?;
@@ -681,9 +755,9 @@
         let sample = (!on_change).then(|| interval.max(least));
         let heartbeat =
             (of.heartbeat_interval > 0).then(|| Duration::from_nanos(of.heartbeat_interval).max(least));
-        let (now, sent) = (Instant::now(), BTreeMap::new());
+        let (now, sent) = (Instant::now(), Arc::default());
         let (due, beat) = (sample.map(|every| now + every), heartbeat.map(|every| now + every));
-        Ok(Wanted { pattern, on_change, sample, heartbeat, suppress: of.suppress_redundant, due, beat, sent })
+        Ok(Wanted { wish, on_change, sample, heartbeat, suppress: of.suppress_redundant, due, beat, sent })
     }
 }
 
@@ -691,7 +765,6 @@
     service: Arc<Reader>,
     key: Key,
     wanted: Vec<Wanted>,
-    encoding: Encoding,
     updates_only: bool,
     sender: mpsc::Sender<Result<SubscribeResponse, Status>>,
     prefix: Option<Path>,
@@ -714,9 +787,9 @@
 
     /// Everything that is wanted, then that it was everything.
     async fn all(&mut self, silent: bool) -> bool {
-        let whole = self.service.whole.borrow().1.clone();
+        let whole = self.service.whole.borrow().clone();
         for place in 0..self.wanted.len() {
-            let now = self.select(place, &whole);
+            let now = whole.leaves(self.service.schema, &self.wanted[place].wish);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
             self.wanted[place].sent = now;
             if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
@@ -732,19 +805,6 @@
             .await
     }
 
-    /// Leaf by leaf, whatever the encoding: what changes is told alone.
-    fn select(&self, place: usize, whole: &[Data]) -> BTreeMap<Instance, TypedValue> {
-        let (schema, pattern) = (self.service.schema, &self.wanted[place].pattern);
-        let mut leaves = BTreeMap::new();
-        let found: Vec<(Instance, &Data)> = if pattern.0.is_empty() {
-            whole.iter().map(|data| (Instance(vec![data.step(schema)]), data)).collect()
-        } else {
-            pattern.select(schema, whole)
-        };
-        found.iter().for_each(|(at, data)| collect(schema, self.encoding, at, data, &mut leaves));
-        leaves
-    }
-
     async fn once(&mut self) -> &'static str {
         if self.all(self.updates_only).await { "all was sent" } else { "it went away" }
     }
@@ -782,7 +842,7 @@
 
     async fn streamed(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
         let mut changes = self.service.whole.clone();
-        let mut seen = changes.borrow_and_update().0;
+        let mut seen = changes.borrow_and_update().number;
         if !self.all(self.updates_only).await {
             return "it went away";
         }
@@ -810,7 +870,8 @@
                     .await;
                 return "its key is no longer in the file of keys";
             }
-            let (number, whole) = changes.borrow_and_update().clone();
+            let whole = changes.borrow_and_update().clone();
+            let number = whole.number;
             // Who reads slowly gets the newest, and is told how many changes that stands for.
             let coalesced = number.saturating_sub(seen + 1) as u32;
             let changed = number != seen;
@@ -830,17 +891,19 @@
                     continue;
                 }
                 let all = beat || sampled && !wanted.suppress;
-                let leaves = self.select(place, &whole);
-                let wanted = &mut self.wanted[place];
-                let differs = |at: &Instance, value: &TypedValue| wanted.sent.get(at) != Some(value);
-                let updates: Vec<_> = leaves
-                    .iter()
-                    .filter(|(at, value)| all || differs(at, value))
-                    .map(|(at, value)| update(at, value, if differs(at, value) { coalesced } else { 0 }))
-                    .collect();
-                let gone: Vec<_> =
-                    wanted.sent.keys().filter(|at| !leaves.contains_key(*at)).map(path_of).collect();
-                wanted.sent = leaves;
+                let (now, changes) = whole.changes(self.service.schema, &wanted.wish, &wanted.sent);
+                let mut updates: Vec<_> =
+                    changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
+                if all {
+                    let told = |at: &Instance| {
+                        changes.updates.binary_search_by(|(changed, _)| changed.cmp(at)).is_ok()
+                    };
+                    updates.extend(
+                        now.iter().filter(|(at, _)| !told(at)).map(|(at, value)| update(at, value, 0)),
+                    );
+                }
+                let gone = changes.gone.clone();
+                wanted.sent = now;
                 if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
                     return "it went away";
                 }
@@ -953,12 +1016,15 @@
     })
 }
 
-/// Follows what is published, and makes everything anew as data when something changed. Streams share it.
-fn follow(schema: &'static Schema, bind: Arc<Bind>, desk: Handle) -> watch::Receiver<Whole> {
-    let make = move |desk: &Handle| state::all(schema, &bind, &desk.view.load(), &desk.published.load());
-    let (sender, receiver) = watch::channel((0, Arc::new(vec![make(&desk)])));
+/// Follows what is published, and says when something changed. Streams share what they make of it.
+fn follow(schema: &'static Schema, bind: Arc<Bind>, desk: Handle) -> watch::Receiver<Arc<Whole>> {
+    let whole = move |number, view: &Arc<View>, published: &Arc<Published>| {
+        let (bind, view, published) = (bind.clone(), view.clone(), published.clone());
+        Arc::new(Whole::new(number, Box::new(move || vec![state::all(schema, &bind, &view, &published)])))
+    };
+    let (mut view, mut published) = (desk.view.load_full(), desk.published.load_full());
+    let (sender, receiver) = watch::channel(whole(0, &view, &published));
     tokio::spawn(async move {
-        let (mut view, mut published) = (desk.view.load_full(), desk.published.load_full());
         let mut number = 0;
         while !sender.is_closed() {
             // Nobody has to tell: a look costs two pointers.
@@ -967,8 +1033,11 @@
             if Arc::ptr_eq(&now, &view) && Arc::ptr_eq(&of_desk, &published) {
                 continue;
             }
-            (view, published, number) = (now, of_desk, number + 1);
-            let _ = sender.send((number, Arc::new(vec![make(&desk)])));
+            // Each revision counts, also those that came between two looks: who is told of the newest is told how
+            // many it stands for.
+            let revisions = of_desk.in_force.revision.0.saturating_sub(published.in_force.revision.0);
+            (view, published, number) = (now, of_desk, number + revisions.max(1));
+            let _ = sender.send(whole(number, &view, &published));
         }
     });
     receiver
--- a/management/src/netconf/framing.rs
+++ b/management/src/netconf/framing.rs
@@ -59,7 +59,7 @@
     }
 
     /// The next whole message; none where its end has not come.
-    pub fn next(&mut self) -> Result<Option<Vec<u8>>, Malformed> {
+    pub fn message(&mut self) -> Result<Option<Vec<u8>>, Malformed> {
         match self.framing {
             Framing::EndMark => self.by_mark(),
             Framing::Chunks => self.by_chunks(),
--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -166,7 +166,14 @@
             return session.channel_failure(id);
         }
         session.channel_success(id)?;
-        tokio::spawn(session_over(self.shared.clone(), key, channel));
+        // One session a connection: with the one the other ends.
+        let (shared, ssh) = (self.shared.clone(), session.handle());
+        tokio::spawn(async move {
+            session_over(shared, key, channel).await;
+            let _ = ssh
+                .disconnect(russh::Disconnect::ByApplication, "the session is over".into(), "en".into())
+                .await;
+        });
         Ok(())
     }
 }
@@ -251,7 +258,7 @@
                     Ok(count) => frames.push(&buffer[..count]),
                 }
                 loop {
-                    let message = match frames.next() {
+                    let message = match frames.message() {
                         Ok(Some(message)) => message,
                         Ok(None) => break,
                         Err(_) => return "its messages cannot be read",
--- a/management/src/state.rs
+++ b/management/src/state.rs
@@ -38,7 +38,7 @@
 /// What the router knows and did.
 pub fn state(schema: &Schema, view: &View, published: &Published) -> Option<Data> {
     let mut state = Under::new(schema, schema.at(&["router", "state"])?);
-    state.put("revision", view.revision.0).put("revisions-taken", view.taken);
+    state.put("revision", published.in_force.revision.0).put("revisions-taken", view.taken);
     state.put("longest-pause", decimal(view.longest_pause)).put("open-invocations", view.open);
     state.put("clients", view.clients).put("links", view.links);
     state.with("counts", |counts| {
--- a/management/tests/netconf.rs
+++ b/management/tests/netconf.rs
@@ -428,7 +428,7 @@
     let mut frames = Frames::new(100);
     frames.use_chunks();
     frames.push(bytes);
-    assert!(frames.next().is_err());
+    assert!(frames.message().is_err());
 }
 
 #[test]
@@ -437,7 +437,7 @@
     let mut wrong = false;
     for _ in 0..50 {
         frames.push(b"0123456789");
-        wrong |= frames.next().is_err();
+        wrong |= frames.message().is_err();
     }
     assert!(wrong);
 }
@@ -460,7 +460,7 @@
             let cut = cuts.next().copied().unwrap_or(1).min(rest.len());
             frames.push(&rest[..cut]);
             rest = &rest[cut..];
-            while let Some(message) = frames.next().expect("well") {
+            while let Some(message) = frames.message().expect("well") {
                 read.push(String::from_utf8(message).expect("text"));
             }
         }
@@ -475,7 +475,7 @@
         }
         for byte in bytes {
             frames.push(&[byte]);
-            match frames.next() {
+            match frames.message() {
                 Ok(Some(message)) => prop_assert!(message.len() <= 40),
                 Ok(None) => {}
                 Err(_) => break,
--- a/model/src/edit.rs
+++ b/model/src/edit.rs
@@ -509,7 +509,8 @@
                 edit.children.iter().for_each(|child| self.edit(child, below, &here, &bound));
                 let entry = matches!(bound, At::Host(_) | At::Route(_));
                 if entry && below == Op::Merge && self.faults.is_empty() && !bound.exists(self.tree) {
-                    let only_key = edit.children.len() <= keys_of(self.schema, edit.node);
+                    let keys = self.schema.keys(edit.node);
+                    let only_key = edit.children.iter().all(|child| keys.contains(&child.step.name));
                     if only_key {
                         self.fault(
                             Tag::MissingElement,
@@ -529,7 +530,3 @@
         self.faults.push(EditFault::new(tag, about, at, what, given, taken));
     }
 }
-
-fn keys_of(schema: &Schema, node: NodeId) -> usize {
-    schema.keys(node).len()
-}
--- a/model/src/path.rs
+++ b/model/src/path.rs
@@ -11,7 +11,7 @@
 use crate::xml::Element;
 
 /// One step of a pattern.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Wanted {
     /// Any where none is given.
     pub name: Option<String>,
@@ -22,7 +22,7 @@
 }
 
 /// A path that several instances may match; without steps it is everything.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Pattern(pub Vec<Wanted>);
 
 /// Steps of a path, and paths of a filter, at most.
--- a/router/src/fronts/keeper.rs
+++ b/router/src/fronts/keeper.rs
@@ -163,6 +163,7 @@
                 _ => {}
             }
         }
+        self.publish();
         let snapshot = self.desk.store.snapshot();
         Ok(((snapshot.revision().0 > 0).then(|| snapshot.clone()), known))
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod config;
 mod discovery;
+mod engineer;
 mod fleet;
 mod party;
 mod platform;
@@ -15,6 +16,7 @@
 pub use client::Client;
 pub use config::{config, list};
 pub use discovery::Discovery;
+pub use engineer::{Engineer, Netconf, Office, proto};
 pub use fleet::{Fleet, Host, Seen};
 pub use party::{answer_each, fake_discovery, fake_host, nobody, party, value, words};
 pub use platform::{Platform, Standing};
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -61,6 +61,12 @@
         program
     }
 
+    /// The address that a line before `listening` told.
+    pub fn told_at(&self, what: &str) -> Option<SocketAddr> {
+        let line = self.began.iter().find(|line| line.contains(what))?;
+        line.split("at: ").nth(1)?.split([',', ' ']).next()?.parse().ok()
+    }
+
     /// Waits for a line of the log that says this.
     pub fn logged(&self, what: &str) -> String {
         let until = Instant::now() + PATIENCE;
--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -57,12 +57,12 @@
     for (kind, place, content) in files {
         let text = match text_of(place, content) {
             Ok(text) => text,
-            Err((true, fault)) => {
-                torn.push(fault);
-                continue;
-            }
-            Err((false, fault)) => {
-                wrong.push(fault);
+            Err(why) => {
+                if why.0 {
+                    torn.push(why.1)
+                } else {
+                    wrong.push(why.1)
+                }
                 continue;
             }
         };
@@ -94,14 +94,14 @@
 }
 
 /// The text of a file; with an error, whether the file may only be torn.
-fn text_of<'a>(place: &str, content: &'a Content) -> Result<&'a str, (bool, Fault)> {
+fn text_of<'a>(place: &str, content: &'a Content) -> Result<&'a str, Box<(bool, Fault)>> {
     match content {
         Ok(bytes) => str::from_utf8(bytes).map_err(|e| {
             // A character cut in two at the end is a file cut in two.
             let what = format!("is not UTF-8 from byte {}", e.valid_up_to());
-            (e.error_len().is_none(), Fault::new(place, what, "other bytes", "UTF-8"))
+            Box::new((e.error_len().is_none(), Fault::new(place, what, "other bytes", "UTF-8")))
         }),
-        Err(why) => Err((true, Fault::new(place, "cannot be read", &why.0, "a file of text"))),
+        Err(why) => Err(Box::new((true, Fault::new(place, "cannot be read", &why.0, "a file of text")))),
     }
 }
 
@@ -109,8 +109,8 @@
 pub fn keys(place: &str, content: &Content) -> Spoken<Keys> {
     let text = match text_of(place, content) {
         Ok(text) => text,
-        Err((true, fault)) => return Spoken::Torn(fault.into()),
-        Err((false, fault)) => return Spoken::Wrong(fault.into()),
+        Err(why) if why.0 => return Spoken::Torn(why.1.into()),
+        Err(why) => return Spoken::Wrong(why.1.into()),
     };
     let (mut found, mut wrong) = (vec![], Faults::default());
     let read = framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
