--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -81,6 +81,9 @@
     /// A watch is asked to answer after this time at the latest, and given this much more to do it.
     pub watch_hold: f64,
     pub watch_spare: f64,
+    /// Where lists are asked for, discovery serves the calls of all routers in turn. Who gives up an answer that is
+    /// on its way has taken a turn for nothing, and asks for another: discovery itself turns away what waits for 2 s.
+    pub turn: f64,
     /// Without a further byte for this time, an answer or line of discovery or the platform that has begun is
     /// given up.
     pub news_rest: f64,
@@ -169,6 +172,7 @@
             vote_time: terms.vote_wait,
             watch_hold: 5.0,
             watch_spare: 1.0,
+            turn: 2.5,
             news_rest: 0.4,
             platform_silence: 3.0,
             retry: [0.05, 1.0],
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -90,6 +90,9 @@
     /// What this router knew of the hosts before it was started.
     pub fn remember(&mut self, list: &List) {
         self.take_list(list, ListScope::Remembered);
+        // What has changed since then is asked for in one call, where a whole list and a watch are two: after a
+        // mass restart discovery has as many to serve.
+        self.discovery.rev = Some(list.rev).filter(|_| self.discovery.on_demand);
         self.settle();
     }
 
@@ -158,7 +161,9 @@
         (call.asked, call.number, call.begun) = (asked, self.discovery.number, None);
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
         discovery::write_get(call.stream.output(), at, watch);
-        let patience = if watch.is_some() { hold } else { 0.0 } + self.limits.watch_spare;
+        let in_turn = self.discovery.on_demand && hold <= 0.0 || asked == Asked::Once;
+        let spare = if in_turn { self.limits.turn } else { self.limits.watch_spare };
+        let patience = if watch.is_some() { hold } else { 0.0 } + spare;
         let number = call.number;
         self.set_due(now + patience, Due::CallOver(id, number));
         self.discovery_ready(id);
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -1,6 +1,6 @@
 //! Short stories of the real router, one for each failure met, against tiny fakes on loopback sockets.
 
-use std::io::{BufRead, Read};
+use std::io::{BufRead, Read, Write};
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{Sender, channel};
@@ -384,6 +384,33 @@
     assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
 }
 
+#[test]
+fn a_discovery_that_many_ask_is_asked_once_from_what_is_known_and_waited_for() {
+    let (asked, seen) = channel();
+    let asked = Mutex::new(asked);
+    let changes = list(2, false, &[("a", well().expect("a host"), "Ready")]);
+    let at = party(move |stream| {
+        let mut lines = std::io::BufReader::new(&stream).lines();
+        while let Some(Ok(first)) = lines.next() {
+            if !lines.by_ref().map_while(Result::ok).any(|line| line.is_empty()) {
+                return;
+            }
+            let _ = asked.lock().expect("no panic before").send(first);
+            // The calls of the others come first; none of a router's own must be added to them meanwhile.
+            thread::sleep(Duration::from_millis(1500));
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", changes.len());
+            let _ = (&stream).write_all((head + &changes).as_bytes());
+        }
+    });
+    let program = Program::start(BINARY, &config(at, &list(1, true, &[])).replace("\"push\"", "\"ask\""));
+    program.logged("rev: 2");
+    let questions: Vec<String> = seen.try_iter().collect();
+    let well = |question: &&String| question.contains("from=1&hold_ms=0") || question.contains("from=2&");
+    assert_eq!(questions.iter().filter(|question| question.contains("from=1&")).count(), 1, "{questions:?}");
+    assert!(questions.iter().all(|question| well(&question)), "{questions:?}");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
 #[test]
 fn a_planned_stop_serves_who_still_comes_and_ends_once_all_is_answered() {
     let at = fake_host(|words| {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,6 +67,7 @@
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
 const BOUND_ROOM: [f64; 2] = [0.6, 0.85]; // of machines' share bound, of the cap used: new keys stop
 const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
+const CALL_AT_ONCE: f64 = 20.0; // routers; more spread their calls over the time in which each has to ask
 const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
 
 const MARKS: usize = 3; // kept the SLO time, had no plain error, was quick
@@ -144,6 +145,7 @@
         (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
         (s.renew_every, s.even) = (RENEW_EVERY.min(0.8 * terms.ballot_life), 1.0);
         (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
+        s.call_spread = terms.ask_every * (1.0 - CALL_AT_ONCE / f64::from(s.routers)).max(0.0);
         s.haste = (terms.bake / BAKE[0]).clamp(BAKE[1], 1.0);
         s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
         (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
@@ -166,7 +168,15 @@
         if self.s.next_alarm == 0 {
             let first = now + SWAP_EVERY * self.rng.random::<f64>();
             self.set_alarm(first, Task::Swap, effects);
-            effects.extend(self.s.list_asked.then_some(Effect::Follow { on: true }));
+            // Discovery serves all in turn, and calls that wait too long are lost, work and all: where a large fleet
+            // restarts and asks at once, hardly any is served, again and again.
+            let wait = self.s.list_asked.then_some(self.s.call_spread);
+            if let Some(spread) = wait.filter(|spread| *spread > 0.0) {
+                let at = now + spread * self.rng.random::<f64>();
+                self.set_alarm(at, Task::Follow, effects);
+            } else {
+                effects.extend(wait.map(|_| Effect::Follow { on: true }));
+            }
         }
         match event {
             Event::Hosts { scope, entries } => self.list(now, scope, &entries),
@@ -180,7 +190,7 @@
             Event::ListFailed if self.s.list_asked => {
                 // A subscription that broke would count as told; ask again soon, spread and slower each time.
                 let wait = self.s.follow_wait * (0.5 + self.rng.random::<f64>());
-                self.s.follow_wait = (2.0 * self.s.follow_wait).min(REFOLLOW[1]);
+                self.s.follow_wait = (2.0 * self.s.follow_wait).min(REFOLLOW[1].max(self.s.call_spread));
                 self.set_alarm(now + wait, Task::Follow, effects);
             }
             Event::Arrived(inv) => self.arrived(now, inv, effects),
--- a/src/record.rs
+++ b/src/record.rs
@@ -155,6 +155,8 @@
     pub(crate) zone: Option<ZoneId>,
     pub(crate) operations: Vec<Operation>,
     pub(crate) list_asked: bool,
+    /// Over which all routers spread their first calls for a list; their later ones no closer than that at last.
+    pub(crate) call_spread: f64,
     pub(crate) stage_shares: Vec<f64>,
     pub(crate) by_clock: bool,
     pub(crate) voters: u32,
--- /dev/null
+++ b/tests/fake/fleet.rs
@@ -0,0 +1,318 @@
+//! Many routers in one simulated time, with the few parties that the whole fleet shares: hosts, discovery and the
+//! platform. Same seed, same story; figures are those of this fake, not of any real fleet.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use kestreltide::choice::Router;
+use kestreltide::interface::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Nanoseconds, so that times can be ordered.
+type At = u64;
+
+fn nanos(seconds: f64) -> At {
+    (seconds.max(0.0) * 1e9) as At
+}
+
+/// One service of fixed capacity for all: calls wait in turn. Who has waited for the time-out has failed, while the
+/// call still takes its turn.
+pub struct Discovery {
+    pub each: f64,
+    pub time_out: f64,
+    /// It turns a call away at once that would wait longer than this.
+    pub turns_away: f64,
+    free: f64,
+    pub calls: usize,
+    pub failed: usize,
+}
+
+/// Takes so many calls a second, and twice that in one burst; each may be counted to one router's vote for a while.
+pub struct Platform {
+    pub rate: f64,
+    pub life: f64,
+    tokens: (f64, f64),
+    pub asked: usize,
+    pub turned_away: usize,
+    pub ballots: HashMap<u32, (Sense, f64)>,
+}
+
+impl Platform {
+    pub fn standing(&self, sense: Sense, now: f64) -> usize {
+        self.ballots.values().filter(|(of, until)| *of == sense && *until > now).count()
+    }
+}
+
+/// A host with places of its own, which works off what has come in its order.
+pub struct Host {
+    pub entry: HostEntry,
+    pub places: usize,
+    /// Seconds of work for each dispatch; none: it takes what comes and answers nothing.
+    pub work: Option<f64>,
+    busy: BinaryHeap<Reverse<At>>,
+    pub came: usize,
+}
+
+pub struct Fleet {
+    pub now: f64,
+    pub routers: Vec<Router>,
+    pub hosts: Vec<Host>,
+    pub discovery: Discovery,
+    pub platform: Platform,
+    pub followed: Vec<bool>,
+    /// Of the newest build that the platform has told.
+    pub newest: StageNews,
+    pub asked: usize,
+    pub answered: usize,
+    pub in_time: usize,
+    /// Of them, which had been refused without a dispatch.
+    pub refused: usize,
+    pub told: (usize, usize),
+    terms: ServiceTerms,
+    events: HashMap<u64, (usize, Event)>,
+    queue: BinaryHeap<Reverse<(At, u64)>>,
+    next: u64,
+    open: HashMap<(usize, InvId), (f64, u32)>,
+    chance: ChaCha8Rng,
+}
+
+impl Fleet {
+    /// So many routers that know these hosts, all warm and of one released build.
+    pub fn new(terms: ServiceTerms, routers: usize, hosts: Vec<HostEntry>, seed: u64) -> Self {
+        let newest = StageNews {
+            verdict: Verdict::Succeeded,
+            build: super::OLD,
+            stage: 1,
+            phase: Phase::Released,
+            cap: 1.0,
+            age: 60.0,
+            answers_vote: false,
+        };
+        let host = |entry| Host { entry, places: 16, work: Some(0.1), busy: BinaryHeap::new(), came: 0 };
+        let mut fleet = Fleet {
+            now: 100.0,
+            routers: vec![],
+            hosts: hosts.into_iter().map(host).collect(),
+            discovery: Discovery {
+                each: 0.07,
+                time_out: 2.0,
+                turns_away: f64::INFINITY,
+                free: 0.0,
+                calls: 0,
+                failed: 0,
+            },
+            platform: Platform {
+                rate: 16.0,
+                life: terms.ballot_life,
+                tokens: (32.0, 100.0),
+                asked: 0,
+                turned_away: 0,
+                ballots: HashMap::new(),
+            },
+            followed: vec![false; routers],
+            newest,
+            asked: 0,
+            answered: 0,
+            in_time: 0,
+            refused: 0,
+            told: (0, 0),
+            terms: ServiceTerms { routers: routers as u32, ..terms },
+            events: HashMap::new(),
+            queue: BinaryHeap::new(),
+            next: 0,
+            open: HashMap::new(),
+            chance: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for me in 0..routers {
+            let router = fleet.router(me);
+            fleet.routers.push(router);
+            fleet.begin(me);
+        }
+        fleet
+    }
+
+    fn router(&mut self, me: usize) -> Router {
+        let terms = ServiceTerms { me: RouterId(me as u32), ..self.terms.clone() };
+        Router::start(terms, self.chance.random(), self.now)
+    }
+
+    fn begin(&mut self, me: usize) {
+        let entries = self.hosts.iter().map(|host| host.entry).collect();
+        self.after(0.0, me, Event::Hosts { scope: ListScope::Remembered, entries });
+        self.after(0.001, me, Event::Stage(self.newest));
+    }
+
+    /// Killed and started anew, with the list that it had.
+    pub fn restart(&mut self, me: usize) {
+        let kept = |(of, _): &(usize, Event)| *of != me;
+        self.events.retain(|_, event| kept(event));
+        self.open.retain(|(of, _), _| *of != me);
+        self.followed[me] = false;
+        self.routers[me] = self.router(me);
+        self.begin(me);
+    }
+
+    pub fn after(&mut self, seconds: f64, router: usize, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, (router, event));
+        self.queue.push(Reverse((nanos(self.now + seconds), self.next)));
+    }
+
+    pub fn tell_all(&mut self, news: StageNews) {
+        self.newest = news;
+        (0..self.routers.len()).for_each(|router| {
+            let late = self.chance.random::<f64>() * 0.1;
+            self.after(late, router, Event::Stage(news));
+        });
+    }
+
+    pub fn list_all(&mut self) {
+        let entries: std::sync::Arc<[HostEntry]> = self.hosts.iter().map(|host| host.entry).collect();
+        (0..self.routers.len()).for_each(|router| {
+            let late = self.chance.random::<f64>() * 0.1;
+            self.after(late, router, Event::Hosts { scope: ListScope::Whole, entries: entries.clone() });
+        });
+    }
+
+    /// So many seconds in which each router takes so many invocations a second, by chance.
+    pub fn run(&mut self, seconds: f64, rate: impl Fn(usize) -> f64) {
+        let until = self.now + seconds;
+        for router in 0..self.routers.len() {
+            let mut at = 0.0;
+            loop {
+                at -= (1.0 - self.chance.random::<f64>()).ln() / rate(router).max(1e-9);
+                if at > seconds {
+                    break;
+                }
+                let id = InvId(format!("{}", self.next + 1).into());
+                let operation = OperationId(usize::from(self.chance.random::<f64>() < 0.3));
+                let inv = Invocation {
+                    id,
+                    operation,
+                    key: None,
+                    time_left: 2.0,
+                    work: None,
+                    again: false,
+                    pool: None,
+                };
+                self.after(at, router, Event::Arrived(inv));
+            }
+        }
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > nanos(until) {
+                break;
+            }
+            self.queue.pop();
+            if let Some((router, event)) = self.events.remove(&id) {
+                self.now = at as f64 / 1e9;
+                self.handle(router, event);
+            }
+        }
+        self.now = until;
+    }
+
+    fn handle(&mut self, router: usize, event: Event) {
+        match &event {
+            Event::Arrived(inv) => {
+                self.asked += 1;
+                self.open.insert((router, inv.id.clone()), (self.now, 0));
+            }
+            Event::Ended { inv, verdict: Verdict::Succeeded, .. } => {
+                if let Some((since, _)) = self.open.remove(&(router, inv.clone())) {
+                    self.answered += 1;
+                    self.in_time += usize::from(self.now - since <= self.terms.operations[0].slo_time);
+                }
+            }
+            Event::Hosts { scope, .. } if *scope != ListScope::Remembered => self.followed[router] = true,
+            _ => {}
+        }
+        let mut effects = vec![];
+        self.routers[router].handle(self.now, event, &mut effects);
+        effects.into_iter().for_each(|effect| self.carry_out(router, effect));
+    }
+
+    fn carry_out(&mut self, router: usize, effect: Effect) {
+        match effect {
+            Effect::SetAlarm { at, key } => self.after(at - self.now, router, Event::Alarm { key }),
+            Effect::Dispatch { inv, host, time_out, .. } => self.dispatch(router, inv, host, time_out),
+            Effect::Throttle { inv, .. } | Effect::Terminate { inv } => {
+                if let Some((_, sent)) = self.open.remove(&(router, inv)) {
+                    self.answered += 1;
+                    self.refused += usize::from(sent == 0);
+                }
+            }
+            Effect::Tell { to, payload } => {
+                self.told = (self.told.0 + 1, self.told.1 + payload.len());
+                let from = RouterId(router as u32);
+                let to = to.map(|to| to.0 as usize).filter(|to| *to < self.routers.len());
+                let late = 0.003 + 0.02 * self.chance.random::<f64>();
+                to.into_iter()
+                    .for_each(|to| self.after(late, to, Event::Told { from, payload: payload.clone() }));
+            }
+            Effect::Follow { on: true } => self.follow(router),
+            Effect::Vote { build, stage, sense } => self.vote(router, build, stage, sense),
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, router: usize, inv: InvId, host: HostId, time_out: f64) {
+        let Some(open) = self.open.get_mut(&(router, inv.clone())) else { return };
+        let no = DispatchNo(open.1);
+        open.1 += 1;
+        let now = nanos(self.now);
+        let Some(to) = self.hosts.iter_mut().find(|of| of.entry.host == host) else { return };
+        to.came += 1;
+        while to.busy.peek().is_some_and(|done| done.0 <= now) {
+            to.busy.pop();
+        }
+        // Places are taken up in their order: the earliest to fall free is the next one's.
+        let begins = if to.busy.len() < to.places { now } else { to.busy.pop().map_or(now, |done| done.0) };
+        let done = to.work.map(|work| begins + nanos(work * (0.5 + self.chance.random::<f64>())));
+        to.busy.push(Reverse(done.unwrap_or(now)));
+        let (verdict, took) = match done.map(|done| (done - now) as f64 / 1e9 + 0.002) {
+            Some(took) if took <= time_out => (Verdict::Succeeded, took),
+            _ => (Verdict::TimedOut, time_out),
+        };
+        let (over, load, unused) = (verdict == Verdict::Succeeded, LoadReport::default(), Some(0.0));
+        self.after(took, router, Event::Ended { inv, dispatch: no, host, verdict, over, took, load, unused });
+    }
+
+    fn follow(&mut self, router: usize) {
+        let discovery = &mut self.discovery;
+        discovery.calls += 1;
+        let waits = (discovery.free - self.now).max(0.0) + discovery.each;
+        if waits > discovery.turns_away {
+            discovery.failed += 1;
+            return self.after(0.001, router, Event::ListFailed);
+        }
+        discovery.free = self.now + waits;
+        if waits > discovery.time_out {
+            discovery.failed += 1;
+            let waited = discovery.time_out;
+            return self.after(waited, router, Event::ListFailed);
+        }
+        let entries = self.hosts.iter().map(|host| host.entry).collect();
+        self.after(waits, router, Event::Hosts { scope: ListScope::Whole, entries });
+    }
+
+    fn vote(&mut self, router: usize, build: BuildId, stage: u32, sense: Sense) {
+        let platform = &mut self.platform;
+        platform.asked += 1;
+        let (tokens, since) = platform.tokens;
+        let tokens = (tokens + (self.now - since) * platform.rate).min(2.0 * platform.rate);
+        let verdict = if build != self.newest.build || stage != self.newest.stage && sense == Sense::On {
+            Verdict::Moot
+        } else if tokens < 1.0 {
+            platform.turned_away += 1;
+            Verdict::Full
+        } else {
+            platform.ballots.insert(router as u32, (sense, self.now + platform.life));
+            Verdict::Succeeded
+        };
+        let left = tokens - f64::from(u8::from(verdict == Verdict::Succeeded));
+        platform.tokens = (left, self.now);
+        let news = StageNews { verdict, answers_vote: true, ..self.newest };
+        self.after(0.1, router, Event::Stage(news));
+    }
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -3,6 +3,8 @@
 // Each set of stories uses its part.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use kestreltide::choice::Router;
 use kestreltide::interface::*;
 
