--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 use rand_distr::{Beta, Distribution};
 
 use crate::interface::*;
-use crate::narrow::{Weighed, put_in_force};
+use crate::narrow::put_in_force;
 use crate::record::*;
 
 const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
@@ -70,7 +70,6 @@
 const CALL_AT_ONCE: f64 = 20.0; // routers; more spread their calls over the time in which each has to ask
 const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
 
-const MARKS: usize = 3; // kept the SLO time, had no plain error, was quick
 const SLOTS: usize = 4; // operations told apart in a message; more share a slot
 const EARLIER: usize = 0;
 const TRIAL: usize = 1;
@@ -240,56 +239,24 @@
             if host.usable {
                 (size, count) = (size + host.entry.size, count + 1);
                 least = Some(least.map_or(host.entry.build, |build| host.entry.build.min(build)));
-                weighed.extend(self.weighs().then(|| self.weighed(&host.entry, now, &mut weight)));
+                weighed.extend(self.s.weighs().then(|| self.s.weighed(&host.entry, now, &mut weight)));
             }
         }
         (self.s.hosts, self.s.least_build) = (hosts, least);
-        self.weigh(weighed);
+        self.s.weigh(weighed);
         if self.s.fleet <= 0.0 {
             self.s.open_most = OPEN[0] * f64::from(count) * self.s.share;
         }
         self.s.fleet = self.s.fleet.max(size);
     }
 
-    /// Whether weights are set, or were until now.
-    fn weighs(&self) -> bool {
-        self.s.weighs || !self.s.set.weights.is_empty()
-    }
-
-    /// A host that has just started has its weight only as far as it carries it, whenever it was set.
-    fn weighed(&self, host: &HostEntry, now: f64, weight: &mut impl FnMut(HostId) -> f64) -> Weighed {
-        Weighed { size: host.size, weight: weight(host.host), warmth: self.warmth(host, now) }
-    }
-
-    /// All hosts in use, in their order, with their weights under a revision.
-    fn all_weighed(&self, now: f64, set: &OperatorSet) -> Vec<Weighed> {
-        let mut weight = set.in_order();
-        self.usable().map(|h| self.weighed(&h.entry, now, &mut weight)).collect()
-    }
-
-    fn weigh(&mut self, mut weighed: Vec<Weighed>) {
-        put_in_force(&mut weighed, self.s.fall_multiple);
-        let usable = self.s.hosts.values_mut().filter(|host| host.usable);
-        usable.zip(weighed).for_each(|(host, weighed)| host.weight = weighed.weight);
-        self.s.weighs = !self.s.set.weights.is_empty();
-    }
-
-    fn usable(&self) -> impl Iterator<Item = &Host> {
-        self.s.hosts.values().map(|h| &**h).filter(|h| h.usable)
-    }
-
     fn trial_part(&self) -> (f64, f64) {
         let on_trial = |h: &Host| f64::from(u8::from(self.phase(h.entry.build) == Phase::OnTrial));
-        let hosts = self.usable().map(|h| (h.entry.size, on_trial(h)));
+        let hosts = self.s.usable().map(|h| (h.entry.size, on_trial(h)));
         let sum = hosts.fold([0.0; 3], |[all, of, n], (size, on)| [all + size, of + size * on, n + on]);
         (sum[1] / sum[0].max(GUARD), sum[2])
     }
 
-    fn warmth(&self, host: &HostEntry, now: f64) -> f64 {
-        let age = host.started.map_or(f64::INFINITY, |started| now - started);
-        self.s.cold_share + (1.0 - self.s.cold_share) * (age / self.s.cold_time).clamp(0.0, 1.0)
-    }
-
     fn rate((level, at): (f64, f64), now: f64, more: f64) -> (f64, f64) {
         (level * (-(now - at) / PACE_TIME).exp() + more / PACE_TIME, now)
     }
@@ -305,17 +272,12 @@
         }
     }
 
-    /// What operators ask of this build; they may hold it, take it back and show it to less, never more.
-    fn asked_of(&self, build: BuildId) -> Option<RingWish> {
-        self.s.set.ring.filter(|wish| wish.build == build)
-    }
-
     /// Rule 5: whether one more dispatch at this build stays within its cap.
     fn exposure_room(&self, now: f64, build: BuildId, operation: usize, new_key: bool) -> bool {
         let phase = self.phase(build);
         let news = self.s.news.filter(|news| news.build == build);
         let (cap, stage) = news.map_or((self.s.first_cap, 0), |news| (news.cap, news.stage));
-        let cap = self.asked_of(build).map_or(cap, |wish| cap.min(wish.cap));
+        let cap = self.s.asked_of(build).map_or(cap, |wish| cap.min(wish.cap));
         let guarded = stage < self.s.guarded_stages && self.s.operations[operation].window.is_finite();
         if phase != Phase::OnTrial || cap <= 0.0 || guarded {
             return phase == Phase::Released;
@@ -329,10 +291,6 @@
         sent + 1.0 <= spare * self.s.spare + part * cap * taken as f64
     }
 
-    fn bound_to(&self, key: &Option<KeyId>) -> Option<BuildId> {
-        key.as_ref().and_then(|key| self.s.bound.get(key)).copied()
-    }
-
     fn arrived(&mut self, now: f64, inv: Invocation, effects: &mut Vec<Effect>) {
         let Some(operation) = self.s.operations.get(inv.operation.0) else {
             return effects.push(Effect::Terminate { inv: inv.id });
@@ -342,7 +300,7 @@
         self.s.taken.retain(|(at, ..)| now - at <= self.s.window);
         self.s.exposed.retain(|(at, ..)| now - at <= self.s.window);
         self.s.further = (self.s.further + FURTHER[0]).min(FURTHER[1]);
-        let bound = self.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
+        let bound = self.s.bound_to(&inv.key).is_some_and(|build| self.phase(build) == Phase::OnTrial);
         self.s.taken.push_back((now, operation, bound));
         let (key, again, sent) = (inv.key, inv.again, vec![]);
         let (set, pool) = (self.s.set.clone(), inv.pool);
@@ -451,10 +409,10 @@
 
     fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64, work: f64) {
         let Sent { to, at, scored, .. } = sent;
-        let (slo, warmth, build) = (self.s.operations[operation].slo, self.warmth(&to, at), to.build);
+        let (slo, warmth, build) = (self.s.operations[operation].slo, self.s.warmth(&to, at), to.build);
         let (time, place) = (took / work, (operation, to.kind));
         let quick = self.s.low.get(&(place.0, place.1, EARLIER)).map(|low| low.quick);
-        let others = || self.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
+        let others = || self.s.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
         let aside = others().filter(|h| h.health.aside_until > now).count();
         let lonely = others().count() < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others().count();
         let (n, sums) = (others().count() as f64, others().map(|h| (h.health.faults, h.health.pace)));
@@ -487,7 +445,7 @@
         // connections neither; never below what keeps hosts busy: fewer open would not make slow ones quick.
         let broke = matches!(verdict, Verdict::Error | Verdict::Reset | Verdict::NoConnection);
         if !sick && !broke && (late || self.s.open as f64 + 1.0 > 0.5 * self.s.open_most) {
-            let fair = self.usable().count() as f64 * self.s.share;
+            let fair = self.s.usable().count() as f64 * self.s.share;
             let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
             self.s.open_most = (self.s.open_most + step).clamp(fair * OPEN[1], fair * OPEN[2]);
         }
@@ -523,28 +481,22 @@
         self.s.sums[place][arm][usize::from(!good)] += f64::from(self.s.routers) * weight;
     }
 
-    fn figures(&self, sheet: &Sheet, slot: Option<usize>, mark: usize, arm: usize) -> [f64; 2] {
-        let places = (0..self.s.slots).filter(|s| slot.is_none_or(|only| only == *s));
-        let cells = places.map(|s| sheet[s * MARKS + mark][arm]);
-        cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
-    }
-
     fn load(&self, host: &Host, weight: f64, now: f64) -> f64 {
         let far = if self.s.zone.is_some_and(|zone| zone != host.entry.zone) { FAR } else { 0.0 };
         // A host that keeps silent counts as slower the longer it does; holds against hangs and lost links.
         let longest = self.s.operations.iter().map(|o| o.slo).fold(GUARD, f64::max);
         let silent = ((now - host.out.iter().copied().fold(now, f64::min)) / (SILENT * longest)).max(1.0);
-        let speed = host.entry.size.max(GUARD) * self.warmth(&host.entry, now);
+        let speed = host.entry.size.max(GUARD) * self.s.warmth(&host.entry, now);
         (host.out.len() as f64 / weight + 1.0 + far) * host.health.pace.max(0.5) * silent / speed
     }
 
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
         let inv = self.s.invs.get(id)?;
-        let ((first, _), bound) = (self.trace(now, inv), self.bound_to(&inv.key));
+        let ((first, _), bound) = (self.trace(now, inv), self.s.bound_to(&inv.key));
         let group = self.s.operations[inv.operation].group;
         // An invocation is decided under the revision it came under; what was taken out since, is out.
         let own = (inv.set.revision != self.s.set.revision).then(|| {
-            let mut weighed = self.all_weighed(now, &inv.set);
+            let mut weighed = self.s.all_weighed(now, &inv.set);
             put_in_force(&mut weighed, self.s.fall_multiple);
             weighed
         });
@@ -552,7 +504,7 @@
         let mut open: Vec<(usize, u8, HostId, f64, bool, f64)> = vec![];
         let of_pool = |host: &Host| inv.pool.as_ref().is_none_or(|pool| pool.holds(&host.entry));
         let of_inv = |of: &(usize, &Host)| of.1.since <= inv.set.revision && of_pool(of.1);
-        for (number, host) in self.usable().enumerate().filter(of_inv) {
+        for (number, host) in self.s.usable().enumerate().filter(of_inv) {
             let build = host.entry.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
@@ -572,7 +524,7 @@
                 let doubtful = health.aside_until > now || health.faults > FAULTY && !host.out.is_empty();
                 let tier = if tried { 2 } else { u8::from(doubtful) };
                 let arm = usize::from(self.phase(build) == Phase::OnTrial);
-                let warmth = self.warmth(&host.entry, now);
+                let warmth = self.s.warmth(&host.entry, now);
                 let weight = own.as_ref().map_or(host.weight, |own| own[number].weight);
                 open.push((arm, tier, id, weight * host.entry.size * warmth, warmth < 1.0, weight));
             }
@@ -593,7 +545,7 @@
             (self.lesser(&ids, &key, now), hosts().map(|o| o.3).sum::<f64>())
         });
         // When tight, the trial holds its machines' part of what is open: bound keys come again and again.
-        let of_trial = self.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
+        let of_trial = self.s.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
         let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
         let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
         let t = t.filter(|_| !self.s.keys_bound || open <= tight || held <= 1.0 + LEAN * self.s.part * open);
@@ -614,7 +566,7 @@
     }
 
     fn draw(&mut self, arm: usize) -> f64 {
-        let [up, down] = self.figures(&self.s.sums, None, 0, arm);
+        let [up, down] = self.s.figures(&self.s.sums, None, 0, arm);
         Beta::new(1.0 + up, 1.0 + down).map_or(0.5, |beta| beta.sample(&mut self.rng))
     }
 
@@ -642,8 +594,8 @@
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
-        if self.weighs() {
-            self.weigh(self.all_weighed(now, &self.s.set));
+        if self.s.weighs() {
+            self.s.weigh(self.s.all_weighed(now, &self.s.set));
         }
         let kept =
             |h: &Host| h.usable || h.next != Next::Unsaid || !h.out.is_empty() || now - h.used < REMEMBERED;
@@ -651,7 +603,7 @@
         (self.s.part, self.s.trial_hosts) = self.trial_part();
         let part = self.s.part;
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
-        let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.earlier_lives());
+        let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.s.earlier_lives());
         // Until the trial is listed the earlier arm's past is short: what comes and goes must show in both.
         let most = if part > 0.0 { f64::INFINITY } else { ENOUGH[0] };
         for [earlier, trial] in &mut self.s.sums {
@@ -671,10 +623,6 @@
         self.judge(now, effects);
     }
 
-    fn earlier_lives(&self) -> bool {
-        self.s.news.is_none_or(|news| self.usable().any(|h| h.entry.build < news.build))
-    }
-
     fn message(&self, reply: bool) -> Vec<u8> {
         let build = self.s.news.map_or(BuildId(0), |news| news.build);
         let sums = self.s.sums.iter().flatten().flatten().copied().collect();
@@ -731,7 +679,7 @@
             }
             self.s.swaps.clear();
             self.s.sight = self.s.sums.clone();
-            let [up, down] = self.figures(&self.s.sums, None, 0, EARLIER);
+            let [up, down] = self.s.figures(&self.s.sums, None, 0, EARLIER);
             self.s.kept_best = up / (up + down).max(1.0);
             self.s.low.retain(|key, _| key.2 == EARLIER);
             self.s.low.values_mut().for_each(|low| low.before = old.map(|_| low.least));
@@ -748,7 +696,8 @@
     /// The chance that the trial is worse, by what peers told; the more routers, the more it comes in clumps.
     fn chance(&self, slot: Option<usize>, mark: usize, enough: f64, part: f64) -> Option<f64> {
         let part = part / (1.0 + f64::from(self.s.routers) / CLUMPED);
-        let arms = [EARLIER, TRIAL].map(|arm| self.figures(&self.s.sight, slot, mark, arm).map(|f| part * f));
+        let arms =
+            [EARLIER, TRIAL].map(|arm| self.s.figures(&self.s.sight, slot, mark, arm).map(|f| part * f));
         let [(em, ev), (tm, tv)] = arms.map(|[up, down]| {
             let (a, n) = (up + 1.0, up + down + 2.0);
             (a / n, a * (n - a) / (n * n * (n + 1.0)))
@@ -761,12 +710,12 @@
     fn look(&mut self, now: f64, news: &StageNews) -> Look {
         let live = self.s.heard.values().filter(|heard| heard.0 > self.s.stage_since).count();
         let heard = live >= self.s.heard.len().min(HEARD_PEERS);
-        let (lives, released) = (self.earlier_lives(), news.phase == Phase::Released);
+        let (lives, released) = (self.s.earlier_lives(), news.phase == Phase::Released);
         let pooled = self.chance(None, 0, ENOUGH[0], 1.0);
         let firm = |slot, mark, enough| self.chance(slot, mark, enough, EVIDENCE);
         let mut worse = lives && firm(None, 0, ENOUGH[0]).is_some_and(|chance| chance > BACK_CHANCE[0]);
         // One operation may fail alone, or a build be slow yet in time. Errors of a few hosts are theirs.
-        let of_trial = || self.usable().filter(|h| h.entry.build >= news.build);
+        let of_trial = || self.s.usable().filter(|h| h.entry.build >= news.build);
         let met = || of_trial().filter(|h| h.used > f64::MIN);
         let wide = met().filter(|h| h.health.faults > MARGINS[1]).count() * WIDE >= met().count();
         for mark in (0..MARKS).filter(|mark| *mark == 1 || lives && (*mark == 0 || !self.s.keys_warm)) {
@@ -778,11 +727,11 @@
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
         // A stage's machines must run before it is moved on: some builds fail only then.
         let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
-        let there = of_trial().count() as f64 >= SETTLED[0] * part * self.usable().count() as f64;
+        let there = of_trial().count() as f64 >= SETTLED[0] * part * self.s.usable().count() as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms, which no comparison shows: the earlier hosts are slower than before.
         // Losses beyond what its machines explain are other trouble until it ends, as is a quicker trial.
-        let [up, down] = self.figures(&self.s.sums, None, 0, usize::from(!lives));
+        let [up, down] = self.s.figures(&self.s.sums, None, 0, usize::from(!lives));
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let (drag, lost) = (self.s.shared_drag, 1.0 + LOSS * (self.s.kept_best - kept));
@@ -821,7 +770,7 @@
 
     fn my_drag(&self) -> f64 {
         let on_trial = self.s.news.is_some_and(|news| news.phase == Phase::OnTrial);
-        self.drag(usize::from(on_trial && !self.earlier_lives())).unwrap_or(1.0)
+        self.drag(usize::from(on_trial && !self.s.earlier_lives())).unwrap_or(1.0)
     }
 
     /// Its share of the traffic and the drag all see, from a sample of peers: its size tells how many live.
@@ -846,7 +795,7 @@
         let firm = look != Look::Worse || now - self.s.worse_since >= BACK_FIRM;
         let look = if firm { look } else { Look::Unclear };
         // Operators' wishes stand beside the figures: the more careful of both counts, at once and at any rank.
-        let asked = self.asked_of(news.build).filter(|wish| wish.back || wish.hold && look != Look::Worse);
+        let asked = self.s.asked_of(news.build).filter(|wish| wish.back || wish.hold && look != Look::Worse);
         let look = asked.map_or(look, |wish| if wish.back { Look::Worse } else { Look::Dragging });
         let row = WISHES.iter().find(|row| row.0 == look);
         let of = |row: &(_, _, _)| if self.s.by_clock { row.2 } else { row.1 };
@@ -869,7 +818,7 @@
 
     fn reasons(&self, news: &StageNews) -> String {
         let good = |[up, down]: [f64; 2]| format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down);
-        let of = |mark, arm| good(self.figures(&self.s.sight, None, mark, arm));
+        let of = |mark, arm| good(self.s.figures(&self.s.sight, None, mark, arm));
         let arms = |mark| [of(mark, EARLIER), of(mark, TRIAL)].join(":");
         let (marks, drag) = ([arms(0), arms(1), arms(2)].join(" "), self.s.shared_drag);
         let (wish, build, stage) = (self.s.wish, news.build.0, news.stage);
--- a/src/record.rs
+++ b/src/record.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::interface::*;
+use crate::narrow::{Weighed, put_in_force};
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum Ballot {
@@ -144,6 +145,9 @@
     Further(InvId),
 }
 
+/// What outcomes are scored by: kept the SLO time, had no plain error, was quick.
+pub(crate) const MARKS: usize = 3;
+
 /// For each slot and mark, for each arm: what alpha and beta have above Beta(1, 1).
 pub(crate) type Sheet = Vec<[[f64; 2]; 2]>;
 
@@ -247,6 +251,63 @@
     pub(crate) rank: u32,
 }
 
+impl State {
+    pub(crate) fn usable(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values().map(|h| &**h).filter(|h| h.usable)
+    }
+
+    pub(crate) fn earlier_lives(&self) -> bool {
+        self.news.is_none_or(|news| self.usable().any(|h| h.entry.build < news.build))
+    }
+
+    /// The part of its work that a host can do, by its start and the terms.
+    pub(crate) fn warmth(&self, host: &HostEntry, now: f64) -> f64 {
+        let age = host.started.map_or(f64::INFINITY, |started| now - started);
+        self.cold_share + (1.0 - self.cold_share) * (age / self.cold_time).clamp(0.0, 1.0)
+    }
+
+    pub(crate) fn bound_to(&self, key: &Option<KeyId>) -> Option<BuildId> {
+        key.as_ref().and_then(|key| self.bound.get(key)).copied()
+    }
+
+    /// What operators ask of this build; they may hold it, take it back and show it to less, never more.
+    pub(crate) fn asked_of(&self, build: BuildId) -> Option<RingWish> {
+        self.set.ring.filter(|wish| wish.build == build)
+    }
+
+    /// One mark's figures of an arm, of one slot or all.
+    pub(crate) fn figures(&self, sheet: &Sheet, slot: Option<usize>, mark: usize, arm: usize) -> [f64; 2] {
+        let places = (0..self.slots).filter(|s| slot.is_none_or(|only| only == *s));
+        let cells = places.map(|s| sheet[s * MARKS + mark][arm]);
+        cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
+    }
+
+    /// Whether weights are set, or were until now.
+    pub(crate) fn weighs(&self) -> bool {
+        self.weighs || !self.set.weights.is_empty()
+    }
+
+    /// A host that has just started has its weight only as far as it carries it, whenever it was set.
+    pub(crate) fn weighed(
+        &self, host: &HostEntry, now: f64, weight: &mut impl FnMut(HostId) -> f64,
+    ) -> Weighed {
+        Weighed { size: host.size, weight: weight(host.host), warmth: self.warmth(host, now) }
+    }
+
+    /// All hosts in use, in their order, with their weights under a revision.
+    pub(crate) fn all_weighed(&self, now: f64, set: &OperatorSet) -> Vec<Weighed> {
+        let mut weight = set.in_order();
+        self.usable().map(|h| self.weighed(&h.entry, now, &mut weight)).collect()
+    }
+
+    pub(crate) fn weigh(&mut self, mut weighed: Vec<Weighed>) {
+        put_in_force(&mut weighed, self.fall_multiple);
+        let usable = self.hosts.values_mut().filter(|host| host.usable);
+        usable.zip(weighed).for_each(|(host, weighed)| host.weight = weighed.weight);
+        self.weighs = !self.set.weights.is_empty();
+    }
+}
+
 /// What one router tells another: the build its figures are of, and the figures.
 pub(crate) struct Message {
     pub(crate) reply: bool,
