The story of a confirmed commit waits for what is remembered, not for 0.7 s

Ruled out: the start itself, which loads the file before it listens. Change: router/tests/management.rs waits until the file holds what is pending.

--- a/router/tests/management.rs
+++ b/router/tests/management.rs
@@ -65,6 +65,16 @@
         self.office.gnmi(name, self.gnmi).await.expect("let in")
     }
 
+    /// Waits until the file that outlives the router holds this: how long a busy disk takes is not known.
+    async fn remembers(&self, what: &str) {
+        let file = self.office.at("revisions.json");
+        let until = Instant::now() + PATIENCE;
+        while !fs::read_to_string(&file).is_ok_and(|text| text.contains(what)) {
+            assert!(Instant::now() < until, "{what} is not remembered");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Which hosts answer when several ask at once.
     fn served(&self, turn: &str) -> Vec<String> {
         let mut clients: Vec<_> = (0..8).map(|_| self.program.client()).collect();
@@ -384,7 +394,7 @@
         .await
         .expect("well");
         gnmi.set(set).await.expect("it waits again");
-        sleep(Duration::from_millis(700)).await;
+        site.remembers("\"pending\":{").await;
     });
     // The router dies while it waits: what comes back is what stood before.
     site.program.signal("KILL");
