The story of an undone commit also looks at what was said before the router listened

Seen: twice more under load the line 'a commit that was not confirmed is undone' was missed, now with the file known to hold the commit. Cause: the keeper's thread says it beside the main thread's 'listening', and the stand-in's start drops what comes before that line (standins/src/program.rs, start_with). Ruled out: a start that does not undo (the line is there, before 'listening').

--- a/router/tests/management.rs
+++ b/router/tests/management.rs
@@ -399,8 +399,8 @@
     // The router dies while it waits: what comes back is what stood before.
     site.program.signal("KILL");
     site.restart();
-    site.program.logged("a commit that was not confirmed is undone");
-    site.program.logged("a revision is in force");
+    site.program.logged_since_start("a commit that was not confirmed is undone");
+    site.program.logged_since_start("a revision is in force");
     assert_eq!(site.served("restarted"), ["of a", "of b"]);
 }
 
--- a/standins/src/program.rs
+++ b/standins/src/program.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Waits for a line that other threads of the program may have said before it listened, too.
+    pub fn logged_since_start(&self, what: &str) -> String {
+        self.began.iter().find(|line| line.contains(what)).cloned().unwrap_or_else(|| self.logged(what))
+    }
+
     pub fn lines_until(&self, what: &str) -> Vec<String> {
         let next = || self.log.recv_timeout(PATIENCE).ok().filter(|line| !line.contains(what));
         std::iter::from_fn(next).collect()
