--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,8 @@
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
+const TURNS: [f64; 3] = [0.5, 1.0, 3.0]; // of the time for a vote of each: to ask again, to withdraw, to renew
+const WITHDRAW: f64 = 3.0; // s that a wish for none stands before it is cast, at most
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next by hash vote too, a third of the voters
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
 const DRAG: [f64; 4] = [1.3, 1.6, 2.0, 2.6]; // times slower than before: no vote on; if alone; harm; in haste
@@ -67,7 +69,7 @@
 const ADVICE: f64 = 0.4; // s that a throttled client is asked to stay away, up to twice that
 const BOUND_ROOM: [f64; 2] = [0.6, 0.85]; // of machines' share bound, of the cap used: new keys stop
 const REFOLLOW: [f64; 2] = [0.3, 2.0]; // s before asking for the list again, at first and at most
-const CALL_AT_ONCE: f64 = 20.0; // routers; more spread their calls over the time in which each has to ask
+const FEW: u32 = 20; // routers; what so few do at once is borne, more spread it
 const GUARD: f64 = 0.01; // s added to every window kept, for the ticks between two clocks
 
 const SLOTS: usize = 4; // operations told apart in a message; more share a slot
@@ -142,9 +144,12 @@
             State { operations: operations.collect(), stage_shares: terms.stage_shares, ..State::default() };
         (s.me, s.routers, s.zone) = (terms.me, terms.routers.max(1), terms.zone);
         (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
-        (s.renew_every, s.even) = (RENEW_EVERY.min(0.8 * terms.ballot_life), 1.0);
+        // The platform takes so many calls of all routers together, for renewals and changes of mind too.
+        s.turn = f64::from(s.voters) / terms.vote_rate;
+        (s.renew_every, s.even) = (RENEW_EVERY.max(TURNS[2] * s.turn).min(0.8 * terms.ballot_life), 1.0);
+        (s.ask_again, s.many) = (ASK_AGAIN, s.routers > FEW);
         (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
-        s.call_spread = terms.ask_every * (1.0 - CALL_AT_ONCE / f64::from(s.routers)).max(0.0);
+        s.call_spread = terms.ask_every * (1.0 - f64::from(FEW) / f64::from(s.routers)).max(0.0);
         s.haste = (terms.bake / BAKE[0]).clamp(BAKE[1], 1.0);
         s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
         (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
@@ -658,6 +663,10 @@
     fn stage(&mut self, now: f64, news: StageNews, effects: &mut Vec<Effect>) {
         if news.answers_vote {
             let counted = matches!(news.verdict, Verdict::Succeeded | Verdict::Moot);
+            let may_stand = counted || news.verdict == Verdict::TimedOut;
+            self.s.stands = if may_stand { self.s.ballot_sense } else { self.s.stands };
+            let spread = if self.s.many { 0.5 + self.rng.random::<f64>() } else { 1.0 };
+            self.s.ask_again = spread * ASK_AGAIN.max(TURNS[0] * self.s.turn);
             self.vote(now, if counted { Push::Counted } else { Push::Unsure }, effects);
         }
         let old = self.s.news;
@@ -808,9 +817,15 @@
         // While a wish of the voters stays unmet the next stand in: some may be dead or cut off.
         let beyond = f64::from((self.s.rank + 1).saturating_sub(self.s.voters));
         let late = (beyond * f64::from(VOTERS) / f64::from(self.s.voters)).ceil() * STAND_IN;
-        let nothing = wish == Sense::None && self.s.ballot_sense == Sense::None;
-        let wait = if self.s.ballot == Ballot::Silent { ASK_AGAIN } else { self.s.renew_every };
-        let due = wish != self.s.ballot_sense || now - self.s.ballot_at >= wait;
+        // Nothing is said where nothing stands, nor is a wish taken back that may return: in a large fleet calls
+        // for nothing fill the platform, and of half the voters some doubt at any time, so that no vote is reached.
+        let turn = TURNS[1] * self.s.turn;
+        let open = self.s.ballot == Ballot::Asked && now - self.s.ballot_at < turn;
+        let nothing = [wish, self.s.stands] == [Sense::None; 2] && self.s.ballot != Ballot::Asked;
+        let firm = wish != Sense::None || now - self.s.wish_since >= turn.min(WITHDRAW);
+        let wait = if self.s.ballot == Ballot::Silent { self.s.ask_again } else { self.s.renew_every };
+        let changed = wish != self.s.ballot_sense && firm && (!open || wish == Sense::Back);
+        let due = changed || now - self.s.ballot_at >= wait;
         if !nothing && due && (asked.is_some() || now - self.s.wish_since >= late) {
             self.vote(now, Push::Due, effects);
         }
@@ -828,7 +843,9 @@
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
         let Some(row) = BALLOTS.iter().find(|row| row.0 == self.s.ballot && row.1 == push) else { return };
         self.s.ballot = row.2;
-        self.s.ballot_sense = if push == Push::News { Sense::None } else { self.s.ballot_sense };
+        if push == Push::News {
+            (self.s.ballot_sense, self.s.stands) = (Sense::None, Sense::None);
+        }
         if let (true, Some(news)) = (row.3, self.s.news) {
             let renewal = self.s.ballot_sense == self.s.wish;
             (self.s.ballot_sense, self.s.ballot_at) = (self.s.wish, now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,6 +142,8 @@
     pub bake: f64,
     pub ballot_life: f64,
     pub vote_wait: f64,
+    /// Votes a second that the platform takes of all routers together, twice that in a burst.
+    pub vote_rate: f64,
     pub stage_shares: Vec<f64>,
     pub stage_caps: Vec<f64>,
     pub exposure_window: f64,
--- a/src/record.rs
+++ b/src/record.rs
@@ -156,6 +156,8 @@
     // From the terms.
     pub(crate) me: RouterId,
     pub(crate) routers: u32,
+    /// So many routers that what they do at once is not borne.
+    pub(crate) many: bool,
     pub(crate) zone: Option<ZoneId>,
     pub(crate) operations: Vec<Operation>,
     pub(crate) list_asked: bool,
@@ -165,6 +167,8 @@
     pub(crate) by_clock: bool,
     pub(crate) voters: u32,
     pub(crate) renew_every: f64,
+    /// Time in which the platform takes a vote of each voter.
+    pub(crate) turn: f64,
     /// How short the stages are, of those that the times of drags are for.
     pub(crate) haste: f64,
     pub(crate) first_cap: f64,
@@ -242,6 +246,10 @@
     /// State of the ballot, what it says, and since when.
     pub(crate) ballot: Ballot,
     pub(crate) ballot_sense: Sense,
+    /// What the platform was last known to have counted of this router.
+    pub(crate) stands: Sense,
+    /// Time before a ballot that was not counted is cast again.
+    pub(crate) ask_again: f64,
     pub(crate) ballot_at: f64,
     pub(crate) wish: Sense,
     pub(crate) wish_since: f64,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -204,6 +204,7 @@
         bake: fields.time("extra.bake")?,
         ballot_life: fields.time("extra.ballot_ttl")?,
         vote_wait: fields.time("extra.vote_wait")?,
+        vote_rate: fields.maybe_whole("extra.api_rate")?.filter(|rate| *rate > 0.0).unwrap_or(f64::INFINITY),
         stage_shares: fields.numbers("extra.rings")?,
         stage_caps: fields.numbers("extra.most_shares")?,
         exposure_window: fields.time("extra.counted_over")?,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -45,6 +45,7 @@
         bake: 1.0,
         ballot_life: 6.0,
         vote_wait: 1.0,
+        vote_rate: 250.0,
         stage_shares: vec![0.25, 1.0],
         stage_caps: vec![0.3, 1.0],
         exposure_window: 2.0,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -42,3 +42,69 @@
     fleet.run(40.0, |_| 0.0);
     assert!(fleet.followed.iter().all(|followed| *followed));
 }
+
+fn voting(routers: usize) -> Fleet {
+    let votes = routers as u32 / 2;
+    let all =
+        ServiceTerms { votes_on: votes, votes_back: votes, vote_rate: 16.0, ballot_life: 10.0, ..terms() };
+    let mut fleet = Fleet::new(all, routers, hosts(20), 5);
+    fleet.run(4.0, |_| 3.0);
+    for id in (0..20).step_by(4) {
+        fleet.hosts[id].entry.build = NEW;
+    }
+    let on_trial =
+        StageNews { build: NEW, stage: 0, phase: Phase::OnTrial, cap: 0.3, age: 0.0, ..fleet.newest };
+    fleet.tell_all(on_trial);
+    fleet.list_all();
+    fleet
+}
+
+/// The platform takes sixteen calls a second of all, and half of a hundred routers have to stand for a good build.
+#[test]
+fn half_of_a_large_fleet_agrees_within_what_the_platform_takes() {
+    let mut fleet = voting(100);
+    fleet.run(6.0, |_| 3.0);
+    assert!(fleet.platform.standing(Sense::On, fleet.now) >= 50);
+    let (asked, turned_away) = (fleet.platform.asked, fleet.platform.turned_away);
+    assert!(turned_away < 60, "{turned_away} of {asked}");
+    // It moves nothing on here, so that all vote in the end; renewals leave room for others.
+    let before = fleet.platform.asked;
+    fleet.run(16.0, |_| 3.0);
+    let renewed = fleet.platform.asked - before;
+    assert!(renewed < 220, "{renewed} in 16 s");
+    assert!(fleet.platform.standing(Sense::On, fleet.now) >= 50);
+}
+
+/// Nine hosts of ten hang for a second and a half: each router doubts for a while, most of them take nothing back.
+#[test]
+fn a_doubt_that_passes_fills_no_platform_and_loses_no_vote() {
+    let mut fleet = voting(100);
+    fleet.run(6.0, |_| 3.0);
+    let before = fleet.platform.asked;
+    fleet.hosts.iter_mut().skip(2).for_each(|host| host.work = None);
+    fleet.run(1.5, |_| 3.0);
+    fleet.hosts.iter_mut().skip(2).for_each(|host| host.work = Some(0.1));
+    fleet.run(2.0, |_| 3.0);
+    assert!(fleet.platform.standing(Sense::On, fleet.now) >= 50);
+    let asked = fleet.platform.asked - before;
+    assert!(asked < 120, "{asked} calls");
+}
+
+#[test]
+fn a_vote_that_was_turned_away_is_not_taken_back() {
+    let mut fake = Fake::new(ServiceTerms { routers: 100, votes_on: 100, vote_rate: 16.0, ..terms() }, 8);
+    fake.run(4.0, |_, _| (Verdict::Succeeded, 0.1));
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
+    fake.list((0..8).map(|id| host(id, if id < 2 { NEW } else { OLD }, None)).collect());
+    let mut voted = vec![];
+    while voted.is_empty() {
+        voted = fake.run(0.02, |_, _| (Verdict::Succeeded, 0.1)).0;
+        assert!(fake.now < 130.0, "no vote on");
+    }
+    assert_eq!(voted, [Sense::On]);
+    let Event::Stage(told) = news(NEW, 0, Phase::OnTrial, 0.3) else { return };
+    fake.feed(Event::Stage(StageNews { verdict: Verdict::Full, answers_vote: true, ..told }));
+    // The service is in trouble from now on: there is nothing of this router's to be taken back.
+    let (voted, _) = fake.run(6.0, |_, _| (Verdict::TimedOut, 0.8));
+    assert!(!voted.contains(&Sense::None), "{voted:?}");
+}
