--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,7 @@
 const DRAG_SPAN: f64 = 12.0; // times slower, for its share of machines, that a build may make all others
 const ALIKE: f64 = 0.5; // of the earlier hosts' drag that the trial's must show, where its own is known
 const DRAG_GROWS: f64 = 0.9; // times the drag of the stage before, at least: else it is not in step
+const DRAG_SHOWS: f64 = 1.15; // times slower, under which losses in a large fleet are not a build's drag
 const DRAG_HELD: f64 = 8.0; // s a stage that a drag without harm holds the build
 const DRAG_BACK: [f64; 2] = [12.0, 16.0]; // s of drag before voting back: come with a stage, come otherwise
 const BAKE: [f64; 2] = [3.0, 0.6]; // s a stage bakes where these times hold; their least part, where less
@@ -744,7 +745,10 @@
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let (drag, lost) = (self.s.shared_drag, 1.0 + LOSS * (self.s.kept_best - kept));
-        let drag = drag.max(lost);
+        // Hosts that pause or are lost cost answers, and leave the quick times of all others as they were: what
+        // a large fleet loses beside them holds a build for a while, but is not its drag.
+        let harmed = drag.max(lost);
+        let drag = if self.s.many && drag < DRAG_SHOWS { drag } else { harmed };
         let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
         let other = self.s.drag_other || lost > 1.0 + DRAG_SPAN * self.s.part;
         self.s.drag_other = drag > DRAG[0] && other && !released;
@@ -761,7 +765,7 @@
             _ if worse => Look::Worse,
             _ if released => Look::Starved,
             _ if dragging && (harm || since.min(now - latest) < DRAG_HELD) => Look::Dragging,
-            _ if harm && drag > DRAG[0] && now - latest < self.s.haste * DRAG_HELD => Look::Dragging,
+            _ if harm && harmed > DRAG[0] && now - latest < self.s.haste * DRAG_HELD => Look::Dragging,
             _ if !settled => Look::Unclear,
             Some(chance) if heard && (chance < ON_CHANCE || !lives) => Look::Fine,
             Some(_) if heard => Look::Unclear,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -49,6 +49,11 @@
         ServiceTerms { votes_on: votes, votes_back: votes, vote_rate: 16.0, ballot_life: 10.0, ..terms() };
     let mut fleet = Fleet::new(all, routers, hosts(20), 5);
     fleet.run(4.0, |_| 3.0);
+    fleet
+}
+
+/// A fifth and more of the hosts run the new build, well started.
+fn offer(fleet: &mut Fleet) {
     for id in (0..20).step_by(4) {
         fleet.hosts[id].entry.build = NEW;
     }
@@ -56,13 +61,13 @@
         StageNews { build: NEW, stage: 0, phase: Phase::OnTrial, cap: 0.3, age: 0.0, ..fleet.newest };
     fleet.tell_all(on_trial);
     fleet.list_all();
-    fleet
 }
 
 /// The platform takes sixteen calls a second of all, and half of a hundred routers have to stand for a good build.
 #[test]
 fn half_of_a_large_fleet_agrees_within_what_the_platform_takes() {
     let mut fleet = voting(100);
+    offer(&mut fleet);
     fleet.run(6.0, |_| 3.0);
     assert!(fleet.platform.standing(Sense::On, fleet.now) >= 50);
     let (asked, turned_away) = (fleet.platform.asked, fleet.platform.turned_away);
@@ -79,6 +84,7 @@
 #[test]
 fn a_doubt_that_passes_fills_no_platform_and_loses_no_vote() {
     let mut fleet = voting(100);
+    offer(&mut fleet);
     fleet.run(6.0, |_| 3.0);
     let before = fleet.platform.asked;
     fleet.hosts.iter_mut().skip(2).for_each(|host| host.work = None);
@@ -108,3 +114,33 @@
     let (voted, _) = fake.run(6.0, |_, _| (Verdict::TimedOut, 0.8));
     assert!(!voted.contains(&Sense::None), "{voted:?}");
 }
+
+/// One of four dispatches at earlier hosts comes to nothing, all others are as quick as ever; of the trial, still
+/// cold, nothing but its successes is known. It is held while it may be the cause, and not for as long as it lasts.
+#[test]
+fn losses_beside_quick_times_hold_a_build_for_some_seconds_and_not_for_good() {
+    let large = ServiceTerms { routers: 100, votes_on: 100, may_tell: false, cold_time: 60.0, ..terms() };
+    let mut fake = Fake::new(ServiceTerms { stage_shares: vec![0.125, 0.25, 1.0], ..large }, 16);
+    fake.run(6.0, |_, _| (Verdict::Succeeded, 0.1));
+    let listed = |fake: &mut Fake, every: u64| {
+        let started = Some(fake.now);
+        let entry = |id: u64| if id % every == 0 { host(id, NEW, started) } else { host(id, OLD, None) };
+        fake.list((0..16).map(entry).collect());
+    };
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
+    listed(&mut fake, 8);
+    assert!(fake.run(5.0, |_, _| (Verdict::Succeeded, 0.1)).0.contains(&Sense::On));
+    fake.feed(news(NEW, 1, Phase::OnTrial, 0.6));
+    let count = std::cell::Cell::new(0);
+    let how = |host: &HostEntry, _| {
+        count.set(count.get() + u32::from(host.build == OLD));
+        let lost = host.build == OLD && count.get().is_multiple_of(4);
+        if lost { (Verdict::TimedOut, 0.8) } else { (Verdict::Succeeded, 0.1) }
+    };
+    let before = fake.run(2.0, how).0;
+    listed(&mut fake, 4);
+    let early = [before, fake.run(4.0, how).0].concat();
+    assert_ne!(early.last(), Some(&Sense::On), "{early:?}");
+    let (late, _) = fake.run(6.0, how);
+    assert!(late.contains(&Sense::On), "{late:?}");
+}
