--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -124,7 +124,8 @@
     fake.run(6.0, |_, _| (Verdict::Succeeded, 0.1));
     let listed = |fake: &mut Fake, every: u64| {
         let started = Some(fake.now);
-        let entry = |id: u64| if id % every == 0 { host(id, NEW, started) } else { host(id, OLD, None) };
+        let entry =
+            |id: u64| if id.is_multiple_of(every) { host(id, NEW, started) } else { host(id, OLD, None) };
         fake.list((0..16).map(entry).collect());
     };
     fake.feed(news(NEW, 0, Phase::OnTrial, 0.3));
