kestreltide-measure fleet counts over a fleet's logs by second; the state line says what is shared

Need: what each router does little of and a hundred do much of shows in no router's own log; the two causes before were found by throw-away probes.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! one last line `NAME: key=value ... ok` or `... short: WHICH`, and ends non-zero when it fell short.
 
 mod demo;
+mod fleet;
 mod report;
 mod rig;
 mod watched_files;
@@ -22,6 +23,7 @@
 enum What {
     WatchedFiles(watched_files::WatchedFiles),
     Demo(demo::Demo),
+    Fleet(fleet::CountFleet),
 }
 
 fn main() -> ExitCode {
@@ -33,6 +35,7 @@
     let well = match line.what {
         What::WatchedFiles(measurement) => measurement.run(),
         What::Demo(demo) => demo.run(),
+        What::Fleet(count) => count.run(),
     };
     if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -181,7 +181,7 @@
             sleep: 0.25,
             stalled: 0.1,
             at_once: 0.01,
-            tell_state: 10.0,
+            tell_state: 5.0,
             ready_wait: 3.0,
             stuck_client: 10.0 * longest,
             stale_answer: longest,
--- a/router/src/routing/book.rs
+++ b/router/src/routing/book.rs
@@ -161,6 +161,12 @@
     pub(super) malformed: u64,
     pub(super) dispatches: u64,
     pub(super) links: u64,
+    /// What all routers share: calls to discovery, votes and those that did not count, messages between routers.
+    pub(super) lists: u64,
+    pub(super) votes: u64,
+    pub(super) votes_away: u64,
+    pub(super) told_peers: u64,
+    pub(super) heard_peers: u64,
     /// Lines that were not written, of too many in a second; when that second began, and its lines.
     unlogged: u64,
     second: (f64, u64),
@@ -215,6 +221,11 @@
             ("malformed", self.malformed),
             ("dispatches", self.dispatches),
             ("new_links", self.links),
+            ("lists", self.lists),
+            ("votes", self.votes),
+            ("votes_away", self.votes_away),
+            ("told", self.told_peers),
+            ("heard", self.heard_peers),
             ("unlogged", self.unlogged),
         ];
         let mut line = String::new();
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -158,6 +158,7 @@
         let at_once = self.discovery.on_demand && call.number == 0;
         let hold = if at_once { 0.0 } else { self.limits.watch_hold };
         self.discovery.number += 1;
+        self.tally.lists += 1;
         (call.asked, call.number, call.begun) = (asked, self.discovery.number, None);
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
         discovery::write_get(call.stream.output(), at, watch);
--- a/router/src/routing/peers.rs
+++ b/router/src/routing/peers.rs
@@ -40,6 +40,7 @@
         let Some(to) = to.filter(|_| payload.len() <= self.limits.datagram) else {
             return debug!(self.log, "a message to a peer has no way"; "bytes" => payload.len());
         };
+        self.tally.told_peers += 1;
         if let Err(e) = peers.socket.send(to, payload) {
             debug!(self.log, "a message to a peer is lost"; "to" => %to, "error" => %e);
         }
@@ -52,7 +53,10 @@
             let Some((from, payload)) = peers.socket.receive() else { return };
             let known = peers.numbers.get(&from).filter(|_| payload.len() <= self.limits.datagram);
             match known {
-                Some(from) => self.events.push_back(Event::Told { from: *from, payload: payload.to_vec() }),
+                Some(from) => {
+                    self.tally.heard_peers += 1;
+                    self.events.push_back(Event::Told { from: *from, payload: payload.to_vec() });
+                }
                 None => {
                     self.tally.malformed += 1;
                     if self.tally.complain(self.clock.now(), self.limits.complaints) {
--- a/router/src/routing/platform.rs
+++ b/router/src/routing/platform.rs
@@ -109,6 +109,8 @@
             platform::write_vote(stream.output(), call, build, stage, sense);
         }
         platform.votes.insert(call, Vote { written: false, what });
+        self.tally.votes += 1;
+        info!(self.log, "a vote is cast"; "build" => build.0, "stage" => stage, "sense" => ?sense);
         self.set_due(now + self.limits.vote_time, Due::VoteOver(call));
         self.platform_ready();
     }
@@ -205,6 +207,7 @@
             }
             Told::Error { call, verdict } => {
                 if let Some(vote) = platform.votes.remove(&call) {
+                    self.tally.votes_away += 1;
                     debug!(self.log, "a vote does not count"; "verdict" => ?verdict);
                     self.events.push_back(Event::Stage(StageNews { verdict, ..vote.what }));
                 } else {
