--- a/router/tests/operators.rs
+++ b/router/tests/operators.rs
@@ -118,7 +118,7 @@
     assert!(line.contains(why), "{line}");
     assert_eq!(ask(&mut client, "1"), "of a");
     files.put("hosts.ini", &well);
-    program.logged("revision: 2");
+    program.logged("a revision is in force, router: n0, revision: 2");
     assert_eq!(ask(&mut client, "2"), "of b");
 }
 
