A rate of votes that is negative or no number is refused by name; asking again is bounded

Seen when the change was read once more: extra.api_rate below 0 or NaN was taken for no limit without a word (terms/src/lib.rs), and a very small rate made the wait after a refused vote endless (src/choice.rs, ask_again).

--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -624,6 +624,8 @@
 #[case::no_address("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen")]
 #[case::of_another_kind("\"sockets\":256", "\"sockets\":\"many\"", "limits.sockets")]
 #[case::in_the_settings("\"slo\":5000000,", "", "request_classes.0.slo")]
+#[case::negative_rate("\"ballot_ttl\":", "\"api_rate\":-1,\"ballot_ttl\":", "extra.api_rate")]
+#[case::no_rate("\"ballot_ttl\":", "\"api_rate\":\"NaN\",\"ballot_ttl\":", "extra.api_rate")]
 #[case::unknown_word("\"gate_mode\":\"any\"", "\"gate_mode\":\"some\"", "extra.gate_mode")]
 #[case::known("\"rev\":1", "\"rev\":-1", "known")]
 fn a_bad_configuration_ends_the_program_and_names_the_field(
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,7 @@
 const HOLD_MOST: f64 = 2.0; // s a stage that a clock is held
 const RENEW_EVERY: f64 = 5.0; // s; also never over 0.8 of a ballot's life
 const ASK_AGAIN: f64 = 0.5; // s after a vote that found the platform full
-const TURNS: [f64; 3] = [0.5, 1.0, 3.0]; // of the time for a vote of each: to ask again, to withdraw, to renew
+const TURNS: [f64; 3] = [0.5, 1.0, 3.0]; // of the time for a vote of each: to ask again, withdraw, renew
 const WITHDRAW: f64 = 3.0; // s that a wish for none stands before it is cast, at most
 const STAND_IN: f64 = 1.5; // s that a wish goes unmet before the next by hash vote too, a third of the voters
 const LEAN: f64 = 1.25; // times its machines' share that the trial may get by won draws
@@ -173,8 +173,8 @@
         if self.s.next_alarm == 0 {
             let first = now + SWAP_EVERY * self.rng.random::<f64>();
             self.set_alarm(first, Task::Swap, effects);
-            // Discovery serves all in turn, and calls that wait too long are lost, work and all: where a large fleet
-            // restarts and asks at once, hardly any is served, again and again.
+            // Discovery serves all in turn, and calls that wait too long are lost, work and all: where a
+            // large fleet restarts and asks at once, hardly any is served, again and again.
             let wait = self.s.list_asked.then_some(self.s.call_spread);
             if let Some(spread) = wait.filter(|spread| *spread > 0.0) {
                 let at = now + spread * self.rng.random::<f64>();
@@ -667,7 +667,7 @@
             let may_stand = counted || news.verdict == Verdict::TimedOut;
             self.s.stands = if may_stand { self.s.ballot_sense } else { self.s.stands };
             let spread = if self.s.many { 0.5 + self.rng.random::<f64>() } else { 1.0 };
-            self.s.ask_again = spread * ASK_AGAIN.max(TURNS[0] * self.s.turn);
+            self.s.ask_again = spread * ASK_AGAIN.max(TURNS[0] * self.s.turn).min(self.s.renew_every);
             self.vote(now, if counted { Push::Counted } else { Push::Unsure }, effects);
         }
         let old = self.s.news;
@@ -745,8 +745,8 @@
         let kept = up / (up + down).max(1.0);
         self.s.kept_best += RELENT * (kept - self.s.kept_best).max(0.0);
         let (drag, lost) = (self.s.shared_drag, 1.0 + LOSS * (self.s.kept_best - kept));
-        // Hosts that pause or are lost cost answers, and leave the quick times of all others as they were: what
-        // a large fleet loses beside them holds a build for a while, but is not its drag.
+        // Hosts that pause or are lost cost answers, and leave the quick times of all others as they were:
+        // what a large fleet loses beside them holds a build for a while, but is not its drag.
         let harmed = drag.max(lost);
         let drag = if self.s.many && drag < DRAG_SHOWS { drag } else { harmed };
         let alike = !lives || self.drag(TRIAL).is_none_or(|trial| trial > 1.0 + ALIKE * (drag - 1.0));
@@ -807,7 +807,7 @@
         self.s.worse_since = if look == Look::Worse { self.s.worse_since } else { now };
         let firm = look != Look::Worse || now - self.s.worse_since >= BACK_FIRM;
         let look = if firm { look } else { Look::Unclear };
-        // Operators' wishes stand beside the figures: the more careful of both counts, at once and at any rank.
+        // Operators' wishes stand beside the figures: the more careful counts, at once and at any rank.
         let asked = self.s.asked_of(news.build).filter(|wish| wish.back || wish.hold && look != Look::Worse);
         let look = asked.map_or(look, |wish| if wish.back { Look::Worse } else { Look::Dragging });
         let row = WISHES.iter().find(|row| row.0 == look);
@@ -821,8 +821,8 @@
         // While a wish of the voters stays unmet the next stand in: some may be dead or cut off.
         let beyond = f64::from((self.s.rank + 1).saturating_sub(self.s.voters));
         let late = (beyond * f64::from(VOTERS) / f64::from(self.s.voters)).ceil() * STAND_IN;
-        // Nothing is said where nothing stands, nor is a wish taken back that may return: in a large fleet calls
-        // for nothing fill the platform, and of half the voters some doubt at any time, so that no vote is reached.
+        // Nothing is said where nothing stands, nor is a wish taken back that may return: in a large fleet
+        // calls for nothing fill the platform, and some of half the voters doubt at any time.
         let turn = TURNS[1] * self.s.turn;
         let open = self.s.ballot == Ballot::Asked && now - self.s.ballot_at < turn;
         let nothing = [wish, self.s.stands] == [Sense::None; 2] && self.s.ballot != Ballot::Asked;
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -145,6 +145,15 @@
     Ok((fields.text(&key("name"))?.into(), terms))
 }
 
+/// Where it is not told, or none, the platform takes any number.
+fn vote_rate(fields: &Fields) -> Result<f64, String> {
+    let told = fields.maybe("extra.api_rate").map(|_| fields.number("extra.api_rate")).transpose()?;
+    match told {
+        Some(rate) if rate < 0.0 => Err(format!("extra.api_rate={rate} in {} is below 0", fields.name)),
+        told => Ok(told.filter(|rate| *rate > 0.0).unwrap_or(f64::INFINITY)),
+    }
+}
+
 /// The settings object as the terms of the decisions and the figures of the transport.
 pub fn decode(fields: &Fields, names: &mut Names) -> Result<(ServiceTerms, TransportTerms), String> {
     let count: usize = fields.whole("request_classes.count")?;
@@ -204,7 +213,7 @@
         bake: fields.time("extra.bake")?,
         ballot_life: fields.time("extra.ballot_ttl")?,
         vote_wait: fields.time("extra.vote_wait")?,
-        vote_rate: fields.maybe_whole("extra.api_rate")?.filter(|rate| *rate > 0.0).unwrap_or(f64::INFINITY),
+        vote_rate: vote_rate(fields)?,
         stage_shares: fields.numbers("extra.rings")?,
         stage_caps: fields.numbers("extra.most_shares")?,
         exposure_window: fields.time("extra.counted_over")?,
