--- /dev/null
+++ b/router/src/routing/shutdown.rs
@@ -0,0 +1,209 @@
+//! Graceful shutdown: clients still come for a while and are served; then connections are closed as they fall
+//! idle, and the program ends once all that was taken is answered, at the last with no answer but that.
+
+use slog::info;
+
+use super::take_in::Client;
+use super::{Due, Routing};
+use crate::protocol::client::write_throttled;
+use crate::protocol::resp::write_error;
+use crate::transport::SocketId;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shutdown {
+    No,
+    /// Told, but clients do not know yet.
+    Serving,
+    /// Connections are closed as they fall idle; whoever still comes is served first.
+    Draining,
+    /// All connections are closed: who crossed the close of one comes again on a new one.
+    LastCall,
+    /// What was open has been given up and answered; the answers are read.
+    GivenUp,
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    Told,
+    /// The time is over in which the platform sends new connections.
+    ServingOver,
+    Empty,
+    Came,
+    LastCallOver,
+    /// SIGKILL is near.
+    LastTime,
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    Nothing,
+    Begin,
+    CloseIdle,
+    CallLast,
+    GiveUp,
+}
+
+/// State, input, next state, what is done. What is not in it changes nothing: a second SIGTERM, a timer of a
+/// state that has passed.
+const SHUTDOWN: [(Shutdown, Input, Shutdown, Act); 10] = [
+    (Shutdown::No, Input::Told, Shutdown::Serving, Act::Begin),
+    (Shutdown::Serving, Input::ServingOver, Shutdown::Draining, Act::CloseIdle),
+    (Shutdown::Serving, Input::LastTime, Shutdown::GivenUp, Act::GiveUp),
+    (Shutdown::Draining, Input::Empty, Shutdown::LastCall, Act::CallLast),
+    (Shutdown::Draining, Input::LastTime, Shutdown::GivenUp, Act::GiveUp),
+    (Shutdown::LastCall, Input::Came, Shutdown::Draining, Act::Nothing),
+    (Shutdown::LastCall, Input::LastCallOver, Shutdown::Over, Act::Nothing),
+    (Shutdown::LastCall, Input::LastTime, Shutdown::Over, Act::Nothing),
+    (Shutdown::GivenUp, Input::Empty, Shutdown::Over, Act::Nothing),
+    (Shutdown::GivenUp, Input::End, Shutdown::Over, Act::Nothing),
+];
+
+impl Routing {
+    fn shut_down(&mut self, input: Input) {
+        let row = SHUTDOWN.iter().find(|row| row.0 == self.shutdown && row.1 == input);
+        let Some(&(_, _, next, act)) = row else { return };
+        self.shutdown = next;
+        match act {
+            Act::Nothing => {}
+            Act::Begin => self.begin_shutdown(),
+            Act::CloseIdle => self.drain_clients(),
+            Act::CallLast => {
+                self.last_calls += 1;
+                let at = self.clock.now() + self.limits.last_call;
+                self.set_due(at, Due::LastCallOver(self.last_calls));
+            }
+            Act::GiveUp => self.give_up_all(),
+        }
+    }
+
+    pub(super) fn shutdown_told(&mut self) {
+        self.shut_down(Input::Told);
+    }
+
+    pub(super) fn serving_over(&mut self) {
+        self.shut_down(Input::ServingOver);
+    }
+
+    pub(super) fn last_call_over(&mut self, number: u64) {
+        if number == self.last_calls {
+            self.shut_down(Input::LastCallOver);
+        }
+    }
+
+    pub(super) fn last_time(&mut self) {
+        self.shut_down(Input::LastTime);
+    }
+
+    pub(super) fn shutdown_end(&mut self) {
+        self.shut_down(Input::End);
+    }
+
+    /// After each turn: whether the program is to end.
+    pub(super) fn is_over(&mut self) -> bool {
+        let input = if self.clients.is_empty() { Input::Empty } else { Input::Came };
+        self.shut_down(input);
+        self.shutdown == Shutdown::Over
+    }
+
+    /// A connection without use is closed, once nothing that came on it is left unread.
+    pub(super) fn is_draining(&self) -> bool {
+        matches!(self.shutdown, Shutdown::Draining | Shutdown::LastCall)
+    }
+
+    /// Nothing more is taken.
+    pub(super) fn has_given_up(&self) -> bool {
+        matches!(self.shutdown, Shutdown::GivenUp | Shutdown::Over)
+    }
+
+    /// What is taken from now on has this time at the most, however long its client waits.
+    pub(super) fn time_before_last(&self) -> f64 {
+        self.last_at.map_or(f64::INFINITY, |last| (last - self.clock.now()).max(0.0))
+    }
+
+    fn begin_shutdown(&mut self) {
+        info!(self.log, "stopping"; "open" => self.admitted.len(), "clients" => self.clients.len());
+        // It may have been told while this process stood still, and the platform counts from there.
+        let (now, told, limits) = (self.woken, self.woken - self.stall, &self.limits);
+        let (serving, last, end) = (limits.serving_on, limits.shutdown_last, limits.shutdown_end);
+        self.last_at = Some(told + last);
+        self.set_due(now + serving, Due::ServingOver);
+        self.set_due(told + last, Due::LastTime);
+        self.set_due(told + end, Due::ShutdownEnd);
+    }
+
+    fn drain_clients(&mut self) {
+        info!(self.log, "draining"; "open" => self.admitted.len(), "clients" => self.clients.len());
+        self.clients.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.take_in(id));
+    }
+
+    fn drain_again(&mut self) {
+        if !self.drain_due {
+            self.drain_due = true;
+            self.set_due(self.clock.now() + self.limits.last_call, Due::DrainAgain);
+        }
+    }
+
+    /// Closes who came a while ago and is still silent, and who was told of the close and does not end.
+    pub(super) fn drain_due(&mut self) {
+        self.drain_due = false;
+        self.clients.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.take_in(id));
+        let now = self.clock.now();
+        let told = |client: &Client| client.lingers.map(|(until, _)| until);
+        let over = self.clients.iter().filter(|(_, client)| told(client).is_some_and(|until| until <= now));
+        let over: Vec<_> = over.map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.client_left(id));
+        if self.clients.values().any(|client| told(client).is_some()) {
+            self.drain_again();
+        }
+    }
+
+    /// Ends the sending on a connection that is without use. What was read is answered by now; what crosses
+    /// this is dropped unanswered, so that its client may send it once more.
+    pub(super) fn drain_client(&mut self, id: SocketId) {
+        let now = self.clock.now();
+        let (last_call, most) = (self.limits.last_call, self.limits.dropped);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.closing || !client.is_idle() || client.is_begun() {
+            return;
+        }
+        // Who has come and not spoken yet has a short while to do it.
+        if !client.is_new() || now - client.used >= last_call {
+            client.closing = true;
+            client.lingers = Some((now + last_call, most));
+            if client.stream.end().is_err() {
+                return self.client_left(id);
+            }
+        }
+        self.drain_again();
+    }
+
+    /// The platform is about to kill the process: what is given up is answered at once.
+    fn give_up_all(&mut self) {
+        info!(self.log, "giving up what is open"; "open" => self.admitted.len(), "clients" => self.clients.len());
+        if let Some(listener) = self.listener.take() {
+            listener.close(&self.net);
+        }
+        let open: Vec<_> = self.admitted.iter().map(|(inv, admitted)| (inv.clone(), admitted.dispatches)).collect();
+        for (inv, dispatches) in open {
+            self.answer(&inv, |out| match dispatches {
+                // There is no room any more, and it has run nowhere.
+                0 => write_throttled(out, None),
+                _ => write_error(out, "ERR failed"),
+            });
+        }
+        self.resumed.clear();
+        let until = self.clock.now() + self.limits.last_call;
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            client.closing = true;
+            if client.lingers.is_none() && client.stream.unwritten() == 0 {
+                client.lingers = Some((until, self.limits.dropped));
+                if client.stream.end().is_err() {
+                    self.client_left(id);
+                }
+            }
+        }
+    }
+}
