Graceful shutdown reads before it closes, closes only what is quiet, and answers all

Lines at fault: relay.rs closed a client as soon as its queue was empty, with half a command or bytes unread; stop.rs accepted without bound, closed the listener at once on those beyond the limit of clients and ended at a time past SIGKILL, answering nobody.

Now a table of states (shutdown.rs): connections are closed after a last read and 0.1 s of quiet, by ending the sending and dropping what crosses; the listener stays to the end and 0.1 s beyond; what is open 0.3 s before SIGKILL is answered. What is taken meanwhile has no more time than that.

--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -12,6 +12,12 @@
 /// One in so many of the clients' connections is spare.
 const SPARE_PART: usize = 4;
 
+/// Seconds in which the platform still sends new connections after SIGTERM, and a little.
+const SERVING_ON: f64 = 0.45;
+/// SIGKILL comes so many seconds after the longest time limit from SIGTERM on, which counts as this at most.
+const KILL_AFTER: f64 = 0.7;
+const KILL_COUNTS: f64 = 3.0;
+
 /// What a RESP message may hold.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RespLimits {
@@ -105,9 +111,15 @@
     pub stuck_client: f64,
     /// An answer that was not read for this time comes too late for anybody.
     pub stale_answer: f64,
-    /// After a planned stop: clients still come for this time.
-    pub stop_serving: f64,
-    pub stop_last: f64,
+    /// After SIGTERM: clients still come for this time.
+    pub serving_on: f64,
+    /// Who has come and is silent, who has just got an answer, who was told of the close and who crossed one
+    /// has this time.
+    pub last_call: f64,
+    /// After SIGTERM: what is open is given up and answered, what still comes is turned away, and the program
+    /// ends whoever is left. Both before SIGKILL, with a tenth of a second for a loop that is late.
+    pub shutdown_last: f64,
+    pub shutdown_end: f64,
     /// What other threads have posted and the loop has not taken.
     pub posted: usize,
     /// Questions of fronts that wait for the keeper.
@@ -185,8 +197,10 @@
             ready_wait: 3.0,
             stuck_client: 10.0 * longest,
             stale_answer: longest,
-            stop_serving: 0.45,
-            stop_last: longest + 0.6,
+            serving_on: SERVING_ON,
+            last_call: 0.1,
+            shutdown_last: longest.min(KILL_COUNTS) + KILL_AFTER - 0.3,
+            shutdown_end: longest.min(KILL_COUNTS) + KILL_AFTER - 0.1,
             posted: 16,
             asked: 1024,
             staged: 1024,
--- a/router/src/routing/admit.rs
+++ b/router/src/routing/admit.rs
@@ -33,7 +33,8 @@
     pub(super) fn admit(&mut self, client: SocketId, taken: Taken) {
         let Taken { operation, key, pool, time_left, again, kept } = taken;
         // Nothing has been dispatched: a client may be told that trying again is harmless.
-        if self.admitted.len() >= self.limits.invocations || self.held + kept.size() > self.limits.held {
+        let full = self.admitted.len() >= self.limits.invocations;
+        if full || self.held + kept.size() > self.limits.held || self.has_given_up() {
             self.tally.no_room += 1;
             return self.reply(client, |out| client::write_throttled(out, None));
         }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -10,7 +10,7 @@
 mod relay;
 mod route;
 mod send;
-mod stop;
+mod shutdown;
 mod take_in;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -33,7 +33,7 @@
 use peers::Peers;
 use platform::Platform;
 use send::Link;
-use stop::Stop;
+use shutdown::Shutdown;
 use take_in::Client;
 
 // News first: stale news breaks drains and exposure after a stall. Then answers that are already here, so that
@@ -85,8 +85,13 @@
     LineRest,
     VoteOver(u64),
     Ready,
-    StopServing,
-    StopLast,
+    ServingOver,
+    /// Of the graceful shutdown: who is told of the close and silent has had its time.
+    DrainAgain,
+    /// Nobody has come since all connections were closed for the time of this number.
+    LastCallOver(u64),
+    LastTime,
+    ShutdownEnd,
     View,
 }
 
@@ -127,7 +132,12 @@
     ready: bool,
     /// An alarm is set for clients that could not be accepted.
     accept_due: bool,
-    stop: Stop,
+    shutdown: Shutdown,
+    /// A timer is set for who is told of the close, or silent; how often all connections were closed; the last
+    /// time before SIGKILL, once told.
+    drain_due: bool,
+    last_calls: u64,
+    last_at: Option<f64>,
     tally: Tally,
     /// When the last sleep ended, and how long a command that is read now may have waited unread.
     woken: f64,
@@ -169,7 +179,10 @@
             hosts: Hosts::new(limits.hosts),
             ready: false,
             accept_due: false,
-            stop: Stop::No,
+            shutdown: Shutdown::No,
+            drain_due: false,
+            last_calls: 0,
+            last_at: None,
             tally: Tally::default(),
             woken: now,
             stall: 0.0,
@@ -236,7 +249,7 @@
             slog::warn!(self.log, "this process stood still"; "seconds" => self.stall);
         }
         if signalled.stop {
-            self.stop_told(woken);
+            self.shutdown_told();
         }
         // In the order of ranks, clients come last anyway; who is both ready and due again is served once more.
         for id in sockets.into_iter().chain(std::mem::take(&mut self.later)) {
@@ -250,7 +263,7 @@
             self.settle();
         }
         Ok(match signalled.reread {
-            _ if self.stopped() => Turn::Over,
+            _ if self.is_over() => Turn::Over,
             true => Turn::Reread,
             false => Turn::Next,
         })
@@ -291,8 +304,11 @@
             Due::LineRest => self.line_rest(),
             Due::VoteOver(call) => self.vote_over(call),
             Due::Ready => self.ready_by("time"),
-            Due::StopServing => self.stop_serving(),
-            Due::StopLast => self.stop_last(),
+            Due::ServingOver => self.serving_over(),
+            Due::DrainAgain => self.drain_due(),
+            Due::LastCallOver(number) => self.last_call_over(number),
+            Due::LastTime => self.last_time(),
+            Due::ShutdownEnd => self.shutdown_end(),
             Due::View => self.publish(),
         }
     }
--- a/router/src/routing/relay.rs
+++ b/router/src/routing/relay.rs
@@ -3,7 +3,6 @@
 use kestreltide::interface::InvId;
 
 use super::Routing;
-use super::stop::Stop;
 use super::take_in::{Client, Waiting};
 use crate::transport::SocketId;
 
@@ -12,7 +11,9 @@
     pub(super) fn answer(&mut self, inv: &InvId, write: impl FnOnce(&mut Vec<u8>)) -> bool {
         let Some(admitted) = self.release(inv) else { return false };
         let id = admitted.client;
+        let now = self.clock.now();
         let Some(client) = self.clients.get_mut(&id) else { return false };
+        client.used = now;
         let place = client.queue.iter().position(|waiting| matches!(waiting, Waiting::For(of) if of == inv));
         match place {
             Some(0) => {
@@ -71,8 +72,7 @@
         if done && *closing && lingers.is_none() && stream.end().is_ok() {
             *lingers = Some((now + self.limits.linger, self.limits.dropped));
         }
-        // After a planned stop a connection is closed as soon as all it asked is answered.
-        if done && (*closing && lingers.is_none() || self.stop == Stop::Ending) {
+        if done && *closing && lingers.is_none() {
             self.client_left(id);
             return false;
         }
--- a/router/src/routing/shutdown.rs
+++ b/router/src/routing/shutdown.rs
@@ -18,7 +18,7 @@
     Draining,
     /// All connections are closed: who crossed the close of one comes again on a new one.
     LastCall,
-    /// What was open has been given up and answered; the answers are read.
+    /// What was open has been given up and answered, and what still comes is turned away at once.
     GivenUp,
     Over,
 }
@@ -109,10 +109,10 @@
 
     /// A connection without use is closed, once nothing that came on it is left unread.
     pub(super) fn is_draining(&self) -> bool {
-        matches!(self.shutdown, Shutdown::Draining | Shutdown::LastCall)
+        matches!(self.shutdown, Shutdown::Draining | Shutdown::LastCall | Shutdown::GivenUp)
     }
 
-    /// Nothing more is taken.
+    /// There is no time left to serve what comes.
     pub(super) fn has_given_up(&self) -> bool {
         matches!(self.shutdown, Shutdown::GivenUp | Shutdown::Over)
     }
@@ -159,8 +159,9 @@
         }
     }
 
-    /// Ends the sending on a connection that is without use. What was read is answered by now; what crosses
-    /// this is dropped unanswered, so that its client may send it once more.
+    /// Ends the sending on a connection that has been without use for a while: whoever has just got an answer
+    /// may be about to write the next command. What was read is answered by now; what crosses this is dropped
+    /// unanswered, so that its client may send it once more.
     pub(super) fn drain_client(&mut self, id: SocketId) {
         let now = self.clock.now();
         let (last_call, most) = (self.limits.last_call, self.limits.dropped);
@@ -168,8 +169,7 @@
         if client.closing || !client.is_idle() || client.is_begun() {
             return;
         }
-        // Who has come and not spoken yet has a short while to do it.
-        if !client.is_new() || now - client.used >= last_call {
+        if now - client.used >= last_call {
             client.closing = true;
             client.lingers = Some((now + last_call, most));
             if client.stream.end().is_err() {
@@ -179,13 +179,12 @@
         self.drain_again();
     }
 
-    /// The platform is about to kill the process: what is given up is answered at once.
+    /// The platform is about to kill the process: what is given up is answered at once, and what still comes,
+    /// until the end.
     fn give_up_all(&mut self) {
         info!(self.log, "giving up what is open"; "open" => self.admitted.len(), "clients" => self.clients.len());
-        if let Some(listener) = self.listener.take() {
-            listener.close(&self.net);
-        }
-        let open: Vec<_> = self.admitted.iter().map(|(inv, admitted)| (inv.clone(), admitted.dispatches)).collect();
+        let open: Vec<_> =
+            self.admitted.iter().map(|(inv, admitted)| (inv.clone(), admitted.dispatches)).collect();
         for (inv, dispatches) in open {
             self.answer(&inv, |out| match dispatches {
                 // There is no room any more, and it has run nowhere.
@@ -193,17 +192,5 @@
                 _ => write_error(out, "ERR failed"),
             });
         }
-        self.resumed.clear();
-        let until = self.clock.now() + self.limits.last_call;
-        for id in self.clients.keys().copied().collect::<Vec<_>>() {
-            let Some(client) = self.clients.get_mut(&id) else { continue };
-            client.closing = true;
-            if client.lingers.is_none() && client.stream.unwritten() == 0 {
-                client.lingers = Some((until, self.limits.dropped));
-                if client.stream.end().is_err() {
-                    self.client_left(id);
-                }
-            }
-        }
     }
 }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -25,7 +25,7 @@
     pub(super) closing: bool,
     /// Turned away and told why: until when, and how many more bytes, what still comes is read and dropped.
     pub(super) lingers: Option<(f64, usize)>,
-    /// When it came, or its last command.
+    /// When it came, or its last command or answer.
     pub(super) used: f64,
     /// Whole commands that it has sent.
     asked: usize,
@@ -42,10 +42,15 @@
         Client { stream, queue, closing, lingers, used: now, asked: 0, begun: None, unknown: 0, stuck }
     }
 
-    fn is_idle(&self) -> bool {
+    pub(super) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.stream.unwritten() == 0
     }
 
+    /// In the middle of a command.
+    pub(super) fn is_begun(&self) -> bool {
+        self.begun.is_some()
+    }
+
     /// Who makes room first: the turned away, the silent and who has asked but once, then those that came back;
     /// those that are in the middle of a command last, who have little time for it anyway.
     fn rank(&self) -> u8 {
@@ -172,6 +177,10 @@
         if self.take_commands(id) && filled == Fill::More {
             self.later.push(id);
         }
+        // Only after a read that found nothing more: a command that is here already is not left unanswered.
+        if filled == Fill::Drained && self.is_draining() {
+            self.drain_client(id);
+        }
     }
 
     /// What a client that was turned away still sends would, unread, turn the close into a reset that may
@@ -265,7 +274,7 @@
         let pool = self.hosts.route(asked.operation, asked.key).map(|route| route.pool.clone());
         // A command that lay unread while this process stood still, be it in this turn, has less time left.
         let unread = self.stall + self.clock.now() - self.woken;
-        let time_left = (asked.time_millis as f64 / 1e3 - unread).max(0.0);
+        let time_left = (asked.time_millis as f64 / 1e3 - unread).max(0.0).min(self.time_before_last());
         Ok(Step::Take(Taken { operation, key, pool, time_left, again: asked.again, kept }))
     }
 
