Stages beside the earlier machines count those as places; dispatches written in time

Now the places are those of the earlier build there.

Upstream connections. A connection now rests 20 ms, but no more than 8 of a host. What is decided has to be written within 0.8 of the drain grace and within the repeat window (choice.rs says, WriteOver in send.rs carries out): a dial of up to connect_timeout could outlast both. A value for a command that is not written is malformed; an answer that is here counts before a time-out or a broken write.

Clients: who is closed for want of use is read first (close_stayer, close_unspoken); who leaves behind a full buffer is gone; an id comes again though its broken connection is not read yet; another's open id costs an error, no connection. Discovery: a connection that does not come up in 0.4 s is tried again (it cost a whole wait, 6 s); one that counts anew is asked for its whole list (it was asked without end).

--- a/router/src/routing/admit.rs
+++ b/router/src/routing/admit.rs
@@ -42,7 +42,7 @@
         self.last_inv += 1;
         let id = InvId(self.last_inv.to_string().into());
         self.held += kept.size();
-        self.open_ids.insert(kept.id().into());
+        self.open_ids.insert(kept.id().into(), client);
         self.tally.taken += 1;
         if let Some(client) = self.clients.get_mut(&client) {
             client.queue.push_back(Waiting::For(id.clone()));
@@ -63,7 +63,9 @@
     pub(super) fn release(&mut self, inv: &InvId) -> Option<Admitted> {
         let admitted = self.admitted.remove(inv)?;
         self.held -= admitted.kept.size();
-        self.open_ids.remove(admitted.kept.id());
+        if !admitted.left {
+            self.open_ids.remove(admitted.kept.id());
+        }
         Some(admitted)
     }
 }
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -27,6 +27,8 @@
     stream: Stream,
     asked: Asked,
     number: u64,
+    /// How many lists had been taken when it was asked.
+    taken: u64,
     since: f64,
     /// Of an answer that has begun and is not whole: how much has come, and when the last of it.
     begun: Option<(usize, f64)>,
@@ -40,6 +42,8 @@
     off: bool,
     following: bool,
     rev: Option<u64>,
+    /// How many lists were taken.
+    taken: u64,
     calls: BTreeMap<SocketId, Call>,
     number: u64,
     wait: f64,
@@ -51,8 +55,8 @@
     pub(super) fn new(at: SocketAddr, on_demand: bool, limits: &Limits) -> Self {
         let (calls, wait) = (BTreeMap::new(), limits.retry[0]);
         let following = !on_demand;
-        let (off, rev, number, heard, told) = (false, None, 0, false, false);
-        Discovery { at, on_demand, off, following, rev, calls, number, wait, heard, told }
+        let (off, rev, taken, number, heard, told) = (false, None, 0, 0, false, false);
+        Discovery { at, on_demand, off, following, rev, taken, calls, number, wait, heard, told }
     }
 
     /// Not asked from now on.
@@ -143,7 +147,8 @@
         match Stream::connect(&mut self.net, self.discovery.at, NEWS) {
             Ok(stream) => {
                 let (id, now) = (stream.id, self.clock.now());
-                self.discovery.calls.insert(id, Call { stream, asked, number: 0, since: now, begun: None });
+                let call = Call { stream, asked, number: 0, taken: 0, since: now, begun: None };
+                self.discovery.calls.insert(id, call);
                 self.ask(id, asked);
             }
             Err(e) => self.call_failed(asked, self.clock.now(), &e.to_string()),
@@ -160,6 +165,7 @@
         self.discovery.number += 1;
         self.tally.lists += 1;
         (call.asked, call.number, call.begun) = (asked, self.discovery.number, None);
+        call.taken = self.discovery.taken;
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
         discovery::write_get(call.stream.output(), at, watch);
         let in_turn = self.discovery.on_demand && hold <= 0.0 || asked == Asked::Once;
@@ -167,6 +173,8 @@
         let patience = if watch.is_some() { hold } else { 0.0 } + spare;
         let number = call.number;
         self.set_due(now + patience, Due::CallOver(id, number));
+        // A connection that does not come up would cost a whole wait, in which all that is missed counts as told.
+        self.set_due(now + self.limits.news_rest, Due::CallUp(id, number));
         self.discovery_ready(id);
     }
 
@@ -224,11 +232,24 @@
         }
         let list = discovery::list(&response.body)?;
         let scope = if list.all { ListScope::Whole } else { ListScope::Changes };
-        // Two calls may be out: changes from before the list that is known would bring back what has passed.
-        if !list.all && self.discovery.rev.is_some_and(|rev| list.rev < rev) {
-            return Ok(Some((used, response.stays_open)));
+        if self.discovery.rev.is_some_and(|rev| list.rev < rev) {
+            if self.discovery.taken != call.taken {
+                // Another list came while this one was under way: it would bring back what has passed. On demand
+                // each call is answered, be it with nothing.
+                if self.discovery.on_demand {
+                    self.events.push_back(Event::Hosts { scope: ListScope::Changes, entries: [].into() });
+                }
+                return Ok(Some((used, response.stays_open)));
+            }
+            // Who was asked with that list known, and knows less, has begun to count anew. A whole list says where
+            // it stands; changes do not, so the whole list is asked for next.
+            if !list.all {
+                self.discovery.rev = None;
+                return Err(Malformed::new(format!("changes of version {} after a later one", list.rev)));
+            }
         }
         self.discovery.rev = Some(list.rev);
+        self.discovery.taken += 1;
         self.discovery.wait = self.limits.retry[0];
         // On demand each call is answered, be it with nothing.
         if list.all || !list.targets.is_empty() || self.discovery.on_demand {
@@ -292,6 +313,13 @@
         }
     }
 
+    pub(super) fn call_up(&mut self, id: SocketId, number: u64) {
+        let down = |call: &mut Call| call.number == number && !matches!(call.stream.is_up(), Ok(true));
+        if self.discovery.calls.get_mut(&id).is_some_and(down) {
+            self.call_broke(id, "the connection does not come up");
+        }
+    }
+
     /// The answer is not whole yet. One that has begun and stalls is given up sooner than a quiet watch: what
     /// it was to tell counts as told.
     fn call_goes_on(&mut self, id: SocketId, mut call: Call) {
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -13,7 +13,7 @@
 mod shutdown;
 mod take_in;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
@@ -72,11 +72,13 @@
     Decisions(AlarmKey),
     /// The use of a connection to a host that has this number must be over.
     UseOver(SocketId, u64),
-    /// By now the connection must be up.
-    ConnectOver(SocketId, u64),
+    /// By now the connection must be up and the command written.
+    WriteOver(SocketId, u64),
     AcceptAgain,
     Sweep,
     CallOver(SocketId, u64),
+    /// By now the connection to discovery must be up.
+    CallUp(SocketId, u64),
     /// By now the answer that has begun must be whole, or more of it have come.
     CallRest(SocketId, u64),
     WatchAgain,
@@ -115,8 +117,8 @@
     listener: Option<Listener>,
     clients: BTreeMap<SocketId, Client>,
     admitted: BTreeMap<InvId, Admitted>,
-    /// As clients named them.
-    open_ids: BTreeSet<Box<[u8]>>,
+    /// As clients named them, and who holds each.
+    open_ids: BTreeMap<Box<[u8]>, SocketId>,
     held: usize,
     last_inv: u64,
     links: BTreeMap<SocketId, Link>,
@@ -171,7 +173,7 @@
             listener: Some(listener),
             clients: BTreeMap::new(),
             admitted: BTreeMap::new(),
-            open_ids: BTreeSet::new(),
+            open_ids: BTreeMap::new(),
             held: 0,
             last_inv: 0,
             links: BTreeMap::new(),
@@ -291,13 +293,14 @@
         match due {
             Due::Decisions(key) => self.events.push_back(Event::Alarm { key }),
             Due::UseOver(id, number) => self.use_over(id, number),
-            Due::ConnectOver(id, number) => self.connect_over(id, number),
+            Due::WriteOver(id, number) => self.write_over(id, number),
             Due::AcceptAgain => {
                 self.accept_due = false;
                 let _ = self.accept();
             }
             Due::Sweep => self.sweep(),
             Due::CallOver(id, number) => self.call_over(id, number),
+            Due::CallUp(id, number) => self.call_up(id, number),
             Due::CallRest(id, number) => self.call_rest(id, number),
             Due::WatchAgain => self.watch_begin(),
             Due::PlatformAgain => self.platform_begin(),
--- a/router/src/routing/route.rs
+++ b/router/src/routing/route.rs
@@ -21,9 +21,7 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Dispatch { inv, host, time_out, unused_most } => {
-                self.send(inv, host, time_out, unused_most)
-            }
+            Effect::Dispatch { inv, host, time_out, on } => self.send(inv, host, time_out, on),
             Effect::Recall { inv, dispatch } => self.recall(&inv, dispatch),
             Effect::Throttle { inv, stay_away } => {
                 self.tally.throttled += 1;
--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -48,7 +48,7 @@
 }
 
 impl Routing {
-    pub(super) fn send(&mut self, inv: InvId, host: HostId, time_out: f64, unused_most: f64) {
+    pub(super) fn send(&mut self, inv: InvId, host: HostId, time_out: f64, on: ConnectionTerms) {
         let now = self.clock.now();
         let Some(admitted) = self.admitted.get_mut(&inv) else { return };
         let no = DispatchNo(admitted.dispatches);
@@ -59,7 +59,7 @@
             // Decided before the decisions could hear that the client has left: nothing goes out any more.
             return self.ended(Out { inv, no }, host, Verdict::Moot, (0.0, 0.0), LoadReport::default());
         }
-        let Some(id) = self.link_to(host, now, unused_most) else {
+        let Some(id) = self.link_to(host, now, on) else {
             return self.ended(
                 Out { inv, no },
                 host,
@@ -73,14 +73,17 @@
         if let (Some(link), Some(admitted)) = (self.links.get_mut(&id), self.admitted.get(&inv)) {
             admitted.kept.write(link.stream.output(), millis);
         }
-        self.begin_use(id, Use::Dispatch(Out { inv, no }), now, time_out);
+        self.begin_use(id, Use::Dispatch(Out { inv, no }), now, (time_out, on.written_within));
     }
 
     pub(super) fn probe(&mut self, host: HostId) {
         let now = self.clock.now();
         let probes = self.links.values().filter(|link| matches!(link.at_use, Use::Probe)).count();
         let room = probes < self.limits.probes;
-        let Some(id) = room.then(|| self.link_to(host, now, f64::INFINITY)).flatten() else {
+        let (longest, written_within) = (f64::INFINITY, self.limits.connect_time);
+        let any =
+            ConnectionTerms { unused_most: longest, rested_least: 0.0, resting_most: 1, written_within };
+        let Some(id) = room.then(|| self.link_to(host, now, any)).flatten() else {
             let load = LoadReport::default();
             return self.events.push_back(Event::Probed {
                 host,
@@ -92,26 +95,29 @@
         if let Some(link) = self.links.get_mut(&id) {
             host::write_probe(link.stream.output(), self.transport.reports != Reports::Off);
         }
-        self.begin_use(id, Use::Probe, now, self.limits.probe_time);
+        self.begin_use(id, Use::Probe, now, (self.limits.probe_time, written_within));
     }
 
-    fn begin_use(&mut self, id: SocketId, at_use: Use, now: f64, time_out: f64) {
+    fn begin_use(&mut self, id: SocketId, at_use: Use, now: f64, (time_out, written_within): (f64, f64)) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.at_use = at_use;
         link.number += 1;
         (link.since, link.written) = (now, false);
         let number = link.number;
-        if !matches!(link.stream.is_up(), Ok(true)) {
-            self.set_due(now + self.limits.connect_time, Due::ConnectOver(id, number));
-        }
         self.set_due(now + time_out, Due::UseOver(id, number));
         self.write_link(id);
+        // Connecting has its time, and what is decided has to be written while what it was decided by holds.
+        if self.links.get(&id).is_some_and(|link| !link.written) {
+            let within = self.limits.connect_time.min(written_within);
+            self.set_due(now + within, Due::WriteOver(id, number));
+        }
     }
 
-    /// The freshest connection that has not been without use for longer than this, or a new one.
-    fn link_to(&mut self, host: HostId, now: f64, unused_most: f64) -> Option<SocketId> {
-        while let Some((id, since)) = self.pools.take(host) {
-            if now - since > unused_most {
+    /// The freshest connection that has rested for long enough and not been without use for too long, or a new
+    /// one.
+    fn link_to(&mut self, host: HostId, now: f64, on: ConnectionTerms) -> Option<SocketId> {
+        while let Some((id, since)) = self.pools.take(host, now - on.rested_least, on.resting_most) {
+            if now - since > on.unused_most {
                 self.close_link(id);
                 self.close_idle(host);
                 break;
@@ -152,6 +158,7 @@
         Some(id)
     }
 
+    /// Writes what can be written now; false where the connection is gone.
     fn write_link(&mut self, id: SocketId) -> bool {
         let Some(link) = self.links.get_mut(&id) else { return false };
         let flushed = link.stream.is_up().and_then(|up| if up { link.stream.flush() } else { Ok(false) });
@@ -216,6 +223,10 @@
                     return if room { Ok(None) } else { Err(Malformed::new("an answer is too long")) };
                 };
                 let (verdict, load) = match answer {
+                    // No host has begun it.
+                    Answer::Value { .. } if !link.written => {
+                        return Err(Malformed::new("a value for a command that has not been written"));
+                    }
                     Answer::Value { value, load } => {
                         self.relay_value(&out.inv, value);
                         (Verdict::Succeeded, load)
@@ -274,12 +285,23 @@
         }
     }
 
-    /// The connection broke or was never up: what it carried ends by how far its command had come.
+    /// The connection broke or was never up. An answer that had come before counts; else what it carried ends by
+    /// how far its command had come.
     fn link_broke(&mut self, id: SocketId) {
+        self.last_look(id);
         let verdict = |written| if written { Verdict::Reset } else { Verdict::NoConnection };
         self.end_use(id, verdict);
     }
 
+    /// Takes an answer that is here already, before what it answers is given up.
+    fn last_look(&mut self, id: SocketId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if !matches!(link.at_use, Use::Idle) && matches!(link.stream.is_up(), Ok(true)) {
+            let filled = link.stream.fill(self.limits.resp.message, self.limits.resp.message);
+            self.read_link(id, filled == Fill::Ended);
+        }
+    }
+
     /// Gives up what a connection carries; giving up closes it.
     fn end_use(&mut self, id: SocketId, verdict: impl Fn(bool) -> Verdict) {
         let Some(link) = self.links.remove(&id) else { return };
@@ -310,16 +332,20 @@
         }
     }
 
+    /// Timers come after all that the last wait told of; what has come since then is here all the same.
     pub(super) fn use_over(&mut self, id: SocketId, number: u64) {
-        if self.links.get(&id).is_some_and(|link| link.number == number) {
+        let same = |link: &Link| link.number == number;
+        if self.links.get(&id).is_some_and(same) {
+            self.last_look(id);
+        }
+        if self.links.get(&id).is_some_and(same) {
             // A command whose last byte was never written has not been begun.
             self.end_use(id, |written| if written { Verdict::TimedOut } else { Verdict::NoConnection });
         }
     }
 
-    pub(super) fn connect_over(&mut self, id: SocketId, number: u64) {
-        let waits = |link: &mut Link| link.number == number && !matches!(link.stream.is_up(), Ok(true));
-        if self.links.get_mut(&id).is_some_and(waits) {
+    pub(super) fn write_over(&mut self, id: SocketId, number: u64) {
+        if self.links.get(&id).is_some_and(|link| link.number == number && !link.written) {
             self.link_broke(id);
         }
     }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -63,8 +63,12 @@
     }
 }
 
+const OPEN_ID: &str = "ERR the id is that of an open invocation";
+
 enum Step {
     Take(Taken),
+    /// The client that holds its id is gone, and this comes after that.
+    Left(SocketId),
     Reply(&'static str),
     Fail(&'static str),
     Unknown,
@@ -126,13 +130,8 @@
         loop {
             let idle = self.clients.iter().filter(|(_, client)| of_no_use(client));
             let order = |a: &Client, b: &Client| a.rank().cmp(&b.rank()).then(a.used.total_cmp(&b.used));
-            let Some((&id, client)) = idle.min_by(|a, b| order(a.1, b.1)) else { return false };
-            let (rank, used) = (client.rank(), client.used);
-            // Its command may be here by now and not read yet, where many come at once.
-            self.take_in(id);
-            let same = |client: &Client| (client.rank(), client.used) == (rank, used) && of_no_use(client);
-            if self.clients.get(&id).is_none_or(same) {
-                self.client_left(id);
+            let Some((&id, _)) = idle.min_by(|a, b| order(a.1, b.1)) else { return false };
+            if self.close_unused(id) {
                 return true;
             }
         }
@@ -146,8 +145,23 @@
         let stayers = self.clients.iter().filter(|(_, client)| stays(client) && client.begun.is_none());
         if stayers.clone().count() >= self.limits.stayers {
             let oldest = stayers.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(id, _)| *id);
-            oldest.into_iter().for_each(|id| self.client_left(id));
+            if let Some(id) = oldest {
+                self.close_unused(id);
+            }
+        }
+    }
+
+    /// Closes a connection for want of use, unless its next command is here by now and only not read yet. False
+    /// where it is in use.
+    fn close_unused(&mut self, id: SocketId) -> bool {
+        let use_of = |c: &Client| (c.rank(), c.used, c.asked, c.stuck, c.is_idle());
+        let before = self.clients.get(&id).map(use_of);
+        self.take_in(id);
+        let now = self.clients.get(&id).map(use_of);
+        if now.is_some() && now == before {
+            self.client_left(id);
         }
+        now.is_none() || now == before
     }
 
     fn free_descriptor(&mut self) -> bool {
@@ -171,7 +185,9 @@
             return self.drop_input(id);
         }
         let filled = client.stream.fill(self.limits.resp.message, self.limits.read_step);
-        if filled == Fill::Ended {
+        // Who has left more unread commands than are kept is gone all the same, with what waits for it.
+        let full = client.stream.input().len() >= self.limits.resp.message;
+        if filled == Fill::Ended || full && client.stream.is_left() {
             return self.client_left(id);
         }
         if self.take_commands(id) && filled == Fill::More {
@@ -215,6 +231,10 @@
             let whole = client.stream.input().len() < limits.resp.message;
             let (step, used) = match read {
                 Ok(Some((command, used))) => match self.step(command) {
+                    Ok(Step::Left(holder)) if holder != id => {
+                        self.client_left(holder);
+                        continue;
+                    }
                     Ok(step) => (step, used),
                     Err(why) => return self.reject(id, &why),
                 },
@@ -238,6 +258,7 @@
             match step {
                 Step::Take(taken) => self.admit(id, taken),
                 Step::Reply(text) => self.reply(id, |out| resp::write_simple(out, text)),
+                Step::Left(_) => self.reply(id, |out| resp::write_error(out, OPEN_ID)),
                 Step::Fail(text) => self.reply(id, |out| resp::write_error(out, text)),
                 Step::Unknown => self.reply(id, |out| resp::write_error(out, "ERR unknown command")),
             }
@@ -263,8 +284,10 @@
             _ => return Err(Malformed::new("the command is not that of the operation")),
         }
         // Hosts know an invocation by its id: with another's, one would be answered for the other.
-        if self.open_ids.contains(asked.id) {
-            return Err(Malformed::new("the id is that of an open invocation"));
+        if let Some(holder) = self.open_ids.get(asked.id) {
+            // Unless that client is gone, which is only not read yet: then it is sent again.
+            let left = self.clients.get(holder).is_none_or(|client| client.stream.is_left());
+            return Ok(if left { Step::Left(*holder) } else { Step::Fail(OPEN_ID) });
         }
         if asked.time_millis as f64 > self.limits.longest_wait * 1e3 {
             return Err(Malformed::new("the time (d) is beyond all sense"));
@@ -311,7 +334,10 @@
                 Some(client) if begun && !client.closing => {
                     self.reject(id, &Malformed::new("a command does not end"));
                 }
-                _ => self.client_left(id),
+                Some(client) if client.closing => self.client_left(id),
+                _ => {
+                    self.close_unused(id);
+                }
             }
         }
     }
@@ -324,6 +350,8 @@
                 && let Some(admitted) = self.admitted.get_mut(&inv)
             {
                 admitted.left = true;
+                // Free at once: it may come again before the decisions have heard of this.
+                self.open_ids.remove(admitted.kept.id());
                 self.tally.left += 1;
                 self.events.push_back(Event::ClientLeft { inv });
             }
--- a/router/src/transport/pools.rs
+++ b/router/src/transport/pools.rs
@@ -26,11 +26,14 @@
         self.count += 1;
     }
 
-    /// The freshest, and since when it has been without use: the others may be closed for want of it.
-    pub fn take(&mut self, to: K) -> Option<(SocketId, f64)> {
-        let taken = self.idle.get_mut(&to)?.pop()?;
+    /// The freshest that has been without use since this time or before, and since when: the others may be closed
+    /// for want of it. Where all are fresher and there are so many, the oldest.
+    pub fn take(&mut self, to: K, since: f64, most: usize) -> Option<(SocketId, f64)> {
+        let idle = self.idle.get_mut(&to)?;
+        let rested = idle.iter().rposition(|(_, put)| *put <= since);
+        let place = rested.or_else(|| (!idle.is_empty() && idle.len() >= most).then_some(0))?;
         self.count -= 1;
-        Some(taken)
+        Some(idle.remove(place))
     }
 
     pub fn ids(&self) -> Vec<SocketId> {
--- a/router/src/transport/stream.rs
+++ b/router/src/transport/stream.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::net::{Net, Rank, SocketId};
@@ -102,6 +103,13 @@
         Fill::More
     }
 
+    /// Whether the other side has ended its sending or is gone, though more may wait to be read before that.
+    pub fn is_left(&self) -> bool {
+        let mut watched = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let told = poll(&mut watched, Some(&Timespec::default()));
+        told.is_ok() && watched[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+    }
+
     pub fn input(&self) -> &[u8] {
         &self.input[self.used..]
     }
--- /dev/null
+++ b/router/tests/discovery.rs
@@ -0,0 +1,76 @@
+//! Lists and watches, where two events cross: reopening, counting anew, moving.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+
+use kestreltide_standins::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
+const READ: &str = "c=read,d=5000";
+
+fn named(name: &'static str) -> SocketAddr {
+    fake_host(move |_| value(name))
+}
+
+/// The next question on a connection: what it asks for.
+fn question(from: &mut impl BufRead) -> Option<String> {
+    let mut lines = from.lines().map_while(Result::ok);
+    let first = lines.next()?;
+    lines.any(|line| line.is_empty()).then_some(first)
+}
+
+fn answer(mut stream: &TcpStream, body: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all((head + body).as_bytes()).expect("the router reads");
+}
+
+#[test]
+fn a_watch_whose_new_connection_does_not_come_up_is_opened_anew_soon() {
+    let mut door = Door::open();
+    let (a, b) = (named("a"), named("b"));
+    let program = Program::start(BINARY, &config(door.at, &list(1, true, &[("a", a, "Ready")])));
+    let stream = door.accept();
+    let mut reader = BufReader::new(&stream);
+    assert!(question(&mut reader).is_some_and(|asked| !asked.contains("from=")));
+    answer(&stream, &list(2, true, &[("a", a, "Ready"), ("b", b, "Ready")]));
+    assert!(question(&mut reader).is_some_and(|asked| asked.contains("from=2")));
+    door.shut();
+    drop(stream);
+    // A whole wait of a watch, 6 s, would be lost on it, and what happens meanwhile counts as told.
+    program.logged("the connection does not come up");
+    door.reopen();
+    let stream = door.accept();
+    assert!(question(&mut BufReader::new(&stream)).is_some_and(|asked| asked.contains("from=2")));
+    answer(&stream, &list(3, false, &[("a", a, "Terminating")]));
+    program.logged("rev: 3");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "b");
+}
+
+/// A discovery that has lost its count: it is followed by its whole list, and not asked without end.
+#[test]
+fn a_discovery_that_counts_anew_is_followed_by_its_whole_list() {
+    let asked = Arc::new(AtomicU32::new(0));
+    let count = asked.clone();
+    let (a, b) = (named("a"), named("b"));
+    let (whole, changes) = (Mutex::new(0), list(3, false, &[]));
+    let at = party(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(asked) = question(&mut reader) {
+            count.fetch_add(1, Relaxed);
+            let mut whole = whole.lock().expect("no panic before");
+            match asked {
+                asked if asked.contains("from=9&") => answer(&stream, &changes),
+                asked if asked.contains("from=") => return,
+                _ if *whole == 0 => answer(&stream, &list(9, true, &[("a", a, "Ready")])),
+                _ => answer(&stream, &list(2, true, &[("b", b, "Ready")])),
+            }
+            *whole += 1;
+        }
+    });
+    let program = Program::start(BINARY, &config(at, &list(1, true, &[])));
+    program.logged("rev: 2");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "b");
+    assert!(asked.load(Relaxed) < 10, "{}", asked.load(Relaxed));
+}
--- a/router/tests/shutdown.rs
+++ b/router/tests/shutdown.rs
@@ -96,7 +96,7 @@
 #[test]
 fn who_is_turned_away_while_the_router_ends_still_reads_why_and_no_reset() {
     let (host, met, release) = holding_host();
-    let program = router_at(host, |text| text);
+    let mut program = router_at(host, |text| text);
     let (mut idle, mut client) = (idle(&program), program.client());
     client.send(&["Q.ASK", "k", "held", READ]);
     met.recv_timeout(PATIENCE).expect("the host has it");
@@ -109,6 +109,8 @@
     assert_eq!(client.answer(), "held");
     assert!(client.answer().starts_with("-ERR"));
     assert_eq!(rest(&client.stream), "");
+    assert!(program.child.wait().expect("an end").success());
+    assert!(client.stream.take_error().expect("an open socket").is_none(), "a reset came after the end");
 }
 
 /// Who waits in the backlog when no more clients are expected has been accepted by the machine, be they more
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -135,6 +135,8 @@
     lists.send(list(2, true, &hosts)).expect("discovery lives");
     program.logged("Whole");
     for id in 0..30 {
+        // A connection rests a while after its last answer; used sooner, another would be opened.
+        thread::sleep(Duration::from_millis(25));
         client.ask(&["Q.ASK", "k", &id.to_string(), READ]);
     }
     assert_eq!(opened.load(Relaxed), 1);
@@ -264,6 +266,7 @@
     assert_eq!(bad.ask(&["Q.ASK", "k", "mine", READ]), "-ERR the id is that of an open invocation");
     drop(release);
     assert_eq!(usual.answer(), "mine");
+    assert_eq!(bad.ask(&["Q.ASK", "k", "its-own", READ]), "its-own", "it keeps its connection");
     // Its use is over with its answer.
     assert_eq!(usual.ask(&["Q.ASK", "k", "mine", READ]), "mine");
 }
--- /dev/null
+++ b/router/tests/upstream.rs
@@ -0,0 +1,131 @@
+//! Connections to hosts, where two events cross: connecting, answering, resting, closing.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use kestreltide_standins::*;
+use rstest::rstest;
+use socket2::{Domain, Socket, Type};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
+const READ: &str = "c=read,d=5000";
+const SWITCH: &str = "c=switch,d=5000";
+
+fn router_at(host: SocketAddr, change: impl Fn(String) -> String) -> Program {
+    let (_, answers) = channel();
+    let known = list(1, true, &[("a", host, "Ready")]);
+    Program::start(BINARY, &change(config(fake_discovery(answers), &known)))
+}
+
+#[rstest]
+#[case::to_the_first_host("c=switch,d=5000", "-BUSY")]
+#[case::of_an_operation_that_may_repeat("c=read,d=5000", "-BUSY")]
+fn a_dispatch_that_cannot_be_written_within_the_drain_grace_is_given_up(
+    #[case] list: &str, #[case] told: &str,
+) {
+    let mut door = Door::open();
+    door.shut();
+    // By the settings a connection has longer to come up than a drained host may be sent to.
+    let program =
+        router_at(door.at, |text| text.replace("\"connect_timeout\":250000", "\"connect_timeout\":4000000"));
+    let asked = Instant::now();
+    let command = if list.contains("switch") { "Q.DO" } else { "Q.ASK" };
+    assert_eq!(program.client().ask(&[command, "k", "id", list]), told);
+    assert!(asked.elapsed() < Duration::from_secs(3), "two dispatches of 0.4 s: {:?}", asked.elapsed());
+}
+
+#[test]
+fn a_repeat_that_cannot_be_written_within_its_window_is_given_up() {
+    let mut door = Door::open();
+    let keyed = r#""effect":"by_key","group":"all","window":300000"#;
+    let terms = |text: String| {
+        let text = text
+            .replace("\"effect\":\"once\"", keyed)
+            .replace("\"drain_grace\":500000", "\"drain_grace\":9000000");
+        text.replace("\"connect_timeout\":250000", "\"connect_timeout\":4000000")
+    };
+    let program = router_at(door.at, terms);
+    let mut client = program.client();
+    let asked = Instant::now();
+    client.send(&["Q.DO", "k", "id", "c=switch,d=5000,k=5c"]);
+    let first = door.accept();
+    let read = words(&mut BufReader::new(&first));
+    door.shut();
+    assert!(read.is_some_and(|words| words[2] == "id"));
+    // It may have run; the connection is gone, so that the repeat needs another.
+    (&first).write_all(b"-ERR failed\r\n").expect("the router reads");
+    drop(first);
+    assert_eq!(client.answer(), "-ERR failed");
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+}
+
+/// A command that no buffer holds whole: its host says no before the end of it, and is gone.
+#[test]
+fn an_answer_before_the_end_of_a_command_counts_though_the_rest_cannot_be_written() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(1).expect("an option");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(8).expect("it listens");
+    let at = socket.local_addr().ok().and_then(|at| at.as_socket()).expect("an address");
+    let program = router_at(at, |text| text);
+    let mut client = program.client();
+    client.send(&["Q.DO", "k", "id", SWITCH, &"x".repeat(60_000)]);
+    let host: TcpStream = socket.accept().expect("the router comes").0.into();
+    let mut begun = [0; 64];
+    (&host).read_exact(&mut begun).expect("the command begins");
+    // The answer lies there when the router learns that the rest cannot be written.
+    program.freeze();
+    (&host).write_all(b"-ERR failed\r\n").expect("the router is there");
+    drop(host);
+    program.signal("CONT");
+    assert_eq!(client.answer(), "-ERR failed");
+}
+
+/// Answers carry no id: a second one that comes some milliseconds late would be the next dispatch's value.
+#[test]
+fn a_connection_rests_after_an_answer_before_it_is_used_again() {
+    let gaps = Arc::new(Mutex::new(vec![]));
+    let seen = gaps.clone();
+    let at = party(move |stream| {
+        let answered = Mutex::new(None);
+        answer_each(stream, |words| {
+            let mut answered = answered.lock().expect("no panic before");
+            let gap = answered.map(|at: Instant| at.elapsed());
+            seen.lock().expect("no panic before").extend(gap);
+            // Counted from before the answer is written, a gap only looks longer.
+            *answered = Some(Instant::now());
+            value(&words[2])
+        });
+    });
+    let program = router_at(at, |text| text);
+    let mut client = program.client();
+    for id in 0..40 {
+        assert_eq!(client.ask(&["Q.ASK", "k", &id.to_string(), READ]), id.to_string());
+        // Few at once, so that none has to be used before its time; used again all the same.
+        thread::sleep(Duration::from_millis(5));
+    }
+    let gaps = gaps.lock().expect("no panic before");
+    assert!(gaps.len() > 20, "connections are used again: {gaps:?}");
+    assert!(gaps.iter().all(|gap| *gap >= Duration::from_millis(20)), "{gaps:?}");
+}
+
+#[test]
+fn as_many_connections_rest_as_a_host_bears_and_no_more() {
+    let opened = Arc::new(Mutex::new(0));
+    let count = opened.clone();
+    let at = party(move |stream| {
+        *count.lock().expect("no panic before") += 1;
+        answer_each(stream, |words| value(&words[2]));
+    });
+    let program = router_at(at, |text| text);
+    let mut client = program.client();
+    for id in 0..200 {
+        client.ask(&["Q.ASK", "k", &id.to_string(), READ]);
+    }
+    let opened = *opened.lock().expect("no panic before");
+    assert!((1..=8).contains(&opened), "{opened}");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,6 +61,9 @@
 const CONNECTED: f64 = 60.0; // routers that keep connections to a host, by their traffic: hosts accept few
 const UNUSED: [f64; 2] = [0.3, 0.1]; // s after which a connection may be lost: guessed by sends, as told
 const LOST: [f64; 2] = [0.08, 0.2]; // weight of an outcome; more lost than of others: such are used no more
+const REST: f64 = 0.02; // s before a connection's next use; late second answers were seen up to 4 ms after
+const RESTING: usize = 8; // a host's connections at rest, beyond which they are used all the same: hosts bear few
+const WRITTEN: f64 = 0.8; // of the drain grace; what is decided is written within, or a notice might overtake it
 const REMEMBERED: f64 = 60.0; // s that the record of a host that left the list is kept
 const FIRST_WAIT: [f64; 2] = [0.5, 5.0]; // before a further dispatch: of the time to the SLO, and quick times
 const FURTHER: [f64; 2] = [0.1, 10.0]; // further dispatches an invocation, and saved up; after a reset free
@@ -155,9 +158,10 @@
         s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
         (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
         (s.by_operation, s.guarded_stages) = (terms.exposure_by_operation, terms.guarded_stages);
-        (s.keys_bound, s.keys_warm) = (terms.keys_bound, terms.keys_warm);
+        (s.keys_bound, s.keys_warm, s.beside) = (terms.keys_bound, terms.keys_warm, !terms.in_place);
         s.dispute_weight = if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 };
         (s.cold_share, s.cold_time) = (terms.cold_share, terms.cold_time.max(GUARD));
+        s.drain_grace = terms.drain_grace;
         (s.cold_spend, s.may_tell) = (COLD_SPEND.min(0.5 * terms.fall_multiple), terms.may_tell);
         (s.may_copy, s.advice) = (terms.may_copy, terms.may_advise.then_some(terms.longest_advice));
         (s.fall_multiple, s.most_dispatches) = (terms.fall_multiple, terms.most_dispatches.max(1) as usize);
@@ -370,6 +374,11 @@
         let unused = h.out.is_empty() && h.used > f64::MIN && now - h.used > UNUSED[0];
         let stale = self.s.lost[1] > LOST[1] + self.s.lost[0];
         let unused_most = if stale { UNUSED[1] } else { f64::INFINITY };
+        // Rules 2, 3 and 5 hold when the last byte is written, not when it is decided: connecting takes time.
+        let ran = inv.sent.iter().find(|s| s.out || s.may_have_run);
+        let left = ran.map_or(f64::INFINITY, |first| operation.window - 2.0 * self.s.tick - (now - first.at));
+        let written_within = left.min(WRITTEN * self.s.drain_grace).max(GUARD);
+        let on = ConnectionTerms { unused_most, rested_least: REST, resting_most: RESTING, written_within };
         effects.extend((unused && stale).then_some(Effect::CloseIdle { host }));
         let (scored, unused) = (h.health.aside_until <= now, unused && !stale);
         inv.sent.push(Sent { to: h.entry, at: now, out: true, may_have_run: false, scored, unused });
@@ -381,7 +390,7 @@
         if self.phase(build) != Phase::Released {
             self.s.exposed.push_back((now, build, operation));
         }
-        effects.push(Effect::Dispatch { inv: id.clone(), host, time_out, unused_most });
+        effects.push(Effect::Dispatch { inv: id.clone(), host, time_out, on });
         if planned && self.s.may_copy {
             self.set_alarm(now + wait, Task::Further(id.clone()), effects);
         }
@@ -737,7 +746,10 @@
         let latest = of_trial().filter_map(|h| h.entry.started).fold(self.s.stage_since, f64::max);
         // A stage's machines must run before it is moved on: some builds fail only then.
         let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
-        let there = of_trial().count() as f64 >= SETTLED[0] * part * self.s.usable().count() as f64;
+        // Its places: all machines, or the earlier ones alone where those stay until the release.
+        let (on_trial, all) = (of_trial().count(), self.s.usable().count());
+        let places = if self.s.beside { all - on_trial } else { all };
+        let there = on_trial as f64 >= SETTLED[0] * part * places as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
         // A build may slow both arms, which no comparison shows: the earlier hosts are slower than before.
         // Losses beyond what its machines explain are other trouble until it ends, as is a quicker trial.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -394,14 +394,28 @@
     },
 }
 
+/// On which connection a dispatch may go, and by when; times in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ConnectionTerms {
+    /// On none that has been without use for longer.
+    pub unused_most: f64,
+    /// On none whose last answer came less than this ago: answers carry no id, and a second one that comes late
+    /// would be taken for this dispatch's own.
+    pub rested_least: f64,
+    /// But where as many of a host's connections rest, the one that has rested for longest is used.
+    pub resting_most: usize,
+    /// What is not written to its last byte by then is given up, and has never run: it may be too late for a
+    /// repeat, or the host be draining by now.
+    pub written_within: f64,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     Dispatch {
         inv: InvId,
         host: HostId,
         time_out: f64,
-        /// On no connection that has been without use for longer.
-        unused_most: f64,
+        on: ConnectionTerms,
     },
     Recall {
         inv: InvId,
--- a/src/record.rs
+++ b/src/record.rs
@@ -178,7 +178,10 @@
     pub(crate) guarded_stages: u32,
     pub(crate) keys_bound: bool,
     pub(crate) keys_warm: bool,
+    /// The earlier machines stay beside the new ones until the release.
+    pub(crate) beside: bool,
     pub(crate) dispute_weight: f64,
+    pub(crate) drain_grace: f64,
     pub(crate) cold_share: f64,
     pub(crate) cold_time: f64,
     pub(crate) cold_spend: f64,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod config;
 mod discovery;
+mod door;
 mod engineer;
 mod fleet;
 mod party;
@@ -16,6 +17,7 @@
 pub use client::Client;
 pub use config::{config, list};
 pub use discovery::Discovery;
+pub use door::Door;
 pub use engineer::{Engineer, Netconf, Office, proto};
 pub use fleet::{Fleet, Host, Seen};
 pub use party::{answer_each, fake_discovery, fake_host, nobody, party, value, words};
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -232,6 +232,21 @@
     assert_eq!(votes, []);
 }
 
+/// Where the earlier machines stay beside the new ones, the places are those of the earlier build.
+#[rstest]
+#[case::all_of_the_stage_run(4, true)]
+#[case::one_is_missing(3, false)]
+fn a_stage_beside_the_earlier_machines_is_there_once_its_own_run(#[case] new: u64, #[case] on: bool) {
+    let mut fake = Fake::new(ServiceTerms { stage_shares: vec![0.4], in_place: false, ..terms() }, 10);
+    fake.run(4.0, |_, _| (Verdict::Succeeded, 0.1));
+    fake.feed(news(NEW, 0, Phase::OnTrial, 0.5));
+    let (earlier, later) =
+        ((0..10).map(|id| host(id, OLD, None)), (10..10 + new).map(|id| host(id, NEW, None)));
+    fake.list(earlier.chain(later).collect());
+    let (votes, _) = fake.run(6.0, |_, _| (Verdict::Succeeded, 0.1));
+    assert_eq!(votes.contains(&Sense::On), on, "{votes:?}");
+}
+
 /// Late answers of the earlier build hold the bound on open dispatches: what is let in is few.
 #[test]
 fn idle_hosts_of_a_better_trial_get_their_part_of_all_that_comes() {
