Settings are refused by path: missing, twice, negative, no number or beyond all sense

Seen by reading terms/src: an operation named twice silently took the later one's terms; a flag, a load report form or a rate of votes that was missing was put as false, off or unlimited; counts, worth_by and replace_mode took any word as their second meaning; shares over 1, negative costs and caps of fewer stages than shares were taken. Of an object's key that stands twice the last counted (serde_json's Value).

Tenants' names, shares and quotas are checked too. router/src/program/unique.rs refuses a key that stands twice.

Tests: terms/tests/settings.rs (each key of a whole object left out in turn; 25 values), stories.rs (start and SIGHUP). The two cases of api_rate replace the value instead of adding a second one, which is refused itself now.

--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -8,13 +8,14 @@
 use kestreltide::interface::ServiceTerms;
 use kestreltide_terms::{Fields, Names, TransportTerms, decode};
 use serde::Deserialize;
-use serde_json::Value;
 use serde_json::value::RawValue;
 
 use crate::limits::Limits;
 use crate::protocol::discovery::{self, List};
 use crate::protocol::platform::StateForm;
 
+use super::unique::Unique;
+
 #[derive(Deserialize)]
 struct File<'a> {
     name: String,
@@ -29,7 +30,7 @@
     platform: Option<Platform>,
     #[serde(borrow)]
     known: Option<&'a RawValue>,
-    settings: Value,
+    settings: Unique,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -99,7 +100,7 @@
     let seed = file.seed.trim_start_matches("0x");
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed} is no hexadecimal number"))?;
     let mut names = Names::Named;
-    let (terms, transport) = decode(&Fields::from_json("settings", &file.settings), &mut names)?;
+    let (terms, transport) = decode(&Fields::from_json("settings", &file.settings.0), &mut names)?;
     let known = file.known.map(|known| discovery::list(known.get().as_bytes())).transpose();
     let known = known.map_err(|e| format!("known: {e}"))?;
     if file.limits.sockets == 0 || file.limits.memory_mb == 0 {
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod logs;
 pub mod operator;
+mod unique;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -467,9 +467,11 @@
     let mut client = program.client();
     client.send(&["Q.ASK", "k", "open", READ]);
     met.1.recv_timeout(PATIENCE).expect("the host has it");
-    // A file that is none, and one that would change more, leave all as it was.
+    // A file that is none, one with a bad value, and one that would change more, leave all as it was.
     program.reread("{\"name\"");
     assert!(program.logged("is not taken").contains("EOF"));
+    program.reread(&with(place, new_platform, "\"n0\"").replace("\"credit\":1.0", "\"credit\":-1.0"));
+    assert!(program.logged("is not taken").contains("settings.request_classes.0.credit"));
     program.reread(&with(place, new_platform, "\"other\""));
     assert!(program.logged("is not taken").contains("name"));
     program.reread(&with(place, new_platform, "\"n0\""));
@@ -627,8 +629,15 @@
 #[case::no_address("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen")]
 #[case::of_another_kind("\"sockets\":256", "\"sockets\":\"many\"", "limits.sockets")]
 #[case::in_the_settings("\"slo\":5000000,", "", "request_classes.0.slo")]
-#[case::negative_rate("\"ballot_ttl\":", "\"api_rate\":-1,\"ballot_ttl\":", "extra.api_rate")]
-#[case::no_rate("\"ballot_ttl\":", "\"api_rate\":\"NaN\",\"ballot_ttl\":", "extra.api_rate")]
+#[case::negative_rate("\"api_rate\":0.0", "\"api_rate\":-1", "extra.api_rate")]
+#[case::no_rate("\"api_rate\":0.0", "\"api_rate\":\"NaN\"", "extra.api_rate")]
+#[case::key_twice("\"api_rate\":0.0", "\"api_rate\":0.0,\"api_rate\":1.0", "api_rate stands twice")]
+#[case::operation_twice("\"name\":\"switch\"", "\"name\":\"read\"", "request_classes.1.name")]
+#[case::tenant_twice(
+    "\"accounts\":[]",
+    "\"accounts\":[{\"name\":\"x\"},{\"name\":\"x\"}]",
+    "accounts.1.name"
+)]
 #[case::unknown_word("\"gate_mode\":\"any\"", "\"gate_mode\":\"some\"", "extra.gate_mode")]
 #[case::known("\"rev\":1", "\"rev\":-1", "known")]
 fn a_bad_configuration_ends_the_program_and_names_the_field(
--- a/standins/src/config.rs
+++ b/standins/src/config.rs
@@ -14,7 +14,7 @@
 const SETTINGS: &str = r#"{"accounts":[],"discovery":"push","group_size":1,"me":0,"my_zone":"a","tick":5000,
     "worth_by":"request","weight_kind":"off","telemetry":{"via":"off","fields":[]},
     "extra":{"gate_mode":"any","votes_to_go":1,"back_votes":1,"stoppers":0,"bake":3000000,"rings":[1.0],
-    "ballot_ttl":10000000,"vote_wait":500000,"most_shares":[1.0],"counted_over":2000000,"spare_tries":3.0,
+    "ballot_ttl":10000000,"vote_wait":500000,"api_rate":0.0,"most_shares":[1.0],"counted_over":2000000,"spare_tries":3.0,
     "counts":"all","guarded_stages":0,"no_return":false,"replace_mode":"in_place","flag_share":0.0},
     "guarantees":{"ask_every":10000000,"drain_grace":500000,"cold_share":0.5,"cold":1000000,
     "fall_multiple":3.0,"fall":2000000},
--- a/terms/src/fields.rs
+++ b/terms/src/fields.rs
@@ -2,6 +2,8 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 use serde_json::Value;
@@ -62,42 +64,95 @@
         self.values.get(key).map(Cow::as_ref).filter(|value| !value.is_empty())
     }
 
+    /// An error about one value: its path, what is wrong, what was given.
+    pub fn wrong(&self, key: &str, why: impl Display) -> String {
+        match self.maybe(key) {
+            Some(given) => format!("{}.{key}: {why} ({given} was given)", self.name),
+            None => format!("{}.{key}: {why}", self.name),
+        }
+    }
+
     pub fn text(&self, key: &str) -> Result<&str, String> {
-        self.maybe(key).ok_or_else(|| format!("{} lacks {key}", self.name))
+        self.maybe(key).ok_or_else(|| self.wrong(key, "is missing"))
+    }
+
+    /// One of these words, as what it stands for.
+    pub fn one_of<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, String> {
+        let text = self.text(key)?;
+        let found = words.iter().find(|(word, _)| *word == text).map(|(_, meaning)| *meaning);
+        let known = || words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", ");
+        found.ok_or_else(|| self.wrong(key, format_args!("is none of {}", known())))
     }
 
-    fn read<T: FromStr>(&self, key: &str, value: &str) -> Result<T, String> {
-        value.parse().map_err(|_| format!("{key}={value} in {} is not of its kind", self.name))
+    fn read<T: FromStr>(&self, key: &str, value: &str, kind: &str) -> Result<T, String> {
+        value.parse().map_err(|_| self.wrong(key, format_args!("is {kind}")))
+    }
+
+    fn within<T: PartialOrd + Display>(
+        &self, key: &str, value: T, sense: &RangeInclusive<T>,
+    ) -> Result<T, String> {
+        if sense.contains(&value) {
+            return Ok(value);
+        }
+        Err(self.wrong(key, format_args!("is not within {} and {}", sense.start(), sense.end())))
     }
 
     pub fn whole<T: FromStr>(&self, key: &str) -> Result<T, String> {
-        self.read(key, self.text(key)?)
+        self.read(key, self.text(key)?, "no whole number, or beyond all sense")
+    }
+
+    /// A whole number from 0 on.
+    pub fn count<T: FromStr + PartialOrd + Display>(
+        &self, key: &str, sense: RangeInclusive<T>,
+    ) -> Result<T, String> {
+        self.within(key, self.whole(key)?, &sense)
     }
 
     pub fn maybe_whole<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
-        self.maybe(key).map(|value| self.read(key, value)).transpose()
+        self.maybe(key).map(|_| self.whole(key)).transpose()
     }
 
     pub fn number(&self, key: &str) -> Result<f64, String> {
-        let value: f64 = self.whole(key)?;
-        if value.is_finite() { Ok(value) } else { Err(format!("{key} in {} is not finite", self.name)) }
+        self.number_in(key, f64::MIN..=f64::MAX)
     }
 
+    /// Whole microseconds, as seconds.
     pub fn time(&self, key: &str) -> Result<f64, String> {
         Ok(seconds(self.whole(key)?))
     }
 
+    /// What is absent is not so.
     pub fn flag(&self, key: &str) -> Result<bool, String> {
-        match self.maybe(key) {
-            Some("1" | "true") => Ok(true),
-            Some("0" | "false") | None => Ok(false),
-            Some(other) => Err(format!("{key}={other} in {} is neither 1 nor 0", self.name)),
+        Ok(self.maybe(key).is_some() && self.yes_or_no(key)?)
+    }
+
+    pub fn number_in(&self, key: &str, sense: RangeInclusive<f64>) -> Result<f64, String> {
+        self.within(key, self.read(key, self.text(key)?, "no number")?, &sense)
+    }
+
+    /// A time in whole microseconds, as seconds.
+    pub fn time_in(&self, key: &str, sense: RangeInclusive<f64>) -> Result<f64, String> {
+        let time = self.time(key)?;
+        if sense.contains(&time) {
+            return Ok(time);
         }
+        let bounds = format!("{} and {}", sense.start() * MICROS, sense.end() * MICROS);
+        Err(self.wrong(key, format_args!("is not within {bounds} microseconds")))
+    }
+
+    pub fn yes_or_no(&self, key: &str) -> Result<bool, String> {
+        self.one_of(key, &[("true", true), ("1", true), ("false", false), ("0", false)])
     }
 
+    /// Numbers joined by commas; what is absent has none.
     pub fn numbers(&self, key: &str) -> Result<Vec<f64>, String> {
-        let list = self.maybe(key).unwrap_or_default().split(',').filter(|value| !value.is_empty());
-        list.map(|value| self.read(key, value)).collect()
+        if self.maybe(key).is_some() { self.numbers_in(key, f64::MIN..=f64::MAX) } else { Ok(vec![]) }
+    }
+
+    /// Numbers joined by commas, at least one.
+    pub fn numbers_in(&self, key: &str, sense: RangeInclusive<f64>) -> Result<Vec<f64>, String> {
+        let read = |value| self.within(key, self.read(key, value, "no list of numbers")?, &sense);
+        self.text(key)?.split(',').map(read).collect()
     }
 }
 
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -4,6 +4,7 @@
 mod fields;
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 
 pub use fields::{Fields, seconds};
 use kestreltide::interface::*;
@@ -116,127 +117,158 @@
     }
 }
 
-fn operation_terms(fields: &Fields, number: usize) -> Result<(String, OperationTerms), String> {
-    let key = |field: &str| format!("request_classes.{number}.{field}");
-    let repeats = match fields.text(&key("effect"))? {
-        "repeatable" => Repeats::Idempotent,
-        "by_key" => {
-            let group = match fields.text(&key("group"))? {
-                "all" => RepeatGroup::All,
-                "zone" => RepeatGroup::Zone,
-                "cell" => RepeatGroup::Cell,
-                other => return Err(format!("group {other} is not known")),
-            };
-            Repeats::Fingerprinted { group, window: fields.time(&key("window"))? }
+// What a value may be at all; beyond it somebody has mistaken a unit or a sign. Times in seconds.
+const ANY_TIME: RangeInclusive<f64> = 0.0..=86_400.0;
+const SOME_TIME: RangeInclusive<f64> = 1e-6..=86_400.0;
+const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+const SOME_SHARE: RangeInclusive<f64> = 1e-9..=1.0;
+const ANY: RangeInclusive<f64> = 0.0..=1e9;
+const SOME: RangeInclusive<f64> = 1e-9..=1e9;
+const ROUTERS: u32 = 1_000_000;
+const MANY: usize = 1_000_000_000;
+/// Operations or tenants.
+const NAMED: usize = 4096;
+
+/// The names of a list of objects, none of them twice.
+fn names(fields: &Fields, list: &str, count: usize) -> Result<Vec<String>, String> {
+    let mut found: Vec<String> = Vec::new();
+    for number in 0..count {
+        let key = format!("{list}.{number}.name");
+        let name = fields.text(&key)?;
+        if let Some(first) = found.iter().position(|other| other == name) {
+            return Err(fields.wrong(&key, format_args!("stands at {list}.{first}.name already")));
         }
-        "once" => Repeats::SideEffecting,
-        other => return Err(format!("effect {other} is not known")),
+        found.push(name.into());
+    }
+    Ok(found)
+}
+
+fn operation_terms(fields: &Fields, number: usize) -> Result<OperationTerms, String> {
+    let key = |field: &str| format!("request_classes.{number}.{field}");
+    #[derive(Clone, Copy)]
+    enum Effect {
+        Repeatable,
+        ByKey,
+        Once,
+    }
+    let effects = [("repeatable", Effect::Repeatable), ("by_key", Effect::ByKey), ("once", Effect::Once)];
+    let groups = [("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("cell", RepeatGroup::Cell)];
+    let repeats = match fields.one_of(&key("effect"), &effects)? {
+        Effect::Repeatable => Repeats::Idempotent,
+        Effect::ByKey => Repeats::Fingerprinted {
+            group: fields.one_of(&key("group"), &groups)?,
+            window: fields.time_in(&key("window"), SOME_TIME)?,
+        },
+        Effect::Once => Repeats::SideEffecting,
     };
     let stretch = key("aim_stretch");
-    let terms = OperationTerms {
-        slo_time: fields.time(&key("slo"))?,
-        slo_stretch: if fields.maybe(&stretch).is_some() { fields.number(&stretch)? } else { 0.0 },
-        time_limit: fields.time(&key("give_up"))?,
+    Ok(OperationTerms {
+        slo_time: fields.time_in(&key("slo"), SOME_TIME)?,
+        slo_stretch: if fields.maybe(&stretch).is_some() { fields.number_in(&stretch, ANY)? } else { 0.0 },
+        time_limit: fields.time_in(&key("give_up"), SOME_TIME)?,
         repeats,
-        billed_value: fields.number(&key("credit"))?,
-        late_share: fields.number(&key("late_worth"))?,
-        streamed: fields.flag(&key("stream"))?,
-    };
-    Ok((fields.text(&key("name"))?.into(), terms))
+        billed_value: fields.number_in(&key("credit"), ANY)?,
+        late_share: fields.number_in(&key("late_worth"), SHARE)?,
+        streamed: fields.yes_or_no(&key("stream"))?,
+    })
 }
 
-/// Where it is not told, or none, the platform takes any number.
-fn vote_rate(fields: &Fields) -> Result<f64, String> {
-    let told = fields.maybe("extra.api_rate").map(|_| fields.number("extra.api_rate")).transpose()?;
-    match told {
-        Some(rate) if rate < 0.0 => Err(format!("extra.api_rate={rate} in {} is below 0", fields.name)),
-        told => Ok(told.filter(|rate| *rate > 0.0).unwrap_or(f64::INFINITY)),
+/// Tenants have no part in what a router does; a list of them that cannot be one is refused all the same.
+fn check_tenants(fields: &Fields) -> Result<(), String> {
+    let count = if fields.maybe("accounts.count").is_some() {
+        fields.count("accounts.count", 0..=NAMED)?
+    } else {
+        0
+    };
+    names(fields, "accounts", count)?;
+    for number in 0..count {
+        for (field, sense) in [("quota_per_s", ANY), ("fraction", SHARE)] {
+            let key = format!("accounts.{number}.{field}");
+            if fields.maybe(&key).is_some() {
+                fields.number_in(&key, sense)?;
+            }
+        }
     }
+    Ok(())
 }
 
-/// The settings object as the terms of the decisions and the figures of the transport.
-pub fn decode(fields: &Fields, names: &mut Names) -> Result<(ServiceTerms, TransportTerms), String> {
-    let count: usize = fields.whole("request_classes.count")?;
-    let (mut operations, mut by_name) = (Vec::new(), BTreeMap::new());
-    for number in 0..count {
-        let (name, terms) = operation_terms(fields, number)?;
-        operations.push(terms);
-        by_name.insert(name, OperationId(number));
-    }
-    let sizes = match fields.text("weight_kind")? {
-        "off" => Sizes::Untold,
-        "nominal" => Sizes::Registered,
-        "rough" => Sizes::Rough,
-        "live" => Sizes::Live,
-        other => return Err(format!("weight_kind {other} is not known")),
-    };
-    let gate = match fields.text("extra.gate_mode")? {
-        "any" => Gate::Any,
-        "share" => Gate::Share,
-        "timer" => Gate::Clock,
-        other => return Err(format!("extra.gate_mode {other} is not known")),
-    };
-    let list_asked = match fields.text("discovery")? {
-        "ask" => true,
-        "push" => false,
-        other => return Err(format!("discovery {other} is not known")),
-    };
+/// The settings object as the terms of the decisions and the figures of the transport. What is missing, no such
+/// value or beyond all sense is refused by its path; keys that are not known are passed over.
+pub fn decode(fields: &Fields, zones: &mut Names) -> Result<(ServiceTerms, TransportTerms), String> {
+    let count: usize = fields.count("request_classes.count", 1..=NAMED)?;
+    let by_name = names(fields, "request_classes", count)?;
+    let by_name = by_name.into_iter().zip((0..).map(OperationId)).collect();
+    let operations =
+        (0..count).map(|number| operation_terms(fields, number)).collect::<Result<Vec<_>, _>>()?;
+    check_tenants(fields)?;
+    let sizes = [
+        ("off", Sizes::Untold),
+        ("nominal", Sizes::Registered),
+        ("rough", Sizes::Rough),
+        ("live", Sizes::Live),
+    ];
+    let gates = [("any", Gate::Any), ("share", Gate::Share), ("timer", Gate::Clock)];
+    let reports = [("inline", Reports::Inline), ("on_probe", Reports::OnProbe), ("off", Reports::Off)];
     let load_fields = fields.maybe("telemetry.fields").unwrap_or_default().split(',');
     let load_fields = load_fields.filter(|name| !name.is_empty()).map(load_field);
-    let reports = match fields.maybe("telemetry.via").unwrap_or("off") {
-        "inline" => Reports::Inline,
-        "on_probe" => Reports::OnProbe,
-        "off" => Reports::Off,
-        other => return Err(format!("telemetry.via {other} is not known")),
-    };
     let transport = TransportTerms {
         operations: by_name,
         load_fields: load_fields.collect(),
-        reports,
-        connect_time: fields.time("permissions.connect_timeout")?,
-        idle_time: fields.time("permissions.keepalive")?,
-        most_open: fields.whole("permissions.max_open")?,
+        reports: fields.one_of("telemetry.via", &reports)?,
+        connect_time: fields.time_in("permissions.connect_timeout", SOME_TIME)?,
+        idle_time: fields.time_in("permissions.keepalive", SOME_TIME)?,
+        most_open: fields.count("permissions.max_open", 1..=MANY)?,
     };
+    let routers = fields.count("group_size", 1..=ROUTERS)?;
+    let stage_shares = fields.numbers_in("extra.rings", SHARE)?;
+    let stage_caps = fields.numbers_in("extra.most_shares", SHARE)?;
+    if stage_caps.len() != stage_shares.len() {
+        let why = format!("has {} stages, extra.rings {}", stage_caps.len(), stage_shares.len());
+        return Err(fields.wrong("extra.most_shares", why));
+    }
+    let rate = fields.number_in("extra.api_rate", ANY)?;
     let terms = ServiceTerms {
-        me: RouterId(fields.whole("me")?),
-        routers: fields.whole("group_size")?,
-        zone: fields.maybe("my_zone").map(|zone| names.zone(zone)),
+        me: RouterId(fields.count("me", 0..=routers - 1)?),
+        routers,
+        zone: Some(zones.zone(fields.text("my_zone")?)),
         operations,
-        billed_by_work: fields.text("worth_by")? == "work",
-        list_asked,
-        ask_every: fields.time("guarantees.ask_every")?,
-        sizes,
-        gate,
-        votes_on: fields.whole("extra.votes_to_go")?,
-        votes_back: fields.whole("extra.back_votes")?,
-        votes_hold: fields.whole("extra.stoppers")?,
-        bake: fields.time("extra.bake")?,
-        ballot_life: fields.time("extra.ballot_ttl")?,
-        vote_wait: fields.time("extra.vote_wait")?,
-        vote_rate: vote_rate(fields)?,
-        stage_shares: fields.numbers("extra.rings")?,
-        stage_caps: fields.numbers("extra.most_shares")?,
-        exposure_window: fields.time("extra.counted_over")?,
-        exposure_spare: fields.number("extra.spare_tries")?,
-        exposure_by_operation: fields.text("extra.counts")? == "class",
+        billed_by_work: fields.one_of("worth_by", &[("work", true), ("request", false)])?,
+        list_asked: fields.one_of("discovery", &[("ask", true), ("push", false)])?,
+        ask_every: fields.time_in("guarantees.ask_every", SOME_TIME)?,
+        sizes: fields.one_of("weight_kind", &sizes)?,
+        gate: fields.one_of("extra.gate_mode", &gates)?,
+        votes_on: fields.count("extra.votes_to_go", 0..=ROUTERS)?,
+        votes_back: fields.count("extra.back_votes", 0..=ROUTERS)?,
+        votes_hold: fields.count("extra.stoppers", 0..=ROUTERS)?,
+        bake: fields.time_in("extra.bake", ANY_TIME)?,
+        ballot_life: fields.time_in("extra.ballot_ttl", SOME_TIME)?,
+        vote_wait: fields.time_in("extra.vote_wait", SOME_TIME)?,
+        // 0: the platform takes any number.
+        vote_rate: if rate > 0.0 { rate } else { f64::INFINITY },
+        stage_shares,
+        stage_caps,
+        exposure_window: fields.time_in("extra.counted_over", SOME_TIME)?,
+        exposure_spare: fields.number_in("extra.spare_tries", ANY)?,
+        exposure_by_operation: fields.one_of("extra.counts", &[("class", true), ("all", false)])?,
         guarded_stages: fields.whole("extra.guarded_stages")?,
-        keys_bound: fields.flag("extra.no_return")?,
-        keys_warm: fields.flag("extra.warm_keys")?,
-        in_place: fields.text("extra.replace_mode")? == "in_place",
-        dispute_share: fields.number("extra.flag_share")?,
-        drain_grace: fields.time("guarantees.drain_grace")?,
-        cold_share: fields.number("guarantees.cold_share")?,
-        cold_time: fields.time("guarantees.cold")?,
-        fall_multiple: fields.number("guarantees.fall_multiple")?,
-        fall_time: fields.time("guarantees.fall")?,
-        may_probe: fields.flag("permissions.may_probe")?,
-        may_tell: fields.flag("permissions.peers")?,
-        may_recall: fields.flag("permissions.cancel")?,
-        may_copy: fields.flag("permissions.second_copies")?,
-        may_advise: fields.flag("permissions.retry_after")?,
-        longest_advice: fields.time("permissions.max_retry_after")?,
-        most_dispatches: fields.whole("permissions.max_attempts")?,
-        tick: fields.time("tick")?,
+        keys_bound: fields.yes_or_no("extra.no_return")?,
+        // The one key of these that may be absent, by the pages.
+        keys_warm: fields.maybe("extra.warm_keys").is_some() && fields.yes_or_no("extra.warm_keys")?,
+        in_place: fields.one_of("extra.replace_mode", &[("in_place", true), ("beside", false)])?,
+        dispute_share: fields.number_in("extra.flag_share", SHARE)?,
+        drain_grace: fields.time_in("guarantees.drain_grace", ANY_TIME)?,
+        cold_share: fields.number_in("guarantees.cold_share", SOME_SHARE)?,
+        cold_time: fields.time_in("guarantees.cold", ANY_TIME)?,
+        fall_multiple: fields.number_in("guarantees.fall_multiple", SOME)?,
+        fall_time: fields.time_in("guarantees.fall", ANY_TIME)?,
+        may_probe: fields.yes_or_no("permissions.may_probe")?,
+        may_tell: fields.yes_or_no("permissions.peers")?,
+        may_recall: fields.yes_or_no("permissions.cancel")?,
+        may_copy: fields.yes_or_no("permissions.second_copies")?,
+        may_advise: fields.yes_or_no("permissions.retry_after")?,
+        longest_advice: fields.time_in("permissions.max_retry_after", ANY_TIME)?,
+        most_dispatches: fields.count("permissions.max_attempts", 1..=ROUTERS)?,
+        tick: fields.time_in("tick", SOME_TIME)?,
     };
     Ok((terms, transport))
 }
--- /dev/null
+++ b/terms/tests/settings.rs
@@ -0,0 +1,108 @@
+//! Settings that are none: each is refused by its path, and nothing is put in the place of what is missing.
+
+use kestreltide_terms::{Fields, Names, decode};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({
+        "accounts": [{"name": "north", "quota_per_s": 10.0, "fraction": 0.5}],
+        "discovery": "push", "group_size": 3, "me": 2, "my_zone": "a", "tick": 5000,
+        "worth_by": "request", "weight_kind": "off", "telemetry": {"via": "off", "fields": []},
+        "extra": {"gate_mode": "any", "votes_to_go": 1, "back_votes": 1, "stoppers": 0, "bake": 0, "rings": [0.5, 1.0],
+            "ballot_ttl": 1, "vote_wait": 1, "most_shares": [0.5, 1.0], "counted_over": 1, "spare_tries": 0.0,
+            "counts": "all", "guarded_stages": 0, "no_return": false, "replace_mode": "in_place", "flag_share": 0.0,
+            "api_rate": 0.0},
+        "guarantees": {"ask_every": 1, "drain_grace": 0, "cold_share": 0.5, "cold": 0, "fall_multiple": 3.0, "fall": 0},
+        "permissions": {"may_probe": false, "peers": false, "cancel": true, "second_copies": false,
+            "retry_after": false, "max_retry_after": 0, "max_attempts": 1, "connect_timeout": 1, "keepalive": 1,
+            "max_open": 1},
+        "request_classes": [
+            {"name": "read", "effect": "repeatable", "slo": 1, "give_up": 1, "credit": 0.0, "late_worth": 0.0,
+                "stream": false},
+            {"name": "change", "effect": "by_key", "group": "all", "window": 1, "slo": 1, "give_up": 1, "credit": 1.0,
+                "late_worth": 1.0, "stream": false}]
+    })
+}
+
+fn refusal(settings: &Value) -> Option<String> {
+    decode(&Fields::from_json("settings", settings), &mut Names::Named).err()
+}
+
+/// The place of a path in the object.
+fn at<'a>(settings: &'a mut Value, path: &str) -> &'a mut Value {
+    settings.pointer_mut(&format!("/{}", path.replace('.', "/"))).expect("it is there")
+}
+
+#[test]
+fn the_least_that_is_well_is_taken() {
+    assert_eq!(refusal(&settings()), None);
+}
+
+#[test]
+fn whatever_is_missing_is_refused_by_its_path() {
+    // These say what nobody needs: no load fields, no tenants' figures.
+    let free = ["telemetry.fields", "accounts.0.quota_per_s", "accounts.0.fraction"];
+    fn leaves(path: String, value: &Value, found: &mut Vec<String>) {
+        let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+        match value {
+            Value::Object(map) => map.iter().for_each(|(key, value)| leaves(below(key), value, found)),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                items.iter().enumerate().for_each(|(n, item)| leaves(below(&n.to_string()), item, found));
+            }
+            _ => found.push(path),
+        }
+    }
+    let mut paths = vec![];
+    leaves(String::new(), &settings(), &mut paths);
+    assert!(paths.len() > 50, "{paths:?}");
+    for path in paths.iter().filter(|path| !free.contains(&path.as_str())) {
+        let mut settings = settings();
+        *at(&mut settings, path) = Value::Null;
+        assert_eq!(refusal(&settings), Some(format!("settings.{path}: is missing")));
+    }
+}
+
+#[rstest]
+#[case::negative_time("request_classes.0.slo", json!(-1))]
+#[case::no_time("guarantees.drain_grace", json!("soon"))]
+#[case::time_with_fractions("request_classes.0.give_up", json!(1.5))]
+#[case::no_time_at_all("request_classes.1.window", json!(0))]
+#[case::time_in_other_units("request_classes.0.give_up", json!(2_500_000_000_000_u64))]
+#[case::time_beyond_sense("permissions.keepalive", json!(1e30))]
+#[case::share_over_all("guarantees.cold_share", json!(1.5))]
+#[case::negative_share("extra.flag_share", json!(-0.1))]
+#[case::one_bad_share_of_a_list("extra.rings", json!([0.5, 7.0]))]
+#[case::no_shares("extra.rings", json!([]))]
+#[case::caps_of_fewer_stages("extra.most_shares", json!([1.0]))]
+#[case::no_number("extra.spare_tries", json!("NaN"))]
+#[case::endless("guarantees.fall_multiple", json!("inf"))]
+#[case::negative_cost("request_classes.1.credit", json!(-3.0))]
+#[case::late_share("request_classes.1.late_worth", json!(2))]
+#[case::no_dispatch("permissions.max_attempts", json!(0))]
+#[case::no_invocation("permissions.max_open", json!(0))]
+#[case::no_router("group_size", json!(0))]
+#[case::another_router("me", json!(3))]
+#[case::unknown_word("extra.replace_mode", json!("sideways"))]
+#[case::unknown_count("extra.counts", json!("none"))]
+#[case::unknown_worth("worth_by", json!("weight"))]
+#[case::no_flag("permissions.cancel", json!("perhaps"))]
+#[case::tenants_share("accounts.0.fraction", json!(-1))]
+#[case::tenants_quota("accounts.0.quota_per_s", json!("many"))]
+fn what_is_no_such_value_is_refused_by_its_path(#[case] path: &str, #[case] value: Value) {
+    let mut settings = settings();
+    *at(&mut settings, path) = value;
+    let why = refusal(&settings).expect("it is refused");
+    assert!(why.starts_with(&format!("settings.{path}: ")), "{why}");
+}
+
+#[rstest]
+#[case::operation("request_classes", "request_classes.2.name")]
+#[case::tenant("accounts", "accounts.1.name")]
+fn who_is_named_twice_is_refused(#[case] list: &str, #[case] named: &str) {
+    let mut settings = settings();
+    let first = settings[list][0].clone();
+    settings[list].as_array_mut().expect("a list").push(first);
+    let why = refusal(&settings).expect("it is refused");
+    assert!(why.starts_with(&format!("settings.{named}: stands at {list}.0.name already")), "{why}");
+}
