--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -117,7 +117,8 @@
     /// one.
     fn link_to(&mut self, host: HostId, now: f64, on: ConnectionTerms) -> Option<SocketId> {
         while let Some((id, since)) = self.pools.take(host, now - on.rested_least, on.resting_most) {
-            if now - since > on.unused_most {
+            // Its host may be closing it by now; what is written then is reset, and may not be repeated.
+            if now - since > on.unused_most.min(self.limits.idle_time) {
                 self.close_link(id);
                 self.close_idle(host);
                 break;
--- a/router/tests/upstream.rs
+++ b/router/tests/upstream.rs
@@ -129,3 +129,31 @@
     let opened = *opened.lock().expect("no panic before");
     assert!((1..=8).contains(&opened), "{opened}");
 }
+
+/// Hosts close what is without use for the time in the settings; what is written as they do is reset, and the
+/// dispatch of a side-effecting operation cannot be repeated.
+#[test]
+fn no_connection_is_used_that_its_host_may_be_closing() {
+    let gaps = Arc::new(Mutex::new(vec![]));
+    let seen = gaps.clone();
+    let at = party(move |stream| {
+        let answered = Mutex::new(None);
+        answer_each(stream, |words| {
+            let mut answered = answered.lock().expect("no panic before");
+            let gap = answered.replace(Instant::now()).map(|at: Instant| at.elapsed());
+            seen.lock().expect("no panic before").extend(gap);
+            value(&words[2])
+        });
+    });
+    let program = router_at(at, |text| text.replace("\"keepalive\":30000000", "\"keepalive\":300000"));
+    let mut client = program.client();
+    for id in 0..12 {
+        // Longer than the settings say, and twice within.
+        let pause = [350, 40, 40][id % 3];
+        thread::sleep(Duration::from_millis(pause));
+        assert_eq!(client.ask(&["Q.DO", "k", &id.to_string(), SWITCH]), id.to_string());
+    }
+    let gaps = gaps.lock().expect("no panic before");
+    assert!(!gaps.is_empty(), "connections are used again");
+    assert!(gaps.iter().all(|gap| *gap < Duration::from_millis(300)), "{gaps:?}");
+}
