Shutdown: nobody comes any more after half of its time, so that busy clients end too

Now, from half of the time to the last on, the listener is closed (who waits is accepted first, bounded) and 5 ms of quiet do.

--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -116,6 +116,9 @@
     /// Who has come and is silent, who has just got an answer, who was told of the close and who crossed one
     /// has this time.
     pub last_call: f64,
+    /// Once nobody comes any more, who has just got an answer has this time: a client that has a command ready
+    /// writes it at once.
+    pub brief_quiet: f64,
     /// After SIGTERM: what is open is given up and answered, what still comes is turned away, and the program
     /// ends whoever is left. Both before SIGKILL, with a tenth of a second for a loop that is late.
     pub shutdown_last: f64,
@@ -199,6 +202,7 @@
             stale_answer: longest,
             serving_on: SERVING_ON,
             last_call: 0.1,
+            brief_quiet: 0.005,
             shutdown_last: longest.min(KILL_COUNTS) + KILL_AFTER - 0.3,
             shutdown_end: longest.min(KILL_COUNTS) + KILL_AFTER - 0.1,
             posted: 16,
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -88,6 +88,7 @@
     VoteOver(u64),
     Ready,
     ServingOver,
+    DrainingOver,
     /// Of the graceful shutdown: who is told of the close and silent has had its time.
     DrainAgain,
     /// Nobody has come since all connections were closed for the time of this number.
@@ -308,6 +309,7 @@
             Due::VoteOver(call) => self.vote_over(call),
             Due::Ready => self.ready_by("time"),
             Due::ServingOver => self.serving_over(),
+            Due::DrainingOver => self.draining_over(),
             Due::DrainAgain => self.drain_due(),
             Due::LastCallOver(number) => self.last_call_over(number),
             Due::LastTime => self.last_time(),
--- a/router/src/routing/shutdown.rs
+++ b/router/src/routing/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown: clients still come for a while and are served; then connections are closed as they fall
-//! idle, and the program ends once all that was taken is answered, at the last with no answer but that.
+//! quiet, while whoever crosses that may come again; then nobody comes any more, and the program ends once all
+//! that was taken is answered, be it by giving it up.
 
 use slog::info;
 
@@ -18,6 +19,8 @@
     Draining,
     /// All connections are closed: who crossed the close of one comes again on a new one.
     LastCall,
+    /// Nobody comes any more, so that those who are never quiet for long end too.
+    Closing,
     /// What was open has been given up and answered, and what still comes is turned away at once.
     GivenUp,
     Over,
@@ -31,6 +34,8 @@
     Empty,
     Came,
     LastCallOver,
+    /// Half of the time left is over.
+    DrainingOver,
     /// SIGKILL is near.
     LastTime,
     End,
@@ -42,20 +47,24 @@
     Begin,
     CloseIdle,
     CallLast,
+    CloseListener,
     GiveUp,
 }
 
 /// State, input, next state, what is done. What is not in it changes nothing: a second SIGTERM, a timer of a
 /// state that has passed.
-const SHUTDOWN: [(Shutdown, Input, Shutdown, Act); 10] = [
+const SHUTDOWN: [(Shutdown, Input, Shutdown, Act); 13] = [
     (Shutdown::No, Input::Told, Shutdown::Serving, Act::Begin),
     (Shutdown::Serving, Input::ServingOver, Shutdown::Draining, Act::CloseIdle),
     (Shutdown::Serving, Input::LastTime, Shutdown::GivenUp, Act::GiveUp),
     (Shutdown::Draining, Input::Empty, Shutdown::LastCall, Act::CallLast),
     (Shutdown::Draining, Input::LastTime, Shutdown::GivenUp, Act::GiveUp),
+    (Shutdown::Draining, Input::DrainingOver, Shutdown::Closing, Act::CloseListener),
     (Shutdown::LastCall, Input::Came, Shutdown::Draining, Act::Nothing),
+    (Shutdown::LastCall, Input::DrainingOver, Shutdown::Closing, Act::CloseListener),
     (Shutdown::LastCall, Input::LastCallOver, Shutdown::Over, Act::Nothing),
-    (Shutdown::LastCall, Input::LastTime, Shutdown::Over, Act::Nothing),
+    (Shutdown::Closing, Input::Empty, Shutdown::Over, Act::Nothing),
+    (Shutdown::Closing, Input::LastTime, Shutdown::GivenUp, Act::GiveUp),
     (Shutdown::GivenUp, Input::Empty, Shutdown::Over, Act::Nothing),
     (Shutdown::GivenUp, Input::End, Shutdown::Over, Act::Nothing),
 ];
@@ -74,6 +83,7 @@
                 let at = self.clock.now() + self.limits.last_call;
                 self.set_due(at, Due::LastCallOver(self.last_calls));
             }
+            Act::CloseListener => self.close_listener(),
             Act::GiveUp => self.give_up_all(),
         }
     }
@@ -92,6 +102,10 @@
         }
     }
 
+    pub(super) fn draining_over(&mut self) {
+        self.shut_down(Input::DrainingOver);
+    }
+
     pub(super) fn last_time(&mut self) {
         self.shut_down(Input::LastTime);
     }
@@ -109,7 +123,8 @@
 
     /// A connection without use is closed, once nothing that came on it is left unread.
     pub(super) fn is_draining(&self) -> bool {
-        matches!(self.shutdown, Shutdown::Draining | Shutdown::LastCall | Shutdown::GivenUp)
+        use Shutdown::*;
+        matches!(self.shutdown, Draining | LastCall | Closing | GivenUp)
     }
 
     /// There is no time left to serve what comes.
@@ -129,6 +144,7 @@
         let (serving, last, end) = (limits.serving_on, limits.shutdown_last, limits.shutdown_end);
         self.last_at = Some(told + last);
         self.set_due(now + serving, Due::ServingOver);
+        self.set_due((now + serving).midpoint(told + last), Due::DrainingOver);
         self.set_due(told + last, Due::LastTime);
         self.set_due(told + end, Due::ShutdownEnd);
     }
@@ -138,13 +154,28 @@
         self.clients.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.take_in(id));
     }
 
+    /// Who waits to be accepted is still served; bounded, as a flood would never end.
+    fn close_listener(&mut self) {
+        info!(self.log, "closing"; "open" => self.admitted.len(), "clients" => self.clients.len());
+        (0..self.limits.backlog as usize / self.limits.accepts).take_while(|_| self.accept()).for_each(drop);
+        if let Some(listener) = self.listener.take() {
+            listener.close(&self.net);
+        }
+        self.drain_due();
+    }
+
     fn drain_again(&mut self) {
         if !self.drain_due {
             self.drain_due = true;
-            self.set_due(self.clock.now() + self.limits.last_call, Due::DrainAgain);
+            self.set_due(self.clock.now() + self.quiet(), Due::DrainAgain);
         }
     }
 
+    /// After so long without a command or an answer a connection is closed.
+    fn quiet(&self) -> f64 {
+        if self.listener.is_some() { self.limits.last_call } else { self.limits.brief_quiet }
+    }
+
     /// Closes who came a while ago and is still silent, and who was told of the close and does not end.
     pub(super) fn drain_due(&mut self) {
         self.drain_due = false;
@@ -164,12 +195,12 @@
     /// unanswered, so that its client may send it once more.
     pub(super) fn drain_client(&mut self, id: SocketId) {
         let now = self.clock.now();
-        let (last_call, most) = (self.limits.last_call, self.limits.dropped);
+        let (quiet, last_call, most) = (self.quiet(), self.limits.last_call, self.limits.dropped);
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.closing || !client.is_idle() || client.is_begun() {
             return;
         }
-        if now - client.used >= last_call {
+        if now - client.used >= quiet {
             client.closing = true;
             client.lingers = Some((now + last_call, most));
             if client.stream.end().is_err() {
--- a/router/tests/shutdown.rs
+++ b/router/tests/shutdown.rs
@@ -186,6 +186,26 @@
     floods.into_iter().for_each(|flood| flood.join().expect("it ends with the listener"));
 }
 
+/// Clients that are never quiet for long would keep the program to the last, and lose what is open then.
+#[test]
+fn after_half_of_its_time_nobody_comes_any_more_and_what_is_open_is_answered() {
+    let (host, met, release) = holding_host();
+    let mut program = router_at(host, |text| text);
+    let mut client = program.client();
+    client.send(&["Q.ASK", "k", "held", READ]);
+    met.recv_timeout(PATIENCE).expect("the host has it");
+    program.signal("TERM");
+    program.logged("closing");
+    // The line comes just before; whoever is accepted still is served.
+    while let Ok(stream) = TcpStream::connect(program.at) {
+        drop(stream);
+    }
+    release.send(()).expect("the host waits");
+    assert_eq!(client.answer(), "held");
+    assert!(!program.lines_until("stopped").iter().any(|line| line.contains("giving up")));
+    assert!(program.child.wait().expect("an end").success());
+}
+
 #[test]
 fn told_twice_and_to_read_its_file_again_it_ends_as_if_told_once() {
     let (host, met, release) = holding_host();
