--- a/router/src/fronts/supervise.rs
+++ b/router/src/fronts/supervise.rs
@@ -39,17 +39,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use slog::{Discard, o};
-
-    #[test]
-    fn a_front_that_dies_is_started_again_and_goes_on() {
-        let mut steps = 0;
-        let front = supervise(Logger::root(Discard, o!()), "test", move || {
-            steps += 1;
-            assert!(steps > 2, "it dies twice");
-        });
-        assert_eq!(front.expect("it starts").join().expect("it ends"), 2);
-    }
-}
+mod tests;
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -286,7 +286,7 @@
         // Hosts know an invocation by its id: with another's, one would be answered for the other.
         if let Some(holder) = self.open_ids.get(asked.id) {
             // Unless that client is gone, which is only not read yet: then it is sent again.
-            let left = self.clients.get(holder).is_none_or(|client| client.stream.is_left());
+            let left = self.clients.get(holder).is_some_and(|client| client.stream.is_left());
             return Ok(if left { Step::Left(*holder) } else { Step::Fail(OPEN_ID) });
         }
         if asked.time_millis as f64 > self.limits.longest_wait * 1e3 {
--- a/router/tests/upstream.rs
+++ b/router/tests/upstream.rs
@@ -157,3 +157,45 @@
     assert!(!gaps.is_empty(), "connections are used again");
     assert!(gaps.iter().all(|gap| *gap < Duration::from_millis(300)), "{gaps:?}");
 }
+
+/// What a host sends after the whole command of a side-effecting dispatch, whether it ends the connection then, and
+/// what the client is told: its value only where it is whole. Nobody else loses an answer, no connection is kept.
+#[rstest]
+#[case::half_then_gone("*3\r\n$5\r\nab", true, 5000, "-ERR failed")]
+#[case::no_end("*3\r\n$5\r\nab", false, 300, "-ERR failed")]
+#[case::two("*3\r\n$3\r\nbad\r\n$-1\r\n$-1\r\n*3\r\n$3\r\nbad\r\n$-1\r\n$-1\r\n", false, 5000, "bad")]
+#[case::one_and_half("*3\r\n$3\r\nbad\r\n$-1\r\n$-1\r\n*3\r\n$3", false, 5000, "bad")]
+#[case::wrong_type(":5\r\n", false, 5000, "-ERR failed")]
+#[case::length_that_lies("*3\r\n$2\r\nbad\r\n", false, 5000, "-ERR failed")]
+#[case::longer_than_may_be("*3\r\n$999999\r\n", false, 5000, "-ERR failed")]
+#[case::nested_without_end("*1\r\n*1\r\n*1\r\n*1\r\n", false, 5000, "-ERR failed")]
+fn a_broken_answer_costs_its_own_dispatch_and_its_connection(
+    #[case] answer: &'static str, #[case] ends: bool, #[case] waits_millis: u32, #[case] told: &str,
+) {
+    let at = party(move |stream| {
+        answer_each(stream.try_clone().expect("a second handle"), |words| match words[2].as_str() {
+            "bad" if ends => {
+                let _ = (&stream).write_all(answer.as_bytes());
+                None
+            }
+            "bad" => Some(answer.into()),
+            _ => value(&words[2]),
+        });
+    });
+    let program = router_at(at, |text| text);
+    let folder = format!("/proc/{}/fd", program.child.id());
+    let descriptors = || std::fs::read_dir(&folder).expect("it runs").count();
+    let (mut bad, mut good) = (program.client(), program.client());
+    assert_eq!(good.ask(&["Q.ASK", "k", "first", READ]), "first");
+    let before = descriptors();
+    for round in 0..3 {
+        bad.send(&["Q.DO", "k", "bad", &format!("c=switch,d={waits_millis}")]);
+        assert_eq!(good.ask(&["Q.ASK", "k", &round.to_string(), READ]), round.to_string());
+        // A host that keeps silent is sent less: what never went out to it may be turned away.
+        let said = bad.answer();
+        assert!(said == told || round > 0 && said == "-BUSY", "{said}");
+    }
+    assert_eq!(good.ask(&["Q.ASK", "k", "last", READ]), "last");
+    // The good ones' connections stay, at most one each while the others rest.
+    assert!(descriptors() <= before + 4, "{} and {before}", descriptors());
+}
