--- a/router/tests/discovery.rs
+++ b/router/tests/discovery.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use kestreltide_standins::*;
 
@@ -74,3 +75,32 @@
     assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "b");
     assert!(asked.load(Relaxed) < 10, "{}", asked.load(Relaxed));
 }
+
+/// A watch that has fallen silent is broken, and told counts from 7 s after its question: until then what it missed
+/// is here by another.
+#[test]
+fn a_silent_watch_is_opened_anew_before_what_it_misses_counts() {
+    let (a, b) = (named("a"), named("b"));
+    let asked = Arc::new(Mutex::new(vec![]));
+    let seen = asked.clone();
+    let at = party(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(question) = question(&mut reader) {
+            let watch = question.contains("from=2");
+            let mut seen = seen.lock().expect("no panic before");
+            seen.extend(watch.then(Instant::now));
+            match seen.len() {
+                0 => answer(&stream, &list(2, true, &[("a", a, "Ready"), ("b", b, "Ready")])),
+                // Silent from here on, though it stays open.
+                1 => {}
+                _ => answer(&stream, &list(3, false, &[("a", a, "Terminating")])),
+            }
+        }
+    });
+    let program = Program::start(BINARY, &config(at, &list(1, true, &[])));
+    program.logged("rev: 3");
+    let asked = asked.lock().expect("no panic before");
+    let between = asked[1].duration_since(asked[0]).as_secs_f64();
+    assert!((5.0..6.5).contains(&between), "{between}");
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "b");
+}
