--- a/router/tests/shutdown.rs
+++ b/router/tests/shutdown.rs
@@ -51,6 +51,15 @@
     idle
 }
 
+/// A client whose invocation the host holds, of a router that closes connections without use by now.
+fn held_while_draining(program: &Program, met: &Receiver<()>) -> Client {
+    let (mut idle, mut client) = (idle(program), program.client());
+    client.send(&["Q.ASK", "k", "held", READ]);
+    met.recv_timeout(PATIENCE).expect("the host has it");
+    drain(program, &mut idle);
+    client
+}
+
 /// All that still comes: to the end of the connection, which must be no reset.
 fn rest(mut stream: &TcpStream) -> String {
     let mut text = String::new();
@@ -64,10 +73,7 @@
 fn half_a_command_that_came_before_the_close_is_read_to_its_end_and_answered() {
     let (host, met, release) = holding_host();
     let program = router_at(host, |text| text);
-    let (mut idle, mut client) = (idle(&program), program.client());
-    client.send(&["Q.ASK", "k", "held", READ]);
-    met.recv_timeout(PATIENCE).expect("the host has it");
-    drain(&program, &mut idle);
+    let mut client = held_while_draining(&program, &met);
     client.write(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n");
     release.send(()).expect("the host waits");
     assert_eq!(client.answer(), "held");
@@ -80,10 +86,7 @@
 fn a_command_sent_again_on_a_new_connection_is_served_while_others_are_open() {
     let (host, met, release) = holding_host();
     let mut program = router_at(host, |text| text);
-    let (mut idle, mut client) = (idle(&program), program.client());
-    client.send(&["Q.ASK", "k", "held", READ]);
-    met.recv_timeout(PATIENCE).expect("the host has it");
-    drain(&program, &mut idle);
+    let mut client = held_while_draining(&program, &met);
     // It crossed the close, so its client sends it once more, as it may.
     let mut again = program.client();
     assert_eq!(again.ask(&["Q.ASK", "k", "again", READ]), "again");
@@ -97,10 +100,7 @@
 fn who_is_turned_away_while_the_router_ends_still_reads_why_and_no_reset() {
     let (host, met, release) = holding_host();
     let mut program = router_at(host, |text| text);
-    let (mut idle, mut client) = (idle(&program), program.client());
-    client.send(&["Q.ASK", "k", "held", READ]);
-    met.recv_timeout(PATIENCE).expect("the host has it");
-    drain(&program, &mut idle);
+    let mut client = held_while_draining(&program, &met);
     client.write(b"nonsense\r\n");
     program.logged("malformed");
     // Unread at the close it would make it a reset, that may overtake the error line.
--- a/router/tests/upstream.rs
+++ b/router/tests/upstream.rs
@@ -21,6 +21,23 @@
     Program::start(BINARY, &change(config(fake_discovery(answers), &known)))
 }
 
+/// A host that answers all at once, and the times for which its connections had been without use before each use.
+fn gap_noting_host() -> (SocketAddr, Arc<Mutex<Vec<Duration>>>) {
+    let gaps = Arc::new(Mutex::new(vec![]));
+    let seen = gaps.clone();
+    let at = party(move |stream| {
+        let answered = Mutex::new(None);
+        answer_each(stream, |words| {
+            let mut answered = answered.lock().expect("no panic before");
+            // Counted from before the answer is written, a gap only looks longer.
+            let gap = answered.replace(Instant::now()).map(|at: Instant| at.elapsed());
+            seen.lock().expect("no panic before").extend(gap);
+            value(&words[2])
+        });
+    });
+    (at, gaps)
+}
+
 #[rstest]
 #[case::to_the_first_host("c=switch,d=5000", "-BUSY")]
 #[case::of_an_operation_that_may_repeat("c=read,d=5000", "-BUSY")]
@@ -88,19 +105,7 @@
 /// Answers carry no id: a second one that comes some milliseconds late would be the next dispatch's value.
 #[test]
 fn a_connection_rests_after_an_answer_before_it_is_used_again() {
-    let gaps = Arc::new(Mutex::new(vec![]));
-    let seen = gaps.clone();
-    let at = party(move |stream| {
-        let answered = Mutex::new(None);
-        answer_each(stream, |words| {
-            let mut answered = answered.lock().expect("no panic before");
-            let gap = answered.map(|at: Instant| at.elapsed());
-            seen.lock().expect("no panic before").extend(gap);
-            // Counted from before the answer is written, a gap only looks longer.
-            *answered = Some(Instant::now());
-            value(&words[2])
-        });
-    });
+    let (at, gaps) = gap_noting_host();
     let program = router_at(at, |text| text);
     let mut client = program.client();
     for id in 0..40 {
@@ -134,17 +139,7 @@
 /// dispatch of a side-effecting operation cannot be repeated.
 #[test]
 fn no_connection_is_used_that_its_host_may_be_closing() {
-    let gaps = Arc::new(Mutex::new(vec![]));
-    let seen = gaps.clone();
-    let at = party(move |stream| {
-        let answered = Mutex::new(None);
-        answer_each(stream, |words| {
-            let mut answered = answered.lock().expect("no panic before");
-            let gap = answered.replace(Instant::now()).map(|at: Instant| at.elapsed());
-            seen.lock().expect("no panic before").extend(gap);
-            value(&words[2])
-        });
-    });
+    let (at, gaps) = gap_noting_host();
     let program = router_at(at, |text| text.replace("\"keepalive\":30000000", "\"keepalive\":300000"));
     let mut client = program.client();
     for id in 0..12 {
