--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `kestreltide-measure NAME`: one sub-command a measurement. Each runs bounded on loopback, prints a table, then
 //! one last line `NAME: key=value ... ok` or `... short: WHICH`, and ends non-zero when it fell short.
 
+mod capacity;
 mod demo;
 mod fleet;
 mod report;
@@ -24,6 +25,7 @@
     WatchedFiles(watched_files::WatchedFiles),
     Demo(demo::Demo),
     Fleet(fleet::CountFleet),
+    Capacity(capacity::Capacity),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +38,7 @@
         What::WatchedFiles(measurement) => measurement.run(),
         What::Demo(demo) => demo.run(),
         What::Fleet(count) => count.run(),
+        What::Capacity(capacity) => capacity.run(),
     };
     if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
