--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,14 +3,17 @@
 //! `handle(now, event, &mut effects)` for each event in its order; `src/interface.rs` has the interface, and
 //! `docs/design.md` the sources and reasons.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Beta, Distribution};
 
+use crate::candidates::{Candidate, Candidates, Sum, Wanted};
+use crate::host_index::{Group, Indexed};
 use crate::interface::*;
-use crate::narrow::put_in_force;
+use crate::narrow::{Weighed, put_in_force};
+use crate::rankings::first_two;
 use crate::record::*;
 
 const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
@@ -143,31 +146,16 @@
             Operation { slo: o.slo_time, late_is_worthless, lean, group, window }
         });
         let needed = terms.votes_on.max(terms.votes_back).max(terms.votes_hold);
-        let tick = terms.tick.max(GUARD);
-        let mut s =
-            State { operations: operations.collect(), stage_shares: terms.stage_shares, ..State::default() };
-        (s.me, s.routers, s.zone) = (terms.me, terms.routers.max(1), terms.zone);
+        let slots = terms.operations.len().clamp(1, SLOTS);
+        let mut s = State::of(&terms, operations.collect(), slots, terms.tick.max(GUARD));
         (s.by_clock, s.voters) = (terms.gate == Gate::Clock, VOTERS.max(needed));
         // The platform takes so many calls of all routers together, for renewals and changes of mind too.
         s.turn = f64::from(s.voters) / terms.vote_rate;
         (s.renew_every, s.even) = (RENEW_EVERY.max(TURNS[2] * s.turn).min(0.8 * terms.ballot_life), 1.0);
-        (s.ask_again, s.many) = (ASK_AGAIN, s.routers > FEW);
-        (s.list_asked, s.follow_wait, s.tick) = (terms.list_asked, REFOLLOW[0], tick);
+        (s.ask_again, s.many, s.follow_wait) = (ASK_AGAIN, s.routers > FEW, REFOLLOW[0]);
         s.call_spread = terms.ask_every * (1.0 - f64::from(FEW) / f64::from(s.routers)).max(0.0);
         s.haste = (terms.bake / BAKE[0]).clamp(BAKE[1], 1.0);
-        s.first_cap = terms.stage_caps.first().copied().unwrap_or(0.0);
-        (s.window, s.spare) = (terms.exposure_window + tick, terms.exposure_spare);
-        (s.by_operation, s.guarded_stages) = (terms.exposure_by_operation, terms.guarded_stages);
-        (s.keys_bound, s.keys_warm, s.beside) = (terms.keys_bound, terms.keys_warm, !terms.in_place);
-        s.dispute_weight = if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 };
-        (s.cold_share, s.cold_time) = (terms.cold_share, terms.cold_time.max(GUARD));
-        s.drain_grace = terms.drain_grace;
-        (s.cold_spend, s.may_tell) = (COLD_SPEND.min(0.5 * terms.fall_multiple), terms.may_tell);
-        (s.may_copy, s.advice) = (terms.may_copy, terms.may_advise.then_some(terms.longest_advice));
-        (s.fall_multiple, s.most_dispatches) = (terms.fall_multiple, terms.most_dispatches.max(1) as usize);
-        s.slots = terms.operations.len().clamp(1, SLOTS);
-        s.sums = vec![[[0.0; 2]; 2]; s.slots * MARKS];
-        s.sight = s.sums.clone();
+        (s.cold_time, s.cold_spend) = (s.cold_time.max(GUARD), COLD_SPEND.min(0.5 * terms.fall_multiple));
         (s.pace, s.sending, s.asked, s.stage_since) = ((0.0, now), (0.0, now), (0.0, now), now);
         (s.share, s.shared_drag, s.further) = (1.0 / f64::from(s.routers), 1.0, FURTHER[1] / 2.0);
         Router { s, rng: ChaCha8Rng::seed_from_u64(seed) }
@@ -254,17 +242,31 @@
         }
         (self.s.hosts, self.s.least_build) = (hosts, least);
         self.s.weigh(weighed);
+        self.index_all(now);
         if self.s.fleet <= 0.0 {
             self.s.open_most = OPEN[0] * f64::from(count) * self.s.share;
         }
         self.s.fleet = self.s.fleet.max(size);
     }
 
-    fn trial_part(&self) -> (f64, f64) {
-        let on_trial = |h: &Host| f64::from(u8::from(self.phase(h.entry.build) == Phase::OnTrial));
-        let hosts = self.s.usable().map(|h| (h.entry.size, on_trial(h)));
-        let sum = hosts.fold([0.0; 3], |[all, of, n], (size, on)| [all + size, of + size * on, n + on]);
-        (sum[1] / sum[0].max(GUARD), sum[2])
+    /// Who warms up, is ejected or fails is looked at for each request, all others by their groups.
+    fn indexed(&self, now: f64, host: &Host) -> Option<Indexed> {
+        let Host { health, entry, weight, .. } = host;
+        let well = health.aside_until <= now && health.faults <= FAULTY;
+        let (settled, group) = (well && self.s.warmth(entry, now) >= 1.0, Group::of(entry, self.s.by_cell));
+        let (size, weight, faults, pace) = (entry.size, *weight, health.faults, health.pace);
+        host.usable.then_some(Indexed { group, size, weight, settled, faults, pace })
+    }
+
+    fn index(&mut self, now: f64, host: HostId) {
+        let indexed = self.s.hosts.get(&host).and_then(|host| self.indexed(now, host));
+        self.s.index.update(host, indexed);
+    }
+
+    fn index_all(&mut self, now: f64) {
+        let mut index = std::mem::take(&mut self.s.index);
+        index.update_all(self.s.hosts.iter().filter_map(|(id, h)| Some((*id, self.indexed(now, h)?))));
+        self.s.index = index;
     }
 
     fn rate((level, at): (f64, f64), now: f64, more: f64) -> (f64, f64) {
@@ -427,11 +429,14 @@
         let (slo, warmth, build) = (self.s.operations[operation].slo, self.s.warmth(&to, at), to.build);
         let (time, place) = (took / work, (operation, to.kind));
         let quick = self.s.low.get(&(place.0, place.1, EARLIER)).map(|low| low.quick);
-        let others = || self.s.usable().filter(|h| h.entry.host != to.host && h.entry.build == build);
-        let aside = others().filter(|h| h.health.aside_until > now).count();
-        let lonely = others().count() < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others().count();
-        let (n, sums) = (others().count() as f64, others().map(|h| (h.health.faults, h.health.pace)));
-        let alike = sums.fold((0.0, 0.0), |sum, of| (sum.0 + of.0 / n, sum.1 + of.1 / n));
+        let own = self.s.index.get(to.host).filter(|own| own.group.build == build);
+        let others = self.s.index.build(build).without(own);
+        let unsettled = self.s.index.unsettled().filter(|host| *host != to.host);
+        let of_build = unsettled.filter_map(|id| self.s.hosts.get(&id).filter(|h| h.entry.build == build));
+        let aside = of_build.filter(|h| h.health.aside_until > now).count();
+        let lonely = others.hosts < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others.hosts;
+        let n = (others.hosts as f64).max(1.0);
+        let alike = (others.faults / n, others.pace / n);
         let Some(host) = self.s.hosts.get_mut(&to.host).filter(|h| h.entry.same_process(&to)) else { return };
         if let Some(place) = host.out.iter().position(|sent| *sent == at) {
             host.out.swap_remove(place);
@@ -460,10 +465,11 @@
         // connections neither; never below what keeps hosts busy: fewer open would not make slow ones quick.
         let broke = matches!(verdict, Verdict::Error | Verdict::Reset | Verdict::NoConnection);
         if !sick && !broke && (late || self.s.open as f64 + 1.0 > 0.5 * self.s.open_most) {
-            let fair = self.s.usable().count() as f64 * self.s.share;
+            let fair = self.s.index.len() as f64 * self.s.share;
             let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
             self.s.open_most = (self.s.open_most + step).clamp(fair * OPEN[1], fair * OPEN[2]);
         }
+        self.index(now, to.host);
         let shows = served || verdict == Verdict::TimedOut;
         let arm = usize::from(self.phase(build) != Phase::Released);
         if shows && warmth >= 1.0 && !sick && !slower {
@@ -505,65 +511,92 @@
         (host.out.len() as f64 / weight + 1.0 + far) * host.health.pace.max(0.5) * silent / speed
     }
 
-    fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
-        let inv = self.s.invs.get(id)?;
+    /// Worked out once for each group of hosts, however many are of it.
+    fn wanted(&self, now: f64, inv: &Inv) -> Wanted {
         let ((first, _), bound) = (self.trace(now, inv), self.s.bound_to(&inv.key));
-        let group = self.s.operations[inv.operation].group;
-        // An invocation is decided under the revision it came under; what was taken out since, is out.
-        let own = (inv.set.revision != self.s.set.revision).then(|| {
-            let mut weighed = self.s.all_weighed(now, &inv.set);
-            put_in_force(&mut weighed, self.s.fall_multiple);
-            weighed
-        });
-        let mut rooms: BTreeMap<BuildId, bool> = BTreeMap::new();
-        let mut open: Vec<(usize, u8, HostId, f64, bool, f64)> = vec![];
-        let of_pool = |host: &Host| inv.pool.as_ref().is_none_or(|pool| pool.holds(&host.entry));
-        let of_inv = |of: &(usize, &Host)| of.1.since <= inv.set.revision && of_pool(of.1);
-        for (number, host) in self.s.usable().enumerate().filter(of_inv) {
-            let build = host.entry.build;
+        let repeats = self.s.operations[inv.operation].group;
+        let (mut rooms, mut arms) = (BTreeMap::new(), BTreeMap::new());
+        for group in self.s.index.groups() {
+            let build = group.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
             let room = rooms.entry(build);
             let room = *room.or_insert_with(|| self.exposure_room(now, build, inv.operation, new_key));
-            let same = first.is_none_or(|first| match group {
+            let same = first.is_none_or(|first| match repeats {
                 RepeatGroup::All => true,
-                RepeatGroup::Zone => first.zone == host.entry.zone,
-                RepeatGroup::Cell => first.cell == host.entry.cell,
+                RepeatGroup::Zone => first.zone == group.zone,
+                RepeatGroup::Cell => Some(first.cell) == group.cell,
             });
             // Clients may come with too little time left: no work is begun that not even quick answers meet.
-            let low = self.s.low.get(&(inv.operation, host.entry.kind, EARLIER));
+            let low = self.s.low.get(&(inv.operation, group.kind, EARLIER));
             let least = low.map_or(0.0, |low| (low.least * inv.work).min(FIRST_WAIT[0] * (inv.slo_at - now)));
-            if room && may_return && same && now + least < inv.limit {
-                let (health, id) = (&host.health, host.entry.host);
-                let tried = inv.sent.iter().any(|s| s.to.host == id);
-                let doubtful = health.aside_until > now || health.faults > FAULTY && !host.out.is_empty();
-                let tier = if tried { 2 } else { u8::from(doubtful) };
-                let arm = usize::from(self.phase(build) == Phase::OnTrial);
-                let warmth = self.s.warmth(&host.entry, now);
-                let weight = own.as_ref().map_or(host.weight, |own| own[number].weight);
-                open.push((arm, tier, id, weight * host.entry.size * warmth, warmth < 1.0, weight));
+            let of_pool = inv.pool.as_ref().is_none_or(|pool| pool.spans(group.zone, group.kind));
+            if room && may_return && same && of_pool && now + least < inv.limit {
+                arms.insert(*group, usize::from(self.phase(build) == Phase::OnTrial));
             }
         }
+        let tried = inv.sent.iter().map(|s| s.to.host).collect();
+        Wanted { arms, tried, pool: inv.pool.clone(), revision: inv.set.revision }
+    }
+
+    fn candidate(&self, now: f64, wanted: &Wanted, h: &Host, weight: f64) -> Option<Candidate> {
+        let arm = *wanted.arms.get(&Group::of(&h.entry, self.s.by_cell))?;
+        let of_pool = wanted.pool.as_ref().is_none_or(|pool| pool.holds(&h.entry));
+        let (health, host) = (&h.health, h.entry.host);
+        let doubtful = health.aside_until > now || health.faults > FAULTY && !h.out.is_empty();
+        let tier = if wanted.tried.contains(&host) { 2 } else { u8::from(doubtful) };
+        let warmth = self.s.warmth(&h.entry, now);
+        let (share, warming_up) = (weight * h.entry.size * warmth, warmth < 1.0);
+        let wanted = h.usable && of_pool && h.since <= wanted.revision;
+        wanted.then_some(Candidate { host, arm, tier, share, warming_up, weight })
+    }
+
+    fn candidates(&self, now: f64, wanted: &Wanted, own: Option<Vec<Weighed>>) -> Candidates {
+        let of = |h: &Host| self.candidate(now, wanted, h, h.weight);
+        let of_id = |id: &HostId| self.s.hosts.get(id).and_then(|h| of(h));
+        let named = wanted.pool.iter().flat_map(|pool| &pool.hosts).collect::<BTreeSet<_>>();
+        let (mut counted, with_warming_up) = ([Sum::default(); 2], true);
+        let listed = if let Some(own) = own {
+            let own = self.s.usable().zip(own);
+            own.filter_map(|(h, own)| self.candidate(now, wanted, h, own.weight)).collect()
+        } else if !named.is_empty() {
+            named.into_iter().filter_map(of_id).collect()
+        } else if !self.keeps_to_pairs() {
+            self.s.usable().filter_map(of).collect()
+        } else {
+            let (sums, tried) = self.s.index.settled(&wanted.arms, &wanted.tried);
+            counted = sums;
+            self.s.index.unsettled().chain(tried).filter_map(|id| of_id(&id)).collect()
+        };
+        Candidates { listed, counted, with_warming_up }
+    }
+
+    fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
+        let inv = self.s.invs.get(id)?;
+        // An invocation is decided under the revision it came under; what was taken out since, is out.
+        let own = (inv.set.revision != self.s.set.revision).then(|| {
+            let mut weighed = self.s.all_weighed(now, &inv.set);
+            put_in_force(&mut weighed, self.s.fall_multiple);
+            weighed
+        });
+        let hash = |key: &KeyId| key.0.bytes().fold(0, |h, b| mix(h ^ u64::from(b)));
+        let (hash, wanted) = (inv.key.as_ref().filter(|_| self.s.keys_warm).map(hash), self.wanted(now, inv));
+        let mut open = self.candidates(now, &wanted, own);
         // Rule 4: of all routers a cold host gets by this draw its fair share of what succeeds, and no more.
-        let best = open.iter().map(|o| o.1).min()?;
-        let weight = open.iter().filter(|o| o.1 == best).map(|o| o.3).sum::<f64>();
+        let weight = open.share(open.lowest_tier()?);
         let [good, all] = [self.s.pace, self.s.sending].map(|rate| Self::rate(rate, now, 1.0).0);
         let fair = weight / self.s.fleet.max(GUARD) * (good / all).min(1.0);
         if self.rng.random::<f64>() >= self.s.cold_spend * fair {
-            open.retain(|o| !o.4);
-        }
-        let best = open.iter().map(|o| o.1).min()?;
-        let key = inv.key.clone().filter(|_| self.s.keys_warm);
-        let [(e, we), (t, wt)] = [EARLIER, TRIAL].map(|arm| {
-            let hosts = || open.iter().filter(|o| o.0 == arm && o.1 == best);
-            let ids: Vec<_> = hosts().map(|o| (o.2, o.5)).collect();
-            (self.lesser(&ids, &key, now), hosts().map(|o| o.3).sum::<f64>())
-        });
+            open.remove_warming_up();
+        }
+        let best = open.lowest_tier()?;
+        let [e, t] = [EARLIER, TRIAL].map(|arm| self.lesser(now, (arm, best), &open, &wanted, hash));
+        let [we, wt] = [EARLIER, TRIAL].map(|arm| open.sum(arm, best).share);
         // When tight, the trial holds its machines' part of what is open: bound keys come again and again.
         let of_trial = self.s.usable().filter(|h| self.phase(h.entry.build) == Phase::OnTrial);
-        let held = of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
-        let (open, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
-        let t = t.filter(|_| !self.s.keys_bound || open <= tight || held <= 1.0 + LEAN * self.s.part * open);
+        let held = || of_trial.map(|h| h.out.len()).sum::<usize>() as f64;
+        let (out, tight) = (self.s.open as f64, OPEN_PART[1] * self.s.open_most);
+        let t = t.filter(|_| !self.s.keys_bound || out <= tight || held() <= 1.0 + LEAN * self.s.part * out);
         let (Some(_), Some(_)) = (e, t) else { return e.or(t) };
         let mut floor = wt / (we + wt).max(GUARD);
         if self.s.keys_bound {
@@ -585,22 +618,36 @@
         Beta::new(1.0 + up, 1.0 + down).map_or(0.5, |beta| beta.sample(&mut self.rng))
     }
 
+    /// Hosts accept few connections: in a large fleet a router keeps to some pairs of them.
+    fn keeps_to_pairs(&self) -> bool {
+        CONNECTED * (1.0 + f64::from(self.s.routers) * self.s.share) < 4.0 * f64::from(self.s.routers)
+    }
+
     /// The lesser in-flight of two random hosts; the key's hash names them where hosts know keys. A router
-    /// keeps to as many pairs as its traffic keeps connected and known: hosts accept few connections.
-    fn lesser(&mut self, hosts: &[(HostId, f64)], key: &Option<KeyId>, now: f64) -> Option<HostId> {
-        let hash = key.as_ref().map(|key| key.0.bytes().fold(0, |h, b| mix(h ^ u64::from(b))));
+    /// keeps to as many pairs as its traffic keeps connected and known.
+    fn lesser(
+        &mut self, now: f64, (arm, tier): (usize, u8), open: &Candidates, wanted: &Wanted, hash: Option<u64>,
+    ) -> Option<HostId> {
         let salt = hash.unwrap_or_else(|| self.rng.random());
-        let (all, of_me) = (hosts.len() as f64, f64::from(self.s.routers) * self.s.share);
+        let (all, of_me) = (open.sum(arm, tier).hosts as f64, f64::from(self.s.routers) * self.s.share);
         let pairs = CONNECTED * all * (1.0 + of_me) / (4.0 * f64::from(self.s.routers));
         let mine = mix(u64::from(self.s.me.0) + 1) ^ (salt % pairs.max(1.0) as u64);
         let salt = if pairs < all { mine } else { salt };
-        // The least of such draws is a host's with a chance in proportion to its weight.
-        let place = |of: &(HostId, f64)| -(-(mix(salt ^ of.0.0) as f64) / 2f64.powi(64)).ln_1p() / of.1;
-        let by_place = |a: &&(HostId, f64), b: &&(HostId, f64)| place(a).total_cmp(&place(b));
-        let one = hosts.iter().min_by(by_place);
-        let two = hosts.iter().filter(|of| Some(*of) != one).min_by(by_place);
-        let known = one.into_iter().chain(two).filter_map(|of| Some((self.s.hosts.get(&of.0)?, of.1)));
-        let loads = known.map(|(host, weight)| (self.load(host, weight, now), host.entry.host));
+        let two = if open.counted(arm, tier).hosts == 0 {
+            first_two(salt, open.listed(arm, tier).map(|of| (of.host, of.weight)))
+        } else {
+            let groups: Vec<_> = wanted.arms.iter().filter(|of| *of.1 == arm).map(|of| *of.0).collect();
+            let mut index = std::mem::take(&mut self.s.index);
+            let two = index.first_two(salt, &groups, |id| {
+                let of = self.s.hosts.get(&id).and_then(|h| self.candidate(now, wanted, h, h.weight));
+                of.is_some_and(|of| of.tier == tier && (open.with_warming_up || !of.warming_up))
+            });
+            self.s.index = index;
+            two
+        };
+        let known = two.into_iter().filter_map(|(_, id)| self.s.hosts.get(&id));
+        let weight = |h: &Host| open.weight(h.entry.host).unwrap_or(h.weight);
+        let loads = known.map(|host| (self.load(host, weight(host), now), host.entry.host));
         loads.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
@@ -611,12 +658,16 @@
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
         if self.s.weighs() {
             self.s.weigh(self.s.all_weighed(now, &self.s.set));
+            self.index_all(now);
         }
+        let unsettled: Vec<_> = self.s.index.unsettled().collect();
+        unsettled.into_iter().for_each(|host| self.index(now, host));
         let kept =
             |h: &Host| h.usable || h.next != Next::Unsaid || !h.out.is_empty() || now - h.used < REMEMBERED;
         self.s.hosts.retain(|_, h| kept(h));
-        (self.s.part, self.s.trial_hosts) = self.trial_part();
-        let part = self.s.part;
+        let of_trial = self.s.index.sum(|build| self.phase(build) == Phase::OnTrial);
+        let part = of_trial.share / self.s.index.sum(|_| true).share.max(GUARD);
+        (self.s.part, self.s.trial_hosts) = (part, of_trial.hosts as f64);
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
         let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.s.earlier_lives());
         // Until the trial is listed the earlier arm's past is short: what comes and goes must show in both.
@@ -632,19 +683,12 @@
             let other = self.rng.random_range(0..self.s.routers - 1);
             let peer = RouterId(other + u32::from(other >= self.s.me.0));
             self.s.swaps.insert(peer, self.s.sums.clone());
-            effects.push(Effect::Tell { to: Some(peer), payload: self.message(false) });
+            effects.push(Effect::Tell { to: Some(peer), payload: self.s.message(false, self.my_drag()) });
         }
         self.share(now);
         self.judge(now, effects);
     }
 
-    fn message(&self, reply: bool) -> Vec<u8> {
-        let build = self.s.news.map_or(BuildId(0), |news| news.build);
-        let sums = self.s.sums.iter().flatten().flatten().copied().collect();
-        let (taken, drag) = (self.s.taken.len() as f64, self.my_drag());
-        Message { reply, fresh: self.s.fresh, build, taken, drag, sums }.encode()
-    }
-
     fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
         let Some(told) = Message::decode(payload).filter(|_| from != self.s.me) else { return };
         self.s.heard.insert(from, (now, told.taken, told.drag.clamp(0.1, 10.0)));
@@ -656,7 +700,7 @@
         sight.for_each(|(seen, theirs)| *seen += SIGHT * (theirs - *seen));
         let mine = if told.reply { self.s.swaps.remove(&from) } else { Some(self.s.sums.clone()) };
         if !told.reply {
-            effects.push(Effect::Tell { to: Some(from), payload: self.message(true) });
+            effects.push(Effect::Tell { to: Some(from), payload: self.s.message(true, self.my_drag()) });
         }
         let sums = self.s.sums.iter_mut().flatten().flatten().zip(&told.sums);
         if self.s.fresh && !told.fresh {
@@ -847,15 +891,6 @@
         }
     }
 
-    fn reasons(&self, news: &StageNews) -> String {
-        let good = |[up, down]: [f64; 2]| format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down);
-        let of = |mark, arm| good(self.s.figures(&self.s.sight, None, mark, arm));
-        let arms = |mark| [of(mark, EARLIER), of(mark, TRIAL)].join(":");
-        let (marks, drag) = ([arms(0), arms(1), arms(2)].join(" "), self.s.shared_drag);
-        let (wish, build, stage) = (self.s.wish, news.build.0, news.stage);
-        format!("vote {wish:?} build {build} stage {stage}, in time, no error, quick {marks}, drag {drag:.2}")
-    }
-
     fn vote(&mut self, now: f64, push: Push, effects: &mut Vec<Effect>) {
         let Some(row) = BALLOTS.iter().find(|row| row.0 == self.s.ballot && row.1 == push) else { return };
         self.s.ballot = row.2;
@@ -867,7 +902,7 @@
             (self.s.ballot_sense, self.s.ballot_at) = (self.s.wish, now);
             effects.push(Effect::Vote { build: news.build, stage: news.stage, sense: self.s.wish });
             if !renewal && (self.s.wish == Sense::Back || self.s.rank < VOTERS) {
-                effects.push(Effect::Note { text: self.reasons(&news) });
+                effects.push(Effect::Note { text: self.s.reasons(&news, [EARLIER, TRIAL]) });
             }
         }
     }
--- /dev/null
+++ b/src/host_index.rs
@@ -0,0 +1,262 @@
+//! An index of the hosts in use, kept up to date by what happens to each host, so that a request need not look at
+//! all of them. Hosts that a request cannot tell apart form a [`Group`]; those that stand out (warming up, ejected
+//! or failing) are listed one by one. Records only: what stands out is decided in `choice.rs`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::candidates::Sum;
+use crate::interface::{BuildId, CellId, HostEntry, HostId, KindId, ZoneId};
+use crate::rankings::Rankings;
+
+/// More changed hosts than this at once are not followed one by one in the rankings, which are filled anew.
+const FOLLOWED_AT_ONCE: usize = 64;
+
+/// What a request's conditions go by; hosts of one group differ for it only in their own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Group {
+    pub(crate) build: BuildId,
+    pub(crate) kind: KindId,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: Option<CellId>,
+}
+
+impl Group {
+    /// Cells tell hosts apart only where something goes by them.
+    pub(crate) fn of(entry: &HostEntry, by_cell: bool) -> Self {
+        let HostEntry { build, kind, zone, .. } = *entry;
+        Group { build, kind, zone, cell: by_cell.then_some(entry.cell) }
+    }
+}
+
+/// What the index keeps of one host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Indexed {
+    pub(crate) group: Group,
+    pub(crate) size: f64,
+    /// Its weight among the hosts in use, 1 being an even share.
+    pub(crate) weight: f64,
+    /// Neither warming up nor ejected nor failing: until something happens to it, it stays so.
+    pub(crate) settled: bool,
+    /// The share of its attempts that came to nothing, and its relative slowdown.
+    pub(crate) faults: f64,
+    pub(crate) pace: f64,
+}
+
+/// The hosts of one group with their weights, and the sum of those that are settled.
+#[derive(Clone, Debug, Default)]
+struct Members {
+    hosts: BTreeMap<HostId, f64>,
+    settled: Sum,
+}
+
+/// Sums over all hosts of one build.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct BuildSums {
+    pub(crate) hosts: usize,
+    pub(crate) size: f64,
+    pub(crate) faults: f64,
+    pub(crate) pace: f64,
+}
+
+impl BuildSums {
+    fn add(&mut self, host: &Indexed) {
+        self.hosts += 1;
+        self.size += host.size;
+        self.faults += host.faults;
+        self.pace += host.pace;
+    }
+
+    fn subtract(&mut self, host: &Indexed) {
+        self.hosts -= 1;
+        self.size -= host.size;
+        self.faults -= host.faults;
+        self.pace -= host.pace;
+    }
+
+    /// The sums without one host, where it is of them.
+    pub(crate) fn without(mut self, host: Option<&Indexed>) -> Self {
+        if let Some(host) = host {
+            self.subtract(host);
+        }
+        self
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct HostIndex {
+    hosts: BTreeMap<HostId, Indexed>,
+    groups: BTreeMap<Group, Members>,
+    builds: BTreeMap<BuildId, BuildSums>,
+    unsettled: BTreeSet<HostId>,
+    rankings: Rankings,
+}
+
+impl HostIndex {
+    pub(crate) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(crate) fn get(&self, host: HostId) -> Option<&Indexed> {
+        self.hosts.get(&host)
+    }
+
+    pub(crate) fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.groups.keys()
+    }
+
+    /// By arm, the settled hosts of these groups with the sum of size times weight, but for those named; and those
+    /// named that are settled.
+    pub(crate) fn settled(
+        &self, arms: &BTreeMap<Group, usize>, without: &BTreeSet<HostId>,
+    ) -> ([Sum; 2], Vec<HostId>) {
+        let mut sums = [Sum::default(); 2];
+        for (group, arm) in arms {
+            let Some(members) = self.groups.get(group) else { continue };
+            sums[*arm].hosts += members.settled.hosts;
+            sums[*arm].share += members.settled.share;
+        }
+        let mut left_out = vec![];
+        let settled = without.iter().filter_map(|host| Some((*host, self.hosts.get(host)?)));
+        for (host, of) in settled.filter(|(_, of)| of.settled) {
+            let Some(arm) = arms.get(&of.group) else { continue };
+            sums[*arm].hosts -= 1;
+            sums[*arm].share -= of.size * of.weight;
+            left_out.push(host);
+        }
+        (sums, left_out)
+    }
+
+    pub(crate) fn builds(&self) -> impl Iterator<Item = BuildId> {
+        self.builds.keys().copied()
+    }
+
+    /// The hosts of some builds, with the sum of their sizes.
+    pub(crate) fn sum(&self, of: impl Fn(BuildId) -> bool) -> Sum {
+        let builds = self.builds.iter().filter(|(build, _)| of(**build));
+        builds.fold(Sum::default(), |sum, (_, of)| Sum {
+            hosts: sum.hosts + of.hosts,
+            share: sum.share + of.size,
+        })
+    }
+
+    pub(crate) fn build(&self, build: BuildId) -> BuildSums {
+        self.builds.get(&build).copied().unwrap_or_default()
+    }
+
+    /// The hosts that stand out, in the order of their ids.
+    pub(crate) fn unsettled(&self) -> impl Iterator<Item = HostId> {
+        self.unsettled.iter().copied()
+    }
+
+    /// Brings one host up to date; none: it is not in use.
+    pub(crate) fn update(&mut self, host: HostId, now: Option<Indexed>) {
+        let before = self.hosts.get(&host).copied();
+        if before == now {
+            return;
+        }
+        self.follow(host, before, now);
+        if let Some(before) = before {
+            self.remove(host, &before);
+        }
+        if let Some(now) = now {
+            self.insert(host, now);
+        }
+    }
+
+    /// Brings all hosts up to date, given in ascending order of ids: whoever is not among them is not in use.
+    pub(crate) fn update_all(&mut self, hosts: impl Iterator<Item = (HostId, Indexed)>) {
+        let hosts: BTreeMap<_, _> = hosts.collect();
+        let gone = self.hosts.keys().filter(|host| !hosts.contains_key(host)).map(|host| (*host, None));
+        let differs = |(host, now): &(&HostId, &Indexed)| self.hosts.get(host) != Some(now);
+        let changed = hosts.iter().filter(differs).map(|(host, now)| (*host, Some(*now)));
+        let changes: Vec<_> = gone.chain(changed).collect();
+        if changes.len() > FOLLOWED_AT_ONCE {
+            self.rankings.clear();
+        }
+        for (host, now) in changes {
+            self.update(host, now);
+        }
+    }
+
+    /// The two hosts of these groups, given in their order, that a hash with this salt places first among those
+    /// accepted.
+    pub(crate) fn first_two(
+        &mut self, salt: u64, groups: &[Group], accepts: impl Fn(HostId) -> bool,
+    ) -> Vec<(f64, HostId)> {
+        let mut builds: Vec<_> = groups.iter().map(|group| group.build).collect();
+        builds.dedup();
+        let mut rankings = std::mem::take(&mut self.rankings);
+        let mut found = vec![];
+        for build in builds {
+            let members = || self.members(|group| group.build == build);
+            let ranked = rankings.first_two(salt, build, members, &accepts).unwrap_or_else(|| {
+                let of_request = |group: &Group| group.build == build && groups.binary_search(group).is_ok();
+                let accepted = self.members(of_request).filter(|(host, _)| accepts(*host));
+                crate::rankings::first_two(salt, accepted)
+            });
+            found.extend(ranked);
+        }
+        self.rankings = rankings;
+        found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        found.truncate(2);
+        found
+    }
+
+    fn members(&self, of: impl Fn(&Group) -> bool) -> impl Iterator<Item = (HostId, f64)> {
+        let groups = self.groups.iter().filter(move |(group, _)| of(group));
+        groups.flat_map(|(_, members)| members.hosts.iter().map(|(host, weight)| (*host, *weight)))
+    }
+
+    /// The rankings go by builds and weights alone.
+    fn follow(&mut self, host: HostId, before: Option<Indexed>, now: Option<Indexed>) {
+        let place = |of: Option<Indexed>| of.map(|of| (of.group.build, of.weight));
+        let (before, now) = (place(before), place(now));
+        if before == now {
+            return;
+        }
+        if let Some((build, weight)) = before {
+            self.rankings.remove(build, host, weight);
+        }
+        if let Some((build, weight)) = now {
+            self.rankings.insert(build, host, weight);
+        }
+    }
+
+    fn insert(&mut self, host: HostId, now: Indexed) {
+        self.hosts.insert(host, now);
+        self.builds.entry(now.group.build).or_default().add(&now);
+        let members = self.groups.entry(now.group).or_default();
+        members.hosts.insert(host, now.weight);
+        if now.settled {
+            members.settled.hosts += 1;
+            members.settled.share += now.size * now.weight;
+        } else {
+            self.unsettled.insert(host);
+        }
+    }
+
+    fn remove(&mut self, host: HostId, before: &Indexed) {
+        self.hosts.remove(&host);
+        self.unsettled.remove(&host);
+        if let Some(sums) = self.builds.get_mut(&before.group.build) {
+            sums.subtract(before);
+        }
+        self.builds.retain(|_, sums| sums.hosts > 0);
+        let Some(members) = self.groups.get_mut(&before.group) else { return };
+        members.hosts.remove(&host);
+        if before.settled {
+            members.settled.hosts -= 1;
+            members.settled.share -= before.size * before.weight;
+        }
+        if members.settled.hosts == 0 {
+            // What rounding has left.
+            members.settled.share = 0.0;
+        }
+        if members.hosts.is_empty() {
+            self.groups.remove(&before.group);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/host_index/tests.rs
@@ -0,0 +1,92 @@
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::record::mix;
+
+fn group(build: u16, zone: u64) -> Group {
+    Group { build: BuildId(build), kind: KindId(1), zone: ZoneId(zone), cell: None }
+}
+
+fn indexed(group: Group, settled: bool) -> Indexed {
+    Indexed { group, size: 1.0, weight: 1.0, settled, faults: 0.25, pace: 1.5 }
+}
+
+/// Half of the hosts run each build, in two zones.
+fn filled(count: u64) -> HostIndex {
+    let mut index = HostIndex::default();
+    let of = |id: u64| indexed(group(if id.is_multiple_of(2) { 7 } else { 8 }, id / 2 % 2), true);
+    let mut hosts: Vec<_> = (0..count).map(|id| (HostId(mix(id)), of(id))).collect();
+    hosts.sort_by_key(|(host, _)| *host);
+    index.update_all(hosts.into_iter());
+    index
+}
+
+fn both() -> BTreeMap<Group, usize> {
+    [(7, 0), (8, 1)]
+        .into_iter()
+        .flat_map(|(build, arm)| [0, 1].map(|zone| (group(build, zone), arm)))
+        .collect()
+}
+
+#[test]
+fn sums_are_those_of_the_hosts_in_use_after_any_changes() {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let mut index = filled(100);
+    let mut plain: BTreeMap<HostId, Indexed> = index.hosts.clone();
+    for _ in 0..3000 {
+        let host = HostId(mix(random.random_range(0..120)));
+        let of = indexed(group(random.random_range(7..9), random.random_range(0..2)), random.random());
+        let now = (random.random::<f64>() < 0.8).then_some(of);
+        index.update(host, now);
+        match now {
+            Some(now) => plain.insert(host, now),
+            None => plain.remove(&host),
+        };
+        let settled = |arm: u16| plain.values().filter(move |of| of.settled && of.group.build.0 == 7 + arm);
+        let (sums, _) = index.settled(&both(), &BTreeSet::new());
+        for arm in [0, 1] {
+            assert_eq!(sums[usize::from(arm)].hosts, settled(arm).count());
+            assert!((sums[usize::from(arm)].share - settled(arm).count() as f64).abs() < 1e-9);
+        }
+        let unsettled = plain.iter().filter(|(_, of)| !of.settled).map(|(host, _)| *host);
+        assert!(index.unsettled().eq(unsettled));
+        assert_eq!(index.len(), plain.len());
+        let of_build = plain.values().filter(|of| of.group.build == BuildId(8));
+        let sum = index.build(BuildId(8));
+        assert_eq!(sum.hosts, of_build.clone().count());
+        assert!((sum.faults - of_build.map(|of| of.faults).sum::<f64>()).abs() < 1e-9);
+    }
+}
+
+#[test]
+fn who_was_tried_is_not_counted_and_is_named() {
+    let mut index = filled(40);
+    let (tried, ejected) = (HostId(mix(3)), HostId(mix(5)));
+    index.update(ejected, Some(indexed(group(8, 0), false)));
+    let (sums, named) = index.settled(&both(), &[tried, ejected, HostId(1)].into());
+    assert_eq!(sums.map(|sum| sum.hosts), [20, 18]);
+    assert_eq!(named, [tried]);
+}
+
+#[test]
+fn only_hosts_of_the_groups_asked_for_are_found() {
+    let mut index = filled(2000);
+    let (zone, hosts) = (group(7, 1), filled(2000).hosts);
+    for salt in 0..200 {
+        let accepts = |host: HostId| hosts.get(&host).is_some_and(|of| of.group == zone);
+        let found = index.first_two(salt, &[zone], accepts);
+        assert_eq!(found.len(), 2, "a quarter of the hosts are of it");
+        let all = index.members(|group| *group == zone);
+        assert_eq!(found, crate::rankings::first_two(salt, all));
+    }
+}
+
+#[test]
+fn groups_and_builds_without_hosts_are_forgotten() {
+    let mut index = filled(100);
+    assert_eq!(index.groups().count(), 4);
+    index.update_all(std::iter::empty());
+    assert_eq!((index.len(), index.groups().count(), index.builds().count()), (0, 0, 0));
+    assert!(index.first_two(1, &[group(7, 0)], |_| true).is_empty());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -210,9 +210,13 @@
 
 impl Pool {
     pub fn holds(&self, host: &HostEntry) -> bool {
-        let zone = self.zones.is_empty() || self.zones.contains(&host.zone);
-        let kind = self.kinds.is_empty() || self.kinds.contains(&host.kind);
-        zone && kind && (self.hosts.is_empty() || self.hosts.contains(&host.host))
+        self.spans(host.zone, host.kind) && (self.hosts.is_empty() || self.hosts.contains(&host.host))
+    }
+
+    /// Whether hosts of this zone and kind may be in it.
+    pub fn spans(&self, zone: ZoneId, kind: KindId) -> bool {
+        let in_zone = self.zones.is_empty() || self.zones.contains(&zone);
+        in_zone && (self.kinds.is_empty() || self.kinds.contains(&kind))
     }
 }
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use crate::host_index::HostIndex;
 use crate::interface::*;
 use crate::narrow::{Weighed, put_in_force};
 
@@ -191,6 +192,8 @@
     pub(crate) advice: Option<f64>,
     pub(crate) most_dispatches: usize,
     pub(crate) slots: usize,
+    /// Some operation's repeats are dropped by the hosts of one cell.
+    pub(crate) by_cell: bool,
     pub(crate) tick: f64,
     // Seen since.
     pub(crate) set: Arc<OperatorSet>,
@@ -198,6 +201,7 @@
     pub(crate) weighs: bool,
     /// Boxed: lists of thousands are taken at once, and a map moves what it holds.
     pub(crate) hosts: BTreeMap<HostId, Box<Host>>,
+    pub(crate) index: HostIndex,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) alarms: BTreeMap<u64, Task>,
     pub(crate) next_alarm: u64,
@@ -263,12 +267,48 @@
 }
 
 impl State {
+    /// What the terms say, and nothing seen yet.
+    pub(crate) fn of(terms: &ServiceTerms, operations: Vec<Operation>, slots: usize, tick: f64) -> Self {
+        let sums = vec![[[0.0; 2]; 2]; slots * MARKS];
+        State {
+            me: terms.me,
+            routers: terms.routers.max(1),
+            zone: terms.zone,
+            by_cell: operations.iter().any(|operation| operation.group == RepeatGroup::Cell),
+            operations,
+            list_asked: terms.list_asked,
+            stage_shares: terms.stage_shares.clone(),
+            first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
+            window: terms.exposure_window + tick,
+            spare: terms.exposure_spare,
+            by_operation: terms.exposure_by_operation,
+            guarded_stages: terms.guarded_stages,
+            keys_bound: terms.keys_bound,
+            keys_warm: terms.keys_warm,
+            beside: !terms.in_place,
+            dispute_weight: if terms.dispute_share > 0.0 { 1.0 / terms.dispute_share } else { 0.0 },
+            drain_grace: terms.drain_grace,
+            cold_share: terms.cold_share,
+            cold_time: terms.cold_time,
+            fall_multiple: terms.fall_multiple,
+            may_tell: terms.may_tell,
+            may_copy: terms.may_copy,
+            advice: terms.may_advise.then_some(terms.longest_advice),
+            most_dispatches: terms.most_dispatches.max(1) as usize,
+            slots,
+            tick,
+            sight: sums.clone(),
+            sums,
+            ..State::default()
+        }
+    }
+
     pub(crate) fn usable(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values().map(|h| &**h).filter(|h| h.usable)
     }
 
     pub(crate) fn earlier_lives(&self) -> bool {
-        self.news.is_none_or(|news| self.usable().any(|h| h.entry.build < news.build))
+        self.news.is_none_or(|news| self.index.builds().any(|build| build < news.build))
     }
 
     /// The part of its work that a host can do, by its start and the terms.
@@ -293,6 +333,22 @@
         cells.fold([0.0; 2], |sum, cell| [sum[0] + cell[0], sum[1] + cell[1]])
     }
 
+    /// What this router tells a peer: its figures of the newest build, and the drag it sees.
+    pub(crate) fn message(&self, reply: bool, drag: f64) -> Vec<u8> {
+        let build = self.news.map_or(BuildId(0), |news| news.build);
+        let sums = self.sums.iter().flatten().flatten().copied().collect();
+        Message { reply, fresh: self.fresh, build, taken: self.taken.len() as f64, drag, sums }.encode()
+    }
+
+    /// What speaks for a vote, as the log tells it.
+    pub(crate) fn reasons(&self, news: &StageNews, arms: [usize; 2]) -> String {
+        let good = |[up, down]: [f64; 2]| format!("{:.2}/{:.0}", up / (up + down).max(1.0), up + down);
+        let of_arms = |mark| arms.map(|arm| good(self.figures(&self.sight, None, mark, arm))).join(":");
+        let (marks, drag) = ([0, 1, 2].map(of_arms).join(" "), self.shared_drag);
+        let (wish, build, stage) = (self.wish, news.build.0, news.stage);
+        format!("vote {wish:?} build {build} stage {stage}, in time, no error, quick {marks}, drag {drag:.2}")
+    }
+
     /// Whether weights are set, or were until now.
     pub(crate) fn weighs(&self) -> bool {
         self.weighs || !self.set.weights.is_empty()
