--- a/src/candidates.rs
+++ b/src/candidates.rs
@@ -1,7 +1,6 @@
 //! The hosts that a request may go to. Hosts that stand out are listed one by one; all others are counted by arm,
 //! as the index keeps them. Records only: which host may be chosen, and in which tier, is decided in `choice.rs`.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::host_index::Group;
@@ -9,15 +8,22 @@
 
 /// What a request asks of a host.
 pub(crate) struct Wanted {
-    /// The groups that are for it, and the arm of each.
-    pub(crate) arms: BTreeMap<Group, usize>,
+    /// The groups that are for it, in their order, and the arm of each.
+    pub(crate) arms: Vec<(Group, usize)>,
     /// Hosts that it has been sent to.
-    pub(crate) tried: BTreeSet<HostId>,
+    pub(crate) tried: Vec<HostId>,
     pub(crate) pool: Option<Arc<Pool>>,
     /// What operators had set when it came.
     pub(crate) revision: Revision,
 }
 
+impl Wanted {
+    pub(crate) fn arm(&self, group: &Group) -> Option<usize> {
+        let place = self.arms.binary_search_by(|(of, _)| of.cmp(group)).ok()?;
+        Some(self.arms[place].1)
+    }
+}
+
 /// One host that a request may go to.
 pub(crate) struct Candidate {
     pub(crate) host: HostId,
@@ -65,9 +71,10 @@
     }
 
     pub(crate) fn sum(&self, arm: usize, tier: u8) -> Sum {
-        let Sum { hosts, share } = self.counted(arm, tier);
-        let listed: f64 = self.listed(arm, tier).map(|candidate| candidate.share).sum();
-        Sum { hosts: hosts + self.listed(arm, tier).count(), share: share + listed }
+        let add = |sum: Sum, of: &Candidate| Sum { hosts: sum.hosts + 1, share: sum.share + of.share };
+        let listed = self.listed(arm, tier).fold(Sum::default(), add);
+        let counted = self.counted(arm, tier);
+        Sum { hosts: counted.hosts + listed.hosts, share: counted.share + listed.share }
     }
 
     /// The share of all hosts of a tier, of both arms.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! `handle(now, event, &mut effects)` for each event in its order; `src/interface.rs` has the interface, and
 //! `docs/design.md` the sources and reasons.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -222,31 +222,30 @@
         for entry in entries {
             let host = self.s.hosts.entry(entry.host).or_insert_with(|| new_host(entry));
             host.stage(entry, UNKNOWN);
+            self.s.staged.push(entry.host);
         }
     }
 
     fn list(&mut self, now: f64, scope: ListScope, entries: &[HostEntry]) {
         self.s.follow_wait = REFOLLOW[0];
         self.stage_hosts(entries);
-        let (whole, set) = (scope != ListScope::Changes, self.s.set.clone());
-        let (mut size, mut count, mut least, mut weighed) = (0.0, 0, None, vec![]);
-        let (mut hosts, mut weight) = (std::mem::take(&mut self.s.hosts), set.in_order());
-        for host in hosts.values_mut() {
-            // Invocations of an earlier revision do not go to what came with a later one.
-            host.settle(whole, set.revision, UNKNOWN);
-            if host.usable {
-                (size, count) = (size + host.entry.size, count + 1);
-                least = Some(least.map_or(host.entry.build, |build| host.entry.build.min(build)));
-                weighed.extend(self.s.weighs().then(|| self.s.weighed(&host.entry, now, &mut weight)));
-            }
-        }
-        (self.s.hosts, self.s.least_build) = (hosts, least);
-        self.s.weigh(weighed);
-        self.index_all(now);
+        // Invocations of an earlier revision do not go to what came with a later one.
+        let changed = self.s.settle(scope != ListScope::Changes, UNKNOWN);
+        self.index(now, changed);
+        self.weigh(now);
+        let all = self.s.index.sum(|_| true);
+        self.s.least_build = self.s.index.builds().next();
         if self.s.fleet <= 0.0 {
-            self.s.open_most = OPEN[0] * f64::from(count) * self.s.share;
+            self.s.open_most = OPEN[0] * all.hosts as f64 * self.s.share;
+        }
+        self.s.fleet = self.s.fleet.max(all.share);
+    }
+
+    fn weigh(&mut self, now: f64) {
+        if self.s.weighs() {
+            self.s.weigh(self.s.all_weighed(now, &self.s.set));
+            self.index(now, self.s.hosts.keys().copied().collect());
         }
-        self.s.fleet = self.s.fleet.max(size);
     }
 
     /// Who warms up, is ejected or fails is looked at for each request, all others by their groups.
@@ -258,14 +257,10 @@
         host.usable.then_some(Indexed { group, size, weight, settled, faults, pace })
     }
 
-    fn index(&mut self, now: f64, host: HostId) {
-        let indexed = self.s.hosts.get(&host).and_then(|host| self.indexed(now, host));
-        self.s.index.update(host, indexed);
-    }
-
-    fn index_all(&mut self, now: f64) {
+    fn index(&mut self, now: f64, hosts: Vec<HostId>) {
         let mut index = std::mem::take(&mut self.s.index);
-        index.update_all(self.s.hosts.iter().filter_map(|(id, h)| Some((*id, self.indexed(now, h)?))));
+        let indexed = |host| self.s.hosts.get(&host).and_then(|host| self.indexed(now, host));
+        index.update(hosts.into_iter().map(|host| (host, indexed(host))));
         self.s.index = index;
     }
 
@@ -469,7 +464,7 @@
             let step = if late { -OPEN_STEP[1] } else { OPEN_STEP[0] };
             self.s.open_most = (self.s.open_most + step).clamp(fair * OPEN[1], fair * OPEN[2]);
         }
-        self.index(now, to.host);
+        self.index(now, vec![to.host]);
         let shows = served || verdict == Verdict::TimedOut;
         let arm = usize::from(self.phase(build) != Phase::Released);
         if shows && warmth >= 1.0 && !sick && !slower {
@@ -515,13 +510,15 @@
     fn wanted(&self, now: f64, inv: &Inv) -> Wanted {
         let ((first, _), bound) = (self.trace(now, inv), self.s.bound_to(&inv.key));
         let repeats = self.s.operations[inv.operation].group;
-        let (mut rooms, mut arms) = (BTreeMap::new(), BTreeMap::new());
+        let (mut room, mut arms) = (None, vec![]);
         for group in self.s.index.groups() {
             let build = group.build;
             let new_key = bound.is_none_or(|bound| bound < build);
             let may_return = bound.is_none_or(|bound| build >= bound);
-            let room = rooms.entry(build);
-            let room = *room.or_insert_with(|| self.exposure_room(now, build, inv.operation, new_key));
+            if room.is_none_or(|(of, _)| of != build) {
+                room = Some((build, self.exposure_room(now, build, inv.operation, new_key)));
+            }
+            let room = room.is_some_and(|(_, room)| room);
             let same = first.is_none_or(|first| match repeats {
                 RepeatGroup::All => true,
                 RepeatGroup::Zone => first.zone == group.zone,
@@ -532,7 +529,7 @@
             let least = low.map_or(0.0, |low| (low.least * inv.work).min(FIRST_WAIT[0] * (inv.slo_at - now)));
             let of_pool = inv.pool.as_ref().is_none_or(|pool| pool.spans(group.zone, group.kind));
             if room && may_return && same && of_pool && now + least < inv.limit {
-                arms.insert(*group, usize::from(self.phase(build) == Phase::OnTrial));
+                arms.push((*group, usize::from(self.phase(build) == Phase::OnTrial)));
             }
         }
         let tried = inv.sent.iter().map(|s| s.to.host).collect();
@@ -540,7 +537,7 @@
     }
 
     fn candidate(&self, now: f64, wanted: &Wanted, h: &Host, weight: f64) -> Option<Candidate> {
-        let arm = *wanted.arms.get(&Group::of(&h.entry, self.s.by_cell))?;
+        let arm = wanted.arm(&Group::of(&h.entry, self.s.by_cell))?;
         let of_pool = wanted.pool.as_ref().is_none_or(|pool| pool.holds(&h.entry));
         let (health, host) = (&h.health, h.entry.host);
         let doubtful = health.aside_until > now || health.faults > FAULTY && !h.out.is_empty();
@@ -564,7 +561,7 @@
         } else if !self.keeps_to_pairs() {
             self.s.usable().filter_map(of).collect()
         } else {
-            let (sums, tried) = self.s.index.settled(&wanted.arms, &wanted.tried);
+            let (sums, tried) = self.s.index.settled(wanted);
             counted = sums;
             self.s.index.unsettled().chain(tried).filter_map(|id| of_id(&id)).collect()
         };
@@ -636,7 +633,7 @@
         let two = if open.counted(arm, tier).hosts == 0 {
             first_two(salt, open.listed(arm, tier).map(|of| (of.host, of.weight)))
         } else {
-            let groups: Vec<_> = wanted.arms.iter().filter(|of| *of.1 == arm).map(|of| *of.0).collect();
+            let groups: Vec<_> = wanted.arms.iter().filter(|of| of.1 == arm).map(|of| of.0).collect();
             let mut index = std::mem::take(&mut self.s.index);
             let two = index.first_two(salt, &groups, |id| {
                 let of = self.s.hosts.get(&id).and_then(|h| self.candidate(now, wanted, h, h.weight));
@@ -656,15 +653,13 @@
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
-        if self.s.weighs() {
-            self.s.weigh(self.s.all_weighed(now, &self.s.set));
-            self.index_all(now);
-        }
-        let unsettled: Vec<_> = self.s.index.unsettled().collect();
-        unsettled.into_iter().for_each(|host| self.index(now, host));
+        self.weigh(now);
+        self.index(now, self.s.index.unsettled().collect());
         let kept =
             |h: &Host| h.usable || h.next != Next::Unsaid || !h.out.is_empty() || now - h.used < REMEMBERED;
-        self.s.hosts.retain(|_, h| kept(h));
+        if self.s.hosts.len() > self.s.index.len() {
+            self.s.hosts.retain(|_, h| kept(h));
+        }
         let of_trial = self.s.index.sum(|build| self.phase(build) == Phase::OnTrial);
         let part = of_trial.share / self.s.index.sum(|_| true).share.max(GUARD);
         (self.s.part, self.s.trial_hosts) = (part, of_trial.hosts as f64);
@@ -791,7 +786,8 @@
         // A stage's machines must run before it is moved on: some builds fail only then.
         let part = self.s.stage_shares.get(news.stage as usize).filter(|_| !released).copied().unwrap_or(1.0);
         // Its places: all machines, or the earlier ones alone where those stay until the release.
-        let (on_trial, all) = (of_trial().count(), self.s.usable().count());
+        let of_builds = |of: &dyn Fn(BuildId) -> bool| self.s.index.sum(of).hosts;
+        let (on_trial, all) = (of_builds(&|build| build >= news.build), of_builds(&|_| true));
         let places = if self.s.beside { all - on_trial } else { all };
         let there = on_trial as f64 >= SETTLED[0] * part * places as f64;
         let settled = there && now - latest > SETTLED[1] || now - self.s.stage_since > SETTLED[2];
--- a/src/host_index.rs
+++ b/src/host_index.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::candidates::Sum;
+use crate::candidates::{Sum, Wanted};
 use crate::interface::{BuildId, CellId, HostEntry, HostId, KindId, ZoneId};
 use crate::rankings::Rankings;
 
@@ -42,6 +42,14 @@
     pub(crate) pace: f64,
 }
 
+impl Indexed {
+    /// Whether both count alike in the sums of their group.
+    fn counts_as(&self, other: &Indexed) -> bool {
+        let of = |of: &Indexed| (of.group, of.size, of.weight, of.settled);
+        of(self) == of(other)
+    }
+}
+
 /// The hosts of one group with their weights, and the sum of those that are settled.
 #[derive(Clone, Debug, Default)]
 struct Members {
@@ -104,26 +112,24 @@
         self.groups.keys()
     }
 
-    /// By arm, the settled hosts of these groups with the sum of size times weight, but for those named; and those
-    /// named that are settled.
-    pub(crate) fn settled(
-        &self, arms: &BTreeMap<Group, usize>, without: &BTreeSet<HostId>,
-    ) -> ([Sum; 2], Vec<HostId>) {
+    /// By arm, the settled hosts that a request may go to with the sum of size times weight, but for those that it has
+    /// tried; and the latter, where they are settled.
+    pub(crate) fn settled(&self, wanted: &Wanted) -> ([Sum; 2], Vec<HostId>) {
         let mut sums = [Sum::default(); 2];
-        for (group, arm) in arms {
+        for (group, arm) in &wanted.arms {
             let Some(members) = self.groups.get(group) else { continue };
             sums[*arm].hosts += members.settled.hosts;
             sums[*arm].share += members.settled.share;
         }
-        let mut left_out = vec![];
-        let settled = without.iter().filter_map(|host| Some((*host, self.hosts.get(host)?)));
-        for (host, of) in settled.filter(|(_, of)| of.settled) {
-            let Some(arm) = arms.get(&of.group) else { continue };
-            sums[*arm].hosts -= 1;
-            sums[*arm].share -= of.size * of.weight;
-            left_out.push(host);
+        let mut tried = vec![];
+        for host in &wanted.tried {
+            let Some(of) = self.hosts.get(host).filter(|of| of.settled) else { continue };
+            let Some(arm) = wanted.arm(&of.group).filter(|_| !tried.contains(host)) else { continue };
+            sums[arm].hosts -= 1;
+            sums[arm].share -= of.size * of.weight;
+            tried.push(*host);
         }
-        (sums, left_out)
+        (sums, tried)
     }
 
     pub(crate) fn builds(&self) -> impl Iterator<Item = BuildId> {
@@ -148,33 +154,27 @@
         self.unsettled.iter().copied()
     }
 
-    /// Brings one host up to date; none: it is not in use.
-    pub(crate) fn update(&mut self, host: HostId, now: Option<Indexed>) {
-        let before = self.hosts.get(&host).copied();
-        if before == now {
-            return;
-        }
-        self.follow(host, before, now);
-        if let Some(before) = before {
-            self.remove(host, &before);
-        }
-        if let Some(now) = now {
-            self.insert(host, now);
-        }
-    }
-
-    /// Brings all hosts up to date, given in ascending order of ids: whoever is not among them is not in use.
-    pub(crate) fn update_all(&mut self, hosts: impl Iterator<Item = (HostId, Indexed)>) {
-        let hosts: BTreeMap<_, _> = hosts.collect();
-        let gone = self.hosts.keys().filter(|host| !hosts.contains_key(host)).map(|host| (*host, None));
-        let differs = |(host, now): &(&HostId, &Indexed)| self.hosts.get(host) != Some(now);
-        let changed = hosts.iter().filter(differs).map(|(host, now)| (*host, Some(*now)));
-        let changes: Vec<_> = gone.chain(changed).collect();
-        if changes.len() > FOLLOWED_AT_ONCE {
+    /// Brings hosts up to date; none: a host is not in use.
+    pub(crate) fn update(&mut self, hosts: impl Iterator<Item = (HostId, Option<Indexed>)>) {
+        let changed: Vec<_> = hosts.filter(|(host, now)| self.hosts.get(host) != now.as_ref()).collect();
+        if changed.len() > FOLLOWED_AT_ONCE {
             self.rankings.clear();
         }
-        for (host, now) in changes {
-            self.update(host, now);
+        for (host, now) in changed {
+            let before = self.hosts.get(&host).copied();
+            if let (Some(before), Some(now)) = (before, now)
+                && before.counts_as(&now)
+            {
+                self.replace(host, &before, now);
+                continue;
+            }
+            self.follow(host, before, now);
+            if let Some(before) = before {
+                self.remove(host, &before);
+            }
+            if let Some(now) = now {
+                self.insert(host, now);
+            }
         }
     }
 
@@ -207,6 +207,15 @@
         groups.flat_map(|(_, members)| members.hosts.iter().map(|(host, weight)| (*host, *weight)))
     }
 
+    /// Only its faults and slowdown have changed, as with nearly every outcome.
+    fn replace(&mut self, host: HostId, before: &Indexed, now: Indexed) {
+        if let Some(sums) = self.builds.get_mut(&before.group.build) {
+            sums.subtract(before);
+            sums.add(&now);
+        }
+        self.hosts.insert(host, now);
+    }
+
     /// The rankings go by builds and weights alone.
     fn follow(&mut self, host: HostId, before: Option<Indexed>, now: Option<Indexed>) {
         let place = |of: Option<Indexed>| of.map(|of| (of.group.build, of.weight));
--- a/src/host_index/tests.rs
+++ b/src/host_index/tests.rs
@@ -2,6 +2,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::interface::Revision;
 use crate::record::mix;
 
 fn group(build: u16, zone: u64) -> Group {
@@ -16,17 +17,15 @@
 fn filled(count: u64) -> HostIndex {
     let mut index = HostIndex::default();
     let of = |id: u64| indexed(group(if id.is_multiple_of(2) { 7 } else { 8 }, id / 2 % 2), true);
-    let mut hosts: Vec<_> = (0..count).map(|id| (HostId(mix(id)), of(id))).collect();
-    hosts.sort_by_key(|(host, _)| *host);
-    index.update_all(hosts.into_iter());
+    index.update((0..count).map(|id| (HostId(mix(id)), Some(of(id)))));
     index
 }
 
-fn both() -> BTreeMap<Group, usize> {
-    [(7, 0), (8, 1)]
-        .into_iter()
-        .flat_map(|(build, arm)| [0, 1].map(|zone| (group(build, zone), arm)))
-        .collect()
+/// A request that may go to all of them, and has been sent to these.
+fn wanted(tried: Vec<HostId>) -> Wanted {
+    let arms = [(7, 0), (8, 1)].into_iter();
+    let arms = arms.flat_map(|(build, arm)| [0, 1].map(|zone| (group(build, zone), arm))).collect();
+    Wanted { arms, tried, pool: None, revision: Revision(0) }
 }
 
 #[test]
@@ -38,13 +37,13 @@
         let host = HostId(mix(random.random_range(0..120)));
         let of = indexed(group(random.random_range(7..9), random.random_range(0..2)), random.random());
         let now = (random.random::<f64>() < 0.8).then_some(of);
-        index.update(host, now);
+        index.update([(host, now)].into_iter());
         match now {
             Some(now) => plain.insert(host, now),
             None => plain.remove(&host),
         };
         let settled = |arm: u16| plain.values().filter(move |of| of.settled && of.group.build.0 == 7 + arm);
-        let (sums, _) = index.settled(&both(), &BTreeSet::new());
+        let (sums, _) = index.settled(&wanted(vec![]));
         for arm in [0, 1] {
             assert_eq!(sums[usize::from(arm)].hosts, settled(arm).count());
             assert!((sums[usize::from(arm)].share - settled(arm).count() as f64).abs() < 1e-9);
@@ -63,8 +62,8 @@
 fn who_was_tried_is_not_counted_and_is_named() {
     let mut index = filled(40);
     let (tried, ejected) = (HostId(mix(3)), HostId(mix(5)));
-    index.update(ejected, Some(indexed(group(8, 0), false)));
-    let (sums, named) = index.settled(&both(), &[tried, ejected, HostId(1)].into());
+    index.update([(ejected, Some(indexed(group(8, 0), false)))].into_iter());
+    let (sums, named) = index.settled(&wanted(vec![tried, ejected, HostId(1), tried]));
     assert_eq!(sums.map(|sum| sum.hosts), [20, 18]);
     assert_eq!(named, [tried]);
 }
@@ -86,7 +85,7 @@
 fn groups_and_builds_without_hosts_are_forgotten() {
     let mut index = filled(100);
     assert_eq!(index.groups().count(), 4);
-    index.update_all(std::iter::empty());
+    index.update((0..100).map(|id| (HostId(mix(id)), None)));
     assert_eq!((index.len(), index.groups().count(), index.builds().count()), (0, 0, 0));
     assert!(index.first_two(1, &[group(7, 0)], |_| true).is_empty());
 }
--- a/src/record.rs
+++ b/src/record.rs
@@ -202,6 +202,8 @@
     /// Boxed: lists of thousands are taken at once, and a map moves what it holds.
     pub(crate) hosts: BTreeMap<HostId, Box<Host>>,
     pub(crate) index: HostIndex,
+    /// What the list that is being told names.
+    pub(crate) staged: Vec<HostId>,
     pub(crate) invs: BTreeMap<InvId, Inv>,
     pub(crate) alarms: BTreeMap<u64, Task>,
     pub(crate) next_alarm: u64,
@@ -349,6 +351,18 @@
         format!("vote {wish:?} build {build} stage {stage}, in time, no error, quick {marks}, drag {drag:.2}")
     }
 
+    /// The list that was told is whole and counts from here on; the hosts that it may have changed.
+    pub(crate) fn settle(&mut self, whole: bool, unknown: Health) -> Vec<HostId> {
+        let staged = std::mem::take(&mut self.staged);
+        let changed: Vec<_> = if whole { self.hosts.keys().copied().collect() } else { staged };
+        for id in &changed {
+            if let Some(host) = self.hosts.get_mut(id) {
+                host.settle(whole, self.set.revision, unknown);
+            }
+        }
+        changed
+    }
+
     /// Whether weights are set, or were until now.
     pub(crate) fn weighs(&self) -> bool {
         self.weighs || !self.set.weights.is_empty()
