--- /dev/null
+++ b/measure/src/capacity/simulation/fleet/carry.rs
@@ -0,0 +1,251 @@
+//! Events to the decision module of one router, and what its effects come to.
+
+use super::super::hosts::Answer;
+use super::*;
+
+/// Seconds until a connection that nobody answers is given up.
+const CONNECT_TIME_OUT: f64 = 0.25;
+/// Seconds that a call to the platform takes, each way.
+const VOTE_LAG: [f64; 2] = [0.03, 0.09];
+
+impl Fleet {
+    pub(super) fn deliver(&mut self, seconds: f64, router: usize, event: Event) {
+        let incarnation = self.members[router].incarnation;
+        self.after(seconds, Happening::Module { router, incarnation, event });
+    }
+
+    pub(super) fn is_current(&self, router: usize, incarnation: u32) -> bool {
+        let member = &self.members[router];
+        member.up && member.incarnation == incarnation
+    }
+
+    pub(super) fn module(&mut self, router: usize, incarnation: u32, event: Event) {
+        if !self.is_current(router, incarnation) {
+            return;
+        }
+        match &event {
+            Event::Told { payload, .. } => {
+                let asked = self.asked;
+                let enough = asked.outcomes * 0.5f64.powf((self.now - asked.since) / asked.half_life);
+                self.evidence.takes(router, payload, self.now, enough);
+                self.counts.messages_received += 1;
+                self.counts.bytes_received += payload.len() as u64;
+            }
+            Event::Ended { inv, host, verdict, .. } => {
+                if self.hosts.entry(*host).build == self.newest && self.platform.phase() == Phase::OnTrial {
+                    self.first_outcome.get_or_insert(self.now);
+                }
+                if *verdict == Verdict::Succeeded
+                    && let Some((since, _)) = self.members[router].open.remove(inv)
+                {
+                    self.counts.in_time += u64::from(self.now - since <= settings::SLO_TIME);
+                }
+            }
+            _ => {}
+        }
+        self.handle(router, event);
+    }
+
+    fn handle(&mut self, router: usize, event: Event) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.members[router].router.handle(self.now, event, &mut effects);
+        effects.drain(..).for_each(|effect| self.carry_out(router, effect));
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, router: usize, effect: Effect) {
+        match effect {
+            Effect::SetAlarm { at, key } => self.deliver(at - self.now, router, Event::Alarm { key }),
+            Effect::Dispatch { inv, host, time_out, .. } => self.dispatch(router, inv, host, time_out),
+            Effect::Throttle { inv, .. } | Effect::Terminate { inv } => {
+                let open = self.members[router].open.remove(&inv);
+                self.counts.throttled += u64::from(open.is_some());
+            }
+            Effect::Tell { to: Some(to), payload } => self.send(router, to.0 as usize, payload),
+            Effect::Follow { on: true } => {
+                let region = self.members[router].place.region;
+                let wait = self.discovery[region].call(self.now);
+                let incarnation = self.members[router].incarnation;
+                self.after(wait, Happening::ListServed { router, incarnation });
+            }
+            Effect::Vote { build, stage, sense } => self.vote(router, build, stage, sense),
+            _ => {}
+        }
+    }
+
+    // Invocations.
+
+    pub(super) fn next_arrival(&mut self, router: usize) {
+        let rate = self.members[router].rate;
+        if rate > 0.0 {
+            let wait = exponential(1.0 / rate, &mut self.random);
+            self.after(wait, Happening::Arrive { router });
+        }
+    }
+
+    pub(super) fn arrive(&mut self, router: usize) {
+        if self.members[router].up {
+            self.arrived(router);
+        }
+        self.next_arrival(router);
+    }
+
+    pub(super) fn arrived(&mut self, router: usize) {
+        self.next_invocation += 1;
+        self.counts.taken += 1;
+        self.exposure.took(self.now);
+        let id = InvId(self.next_invocation.to_string().into());
+        let operation = OperationId(usize::from(self.random.random::<f64>() < BY_KEY));
+        let time_left = if operation.0 == 0 { 2.0 } else { 1.0 };
+        self.members[router].open.insert(id.clone(), (self.now, 0));
+        let (key, work, again, pool) = (None, None, false, None);
+        self.handle(router, Event::Arrived(Invocation { id, operation, key, time_left, work, again, pool }));
+    }
+
+    fn dispatch(&mut self, router: usize, inv: InvId, host: HostId, time_out: f64) {
+        let member = &mut self.members[router];
+        let (place, incarnation) = (member.place, member.incarnation);
+        let Some((_, dispatches)) = member.open.get_mut(&inv) else { return };
+        let dispatch = *dispatches;
+        *dispatches += 1;
+        let to = self.hosts.place_of(host);
+        let way = 2.0 * self.network.latency(place, to, &mut self.random);
+        let reaches = self.network.connects(place.region, to.region);
+        let answer =
+            if reaches { self.hosts.dispatch(host, self.now, &mut self.random) } else { Answer::Silence };
+        let (after, error) = match answer {
+            Answer::Served { after, error } => (after + way, error),
+            Answer::Refused => return self.no_connection(router, inv, dispatch, host, way),
+            Answer::Silence => return self.no_connection(router, inv, dispatch, host, CONNECT_TIME_OUT),
+        };
+        self.exposes(router, host);
+        let sent = self.now;
+        let answered = Answered { router, incarnation, inv, dispatch, host, sent, time_out, error };
+        if after <= time_out {
+            self.after(after, Happening::Answered(Box::new(answered)));
+        } else {
+            self.timed_out(answered);
+        }
+    }
+
+    /// Counts a dispatch that reached a host of the build on trial, or of one that was taken back.
+    fn exposes(&mut self, router: usize, host: HostId) {
+        let build = self.hosts.entry(host).build;
+        if build != self.platform.build() {
+            return;
+        }
+        match self.platform.phase() {
+            Phase::OnTrial => {
+                let up = self.members.len();
+                self.exposure.sent(self.now, up);
+            }
+            Phase::GoingBack | Phase::Withdrawn => {
+                let member = &self.members[router];
+                let back = |told: StageNews| matches!(told.phase, Phase::GoingBack | Phase::Withdrawn);
+                let told = member.told.is_some_and(|told| told.build == build && back(told));
+                let reached = self.platform_reaches(member.place.region);
+                self.counts.after_back[if told { 0 } else { 1 + usize::from(!reached) }] += 1;
+            }
+            Phase::Released => {}
+        }
+    }
+
+    fn ended(&mut self, answered: Answered, seconds: f64, verdict: Verdict, took: f64) {
+        let Answered { router, incarnation, inv, dispatch, host, .. } = answered;
+        let (over, load, unused) = (verdict == Verdict::Succeeded, LoadReport::default(), Some(0.0));
+        let dispatch = DispatchNo(dispatch);
+        let event = Event::Ended { inv, dispatch, host, verdict, over, took, load, unused };
+        self.after(seconds, Happening::Module { router, incarnation, event });
+    }
+
+    fn no_connection(&mut self, router: usize, inv: InvId, dispatch: u32, host: HostId, took: f64) {
+        let (incarnation, sent) = (self.members[router].incarnation, self.now);
+        let answered =
+            Answered { router, incarnation, inv, dispatch, host, sent, time_out: took, error: false };
+        self.ended(answered, took, Verdict::NoConnection, took);
+    }
+
+    fn timed_out(&mut self, answered: Answered) {
+        let time_out = answered.time_out;
+        let left = answered.sent + time_out - self.now;
+        self.ended(answered, left.max(0.0), Verdict::TimedOut, time_out);
+    }
+
+    pub(super) fn answered(&mut self, answered: Answered) {
+        let from = self.hosts.place_of(answered.host).region;
+        let arrives = self.network.connects(from, self.members[answered.router].place.region);
+        if !arrives || self.hosts.lost_since(answered.host, answered.sent) {
+            return self.timed_out(answered);
+        }
+        let verdict = if answered.error { Verdict::Error } else { Verdict::Succeeded };
+        let took = self.now - answered.sent;
+        self.ended(answered, 0.0, verdict, took);
+    }
+
+    // Messages between routers, lists, votes.
+
+    fn send(&mut self, from: usize, to: usize, payload: Vec<u8>) {
+        self.counts.messages_sent += 1;
+        self.counts.bytes_sent += payload.len() as u64;
+        self.evidence.sends(from, &payload);
+        let places = [from, to].map(|router| self.members[router].place);
+        if let Some(latency) = self.network.datagram(places[0], places[1], &mut self.random) {
+            self.deliver(latency, to, Event::Told { from: RouterId(from as u32), payload });
+        }
+    }
+
+    pub(super) fn list_served(&mut self, router: usize, incarnation: u32) {
+        if !self.is_current(router, incarnation) {
+            return;
+        }
+        let entries = self.discovery[self.members[router].place.region].whole();
+        let member = &mut self.members[router];
+        (member.following, member.push_at) = (true, self.now);
+        self.handle(router, Event::Hosts { scope: ListScope::Whole, entries });
+    }
+
+    pub(super) fn news(&mut self, router: usize, incarnation: u32, news: StageNews) {
+        if !self.is_current(router, incarnation) {
+            return;
+        }
+        self.members[router].told = Some(news);
+        self.evidence.news(router, news.build.0);
+        self.handle(router, Event::Stage(news));
+    }
+
+    fn vote(&mut self, router: usize, build: BuildId, stage: u32, sense: Sense) {
+        let incarnation = self.members[router].incarnation;
+        if !self.platform_reaches(self.members[router].place.region) {
+            self.counts.votes_unheard += 1;
+            let verdict = Verdict::NoConnection;
+            return self.after(CONNECT_TIME_OUT, Happening::VoteAnswered { router, incarnation, verdict });
+        }
+        let lag = between(VOTE_LAG, &mut self.random);
+        self.after(lag, Happening::VoteArrives { router, incarnation, build, stage, sense });
+    }
+
+    pub(super) fn vote_arrives(
+        &mut self, router: usize, incarnation: u32, (build, stage, sense): (BuildId, u32, Sense),
+    ) {
+        let verdict = self.platform.vote(self.now, router, build, stage, sense);
+        let lag = between(VOTE_LAG, &mut self.random);
+        self.after(lag, Happening::VoteAnswered { router, incarnation, verdict });
+    }
+
+    pub(super) fn vote_answered(&mut self, router: usize, incarnation: u32, verdict: Verdict) {
+        let told = self.members[router].told;
+        if let Some(told) = told.filter(|_| self.is_current(router, incarnation)) {
+            let news = StageNews { verdict, answers_vote: true, ..told };
+            self.handle(router, Event::Stage(news));
+        }
+    }
+
+    pub(super) fn change_configuration(&mut self) {
+        let revision = Revision(self.set.revision.0 + 1);
+        self.set = Arc::new(OperatorSet { revision, ..OperatorSet::default() });
+        for router in (0..self.members.len()).filter(|router| self.members[*router].up).collect::<Vec<_>>() {
+            let event = Event::Operators { set: self.set.clone(), entries: Arc::new([]) };
+            self.deliver(self.members[router].push_lag, router, event);
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/capacity/simulation/settings.rs
@@ -0,0 +1,95 @@
+//! The settings that all routers and the platform are started with: those of the example configuration, with the
+//! votes of half of all routers and a platform that takes a fifth of them a second.
+
+use kestreltide::interface::*;
+
+use super::platform::PlatformTerms;
+
+/// Share of all machines, stage by stage, and of all invocations at most.
+const SHARES: [f64; 3] = [0.1, 0.5, 1.0];
+const CAPS: [f64; 3] = [0.15, 0.7, 1.0];
+/// Seconds that a vote counts, and that a stage lasts at least.
+const BALLOT_LIFE: f64 = 10.0;
+const BAKE: f64 = 3.0;
+/// Of all routers, so many votes a second does the platform take.
+const VOTE_RATE: f64 = 0.2;
+pub const SLO_TIME: f64 = 0.5;
+pub const EXPOSURE_WINDOW: f64 = 2.0;
+pub const EXPOSURE_SPARE: f64 = 3.0;
+pub const COLD_SHARE: f64 = 0.5;
+pub const COLD_TIME: f64 = 2.0;
+pub const FALL_MULTIPLE: f64 = 3.0;
+pub const FALL_TIME: f64 = 2.0;
+pub const DRAIN_GRACE: f64 = 0.5;
+
+/// Votes that move a build: of half of all routers.
+pub fn half(routers: usize) -> usize {
+    routers.div_ceil(2)
+}
+
+pub fn platform_terms(routers: usize) -> PlatformTerms {
+    PlatformTerms {
+        needed: half(routers),
+        rate: VOTE_RATE * routers as f64,
+        ballot_life: BALLOT_LIFE,
+        bake: BAKE,
+        shares: SHARES.to_vec(),
+        caps: CAPS.to_vec(),
+    }
+}
+
+/// The terms of one of so many routers, which stands in this zone.
+pub fn service_terms(routers: usize, zone: usize) -> ServiceTerms {
+    let operation = |repeats, time_limit, late_share| OperationTerms {
+        slo_time: SLO_TIME,
+        slo_stretch: 0.0,
+        time_limit,
+        repeats,
+        billed_value: 1.0,
+        late_share,
+        streamed: false,
+    };
+    let by_key = Repeats::Fingerprinted { group: RepeatGroup::All, window: 2.0 };
+    let votes = half(routers) as u32;
+    ServiceTerms {
+        me: RouterId(0),
+        routers: routers as u32,
+        zone: Some(ZoneId(zone as u64)),
+        operations: vec![operation(Repeats::Idempotent, 2.0, 0.2), operation(by_key, 1.0, 0.0)],
+        billed_by_work: false,
+        list_asked: true,
+        ask_every: 10.0,
+        sizes: Sizes::Untold,
+        gate: Gate::Any,
+        votes_on: votes,
+        votes_back: votes,
+        votes_hold: 0,
+        bake: BAKE,
+        ballot_life: BALLOT_LIFE,
+        vote_wait: 1.0,
+        vote_rate: VOTE_RATE * routers as f64,
+        stage_shares: SHARES.to_vec(),
+        stage_caps: CAPS.to_vec(),
+        exposure_window: EXPOSURE_WINDOW,
+        exposure_spare: EXPOSURE_SPARE,
+        exposure_by_operation: false,
+        guarded_stages: 0,
+        keys_bound: false,
+        keys_warm: false,
+        in_place: true,
+        dispute_share: 0.0,
+        drain_grace: DRAIN_GRACE,
+        cold_share: COLD_SHARE,
+        cold_time: COLD_TIME,
+        fall_multiple: FALL_MULTIPLE,
+        fall_time: FALL_TIME,
+        may_probe: false,
+        may_tell: true,
+        may_recall: true,
+        may_copy: false,
+        may_advise: true,
+        longest_advice: 1.0,
+        most_dispatches: 4,
+        tick: 0.005,
+    }
+}
