--- a/tests/fake/fleet.rs
+++ b/tests/fake/fleet.rs
@@ -9,6 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// The first zone of the second region.
+pub const SECOND_REGION: u64 = 5;
+/// Seconds until a connection that nobody answers is given up.
+const CONNECT_TIME_OUT: f64 = 0.25;
+
 /// Nanoseconds, so that times can be ordered.
 type At = u64;
 
@@ -52,6 +57,8 @@
     pub work: Option<f64>,
     busy: BinaryHeap<Reverse<At>>,
     pub came: usize,
+    /// Its machine is lost: nobody gets a connection.
+    pub lost: bool,
 }
 
 pub struct Fleet {
@@ -69,6 +76,24 @@
     /// Of them, which had been refused without a dispatch.
     pub refused: usize,
     pub told: (usize, usize),
+    /// Routers from this one on are in the second region, as hosts are from `SECOND_REGION` on.
+    pub first_region: usize,
+    /// The regions do not reach each other.
+    pub apart: bool,
+    /// The regions have missed each other: each lists its own hosts only.
+    pub missed: bool,
+    /// Which regions the platform reaches.
+    pub platform_reaches: [bool; 2],
+    pub down: Vec<bool>,
+    /// A build of whose answers this part are errors.
+    pub bad: Option<(BuildId, f64)>,
+    /// When invocations came, and when dispatches went to a build on trial.
+    pub taken_at: Vec<f64>,
+    pub exposed_at: Vec<f64>,
+    /// What each router was last told by the platform.
+    pub last_news: Vec<Option<StageNews>>,
+    /// What each region was last told.
+    region_news: [StageNews; 2],
     terms: ServiceTerms,
     events: HashMap<u64, (usize, Event)>,
     queue: BinaryHeap<Reverse<(At, u64)>>,
@@ -89,7 +114,14 @@
             age: 60.0,
             answers_vote: false,
         };
-        let host = |entry| Host { entry, places: 16, work: Some(0.1), busy: BinaryHeap::new(), came: 0 };
+        let host = |entry| Host {
+            entry,
+            places: 16,
+            work: Some(0.1),
+            busy: BinaryHeap::new(),
+            came: 0,
+            lost: false,
+        };
         let mut fleet = Fleet {
             now: 100.0,
             routers: vec![],
@@ -117,6 +149,16 @@
             in_time: 0,
             refused: 0,
             told: (0, 0),
+            first_region: routers,
+            apart: false,
+            missed: false,
+            platform_reaches: [true; 2],
+            down: vec![false; routers],
+            bad: None,
+            taken_at: vec![],
+            exposed_at: vec![],
+            last_news: vec![None; routers],
+            region_news: [newest; 2],
             terms: ServiceTerms { routers: routers as u32, ..terms },
             events: HashMap::new(),
             queue: BinaryHeap::new(),
@@ -138,13 +180,40 @@
     }
 
     fn begin(&mut self, me: usize) {
-        let entries = self.hosts.iter().map(|host| host.entry).collect();
+        let entries = self.listed(self.region(me));
         self.after(0.0, me, Event::Hosts { scope: ListScope::Remembered, entries });
-        self.after(0.001, me, Event::Stage(self.newest));
+        self.after(0.001, me, Event::Stage(self.region_news[self.region(me)]));
+    }
+
+    pub fn region(&self, router: usize) -> usize {
+        usize::from(router >= self.first_region)
+    }
+
+    fn region_of(host: &HostEntry) -> usize {
+        usize::from(host.zone.0 >= SECOND_REGION)
+    }
+
+    fn connects(&self, one: usize, other: usize) -> bool {
+        one == other || !self.apart
+    }
+
+    /// The hosts that a region's discovery has.
+    fn listed(&self, region: usize) -> std::sync::Arc<[HostEntry]> {
+        let missed = |host: &&Host| self.missed && Self::region_of(&host.entry) != region;
+        let listed = self.hosts.iter().filter(|host| !host.lost && !missed(host));
+        listed.map(|host| host.entry).collect()
+    }
+
+    /// Killed, and not started again.
+    pub fn stop(&mut self, me: usize) {
+        self.down[me] = true;
+        self.events.retain(|_, (of, _)| *of != me);
+        self.open.retain(|(of, _), _| *of != me);
     }
 
     /// Killed and started anew, with the list that it had.
     pub fn restart(&mut self, me: usize) {
+        self.down[me] = false;
         let kept = |(of, _): &(usize, Event)| *of != me;
         self.events.retain(|_, event| kept(event));
         self.open.retain(|(of, _), _| *of != me);
@@ -161,17 +230,25 @@
 
     pub fn tell_all(&mut self, news: StageNews) {
         self.newest = news;
+        for region in 0..2 {
+            if self.platform_reaches[region] {
+                self.region_news[region] = news;
+            }
+        }
         (0..self.routers.len()).for_each(|router| {
             let late = self.chance.random::<f64>() * 0.1;
-            self.after(late, router, Event::Stage(news));
+            if self.platform_reaches[self.region(router)] {
+                self.after(late, router, Event::Stage(news));
+            }
         });
     }
 
     pub fn list_all(&mut self) {
-        let entries: std::sync::Arc<[HostEntry]> = self.hosts.iter().map(|host| host.entry).collect();
+        let entries = [self.listed(0), self.listed(1)];
         (0..self.routers.len()).for_each(|router| {
             let late = self.chance.random::<f64>() * 0.1;
-            self.after(late, router, Event::Hosts { scope: ListScope::Whole, entries: entries.clone() });
+            let entries = entries[self.region(router)].clone();
+            self.after(late, router, Event::Hosts { scope: ListScope::Whole, entries });
         });
     }
 
@@ -213,9 +290,14 @@
     }
 
     fn handle(&mut self, router: usize, event: Event) {
+        if self.down[router] {
+            return;
+        }
         match &event {
+            Event::Stage(news) if !news.answers_vote => self.last_news[router] = Some(*news),
             Event::Arrived(inv) => {
                 self.asked += 1;
+                self.taken_at.push(self.now);
                 self.open.insert((router, inv.id.clone()), (self.now, 0));
             }
             Event::Ended { inv, verdict: Verdict::Succeeded, .. } => {
@@ -246,6 +328,7 @@
                 self.told = (self.told.0 + 1, self.told.1 + payload.len());
                 let from = RouterId(router as u32);
                 let to = to.map(|to| to.0 as usize).filter(|to| *to < self.routers.len());
+                let to = to.filter(|to| self.connects(self.region(router), self.region(*to)));
                 let late = 0.003 + 0.02 * self.chance.random::<f64>();
                 to.into_iter()
                     .for_each(|to| self.after(late, to, Event::Told { from, payload: payload.clone() }));
@@ -261,19 +344,37 @@
         let no = DispatchNo(open.1);
         open.1 += 1;
         let now = nanos(self.now);
-        let Some(to) = self.hosts.iter_mut().find(|of| of.entry.host == host) else { return };
+        let Some(place) = self.hosts.iter().position(|of| of.entry.host == host) else { return };
+        let far = !self.connects(self.region(router), Self::region_of(&self.hosts[place].entry));
+        if far || self.hosts[place].lost {
+            let (verdict, over, took) = (Verdict::NoConnection, false, CONNECT_TIME_OUT);
+            let (load, unused) = (LoadReport::default(), Some(0.0));
+            let ended = Event::Ended { inv, dispatch: no, host, verdict, over, took, load, unused };
+            return self.after(took, router, ended);
+        }
+        let to = &mut self.hosts[place];
         to.came += 1;
+        let build = to.entry.build;
+        if self.newest.phase == Phase::OnTrial && build == self.newest.build {
+            self.exposed_at.push(self.now);
+        }
+        let age = to.entry.started.map_or(f64::INFINITY, |started| self.now - started);
+        let cold = self.terms.cold_share;
+        let warmth = cold + (1.0 - cold) * (age / self.terms.cold_time).clamp(0.0, 1.0);
         while to.busy.peek().is_some_and(|done| done.0 <= now) {
             to.busy.pop();
         }
         // Places are taken up in their order: the earliest to fall free is the next one's.
         let begins = if to.busy.len() < to.places { now } else { to.busy.pop().map_or(now, |done| done.0) };
-        let done = to.work.map(|work| begins + nanos(work * (0.5 + self.chance.random::<f64>())));
+        let done = to.work.map(|work| begins + nanos(work / warmth * (0.5 + self.chance.random::<f64>())));
         to.busy.push(Reverse(done.unwrap_or(now)));
         let (verdict, took) = match done.map(|done| (done - now) as f64 / 1e9 + 0.002) {
             Some(took) if took <= time_out => (Verdict::Succeeded, took),
             _ => (Verdict::TimedOut, time_out),
         };
+        let errors = self.bad.filter(|bad| bad.0 == build).map_or(0.0, |bad| bad.1);
+        let fails = verdict == Verdict::Succeeded && errors > 0.0 && self.chance.random::<f64>() < errors;
+        let verdict = if fails { Verdict::Error } else { verdict };
         let (over, load, unused) = (verdict == Verdict::Succeeded, LoadReport::default(), Some(0.0));
         self.after(took, router, Event::Ended { inv, dispatch: no, host, verdict, over, took, load, unused });
     }
@@ -292,11 +393,16 @@
             let waited = discovery.time_out;
             return self.after(waited, router, Event::ListFailed);
         }
-        let entries = self.hosts.iter().map(|host| host.entry).collect();
+        let entries = self.listed(self.region(router));
         self.after(waits, router, Event::Hosts { scope: ListScope::Whole, entries });
     }
 
     fn vote(&mut self, router: usize, build: BuildId, stage: u32, sense: Sense) {
+        if !self.platform_reaches[self.region(router)] {
+            let known = self.region_news[self.region(router)];
+            let news = StageNews { verdict: Verdict::NoConnection, answers_vote: true, ..known };
+            return self.after(CONNECT_TIME_OUT, router, Event::Stage(news));
+        }
         let platform = &mut self.platform;
         platform.asked += 1;
         let (tokens, since) = platform.tokens;
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod regions;
 
 use kestreltide::choice::Router;
 use kestreltide::interface::*;
