--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! sent, relayed and booked, each by a unit of its own; only `route` speaks with the decisions.
 
 mod admit;
+mod arrivals;
 mod book;
 mod discovery;
 mod fronts;
@@ -142,7 +143,7 @@
     last_calls: u64,
     last_at: Option<f64>,
     tally: Tally,
-    /// When the last sleep ended, and how long a command that is read now may have waited unread.
+    /// When the last sleep ended, and how long what is read from a socket now may have waited there.
     woken: f64,
     stall: f64,
     told_nothing: bool,
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -7,6 +7,7 @@
 use slog::{info, warn};
 
 use super::admit::Taken;
+use super::arrivals::Arrivals;
 use super::{CLIENTS, Due, Routing};
 use crate::protocol::client::{self, Command, Kept};
 use crate::protocol::{Malformed, resp};
@@ -20,6 +21,8 @@
 
 pub(super) struct Client {
     pub(super) stream: Stream,
+    /// Of what has been read and not taken.
+    arrivals: Arrivals,
     pub(super) queue: VecDeque<Waiting>,
     /// No more commands are taken; closed once all that was taken is answered.
     pub(super) closing: bool,
@@ -38,8 +41,35 @@
 
 impl Client {
     fn new(stream: Stream, now: f64) -> Self {
-        let (queue, closing, lingers, stuck) = (VecDeque::new(), false, None, None);
-        Client { stream, queue, closing, lingers, used: now, asked: 0, begun: None, unknown: 0, stuck }
+        let (arrivals, queue) = (Arrivals::default(), VecDeque::new());
+        let (closing, lingers, stuck) = (false, None, None);
+        Client {
+            stream,
+            arrivals,
+            queue,
+            closing,
+            lingers,
+            used: now,
+            asked: 0,
+            begun: None,
+            unknown: 0,
+            stuck,
+        }
+    }
+
+    /// Reads what is there, up to so many unused bytes and so many at a time. What is found arrived at this time or
+    /// later.
+    fn fill(&mut self, most: usize, step: usize, arrived_since: f64) -> Fill {
+        let before = self.stream.input().len();
+        let filled = self.stream.fill(most, step);
+        let read = self.stream.input().len() - before;
+        self.arrivals.read(read, arrived_since, filled != Fill::More);
+        filled
+    }
+
+    fn consume(&mut self, bytes: usize) {
+        self.stream.consume(bytes);
+        self.arrivals.consume(bytes);
     }
 
     pub(super) fn is_idle(&self) -> bool {
@@ -180,11 +210,13 @@
         if !self.write_client(id) {
             return;
         }
+        // What is read now may have come at any time since the last look.
+        let arrived_since = self.woken - self.stall;
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.closing {
             return self.drop_input(id);
         }
-        let filled = client.stream.fill(self.limits.resp.message, self.limits.read_step);
+        let filled = client.fill(self.limits.resp.message, self.limits.read_step, arrived_since);
         // Who has left more unread commands than are kept is gone all the same, with what waits for it.
         let full = client.stream.input().len() >= self.limits.resp.message;
         if filled == Fill::Ended || full && client.stream.is_left() {
@@ -230,7 +262,7 @@
             let read = client::read(client.stream.input(), &limits.resp);
             let whole = client.stream.input().len() < limits.resp.message;
             let (step, used) = match read {
-                Ok(Some((command, used))) => match self.step(command) {
+                Ok(Some((command, used))) => match self.step(command, client.arrivals.of(used)) {
                     Ok(Step::Left(holder)) if holder != id => {
                         self.client_left(holder);
                         continue;
@@ -248,7 +280,7 @@
                 Err(why) => return self.reject(id, &why),
             };
             let Some(client) = self.clients.get_mut(&id) else { return false };
-            client.stream.consume(used);
+            client.consume(used);
             (client.used, client.asked, client.begun) = (self.clock.now(), client.asked + 1, None);
             client.unknown += usize::from(matches!(step, Step::Unknown));
             if client.unknown > self.limits.unknown {
@@ -265,7 +297,8 @@
         }
     }
 
-    fn step(&self, command: Command) -> Result<Step, Malformed> {
+    /// What is to be done about a command whose last byte arrived at this time.
+    fn step(&self, command: Command, arrived: Option<f64>) -> Result<Step, Malformed> {
         let asked = match command {
             Command::Invocation(asked) => asked,
             Command::Ping if self.ready => return Ok(Step::Reply("PONG")),
@@ -295,8 +328,9 @@
         let kept: Kept = asked.keep();
         let key = (!asked.key.is_empty()).then(|| KeyId(asked.key.into()));
         let pool = self.hosts.route(asked.operation, asked.key).map(|route| route.pool.clone());
-        // A command that lay unread while this process stood still, be it in this turn, has less time left.
-        let unread = self.stall + self.clock.now() - self.woken;
+        // A command that lay unread, while this process stood still or behind a full pipeline, has less time left.
+        let now = self.clock.now();
+        let unread = now - arrived.unwrap_or(now);
         let time_left = (asked.time_millis as f64 / 1e3 - unread).max(0.0).min(self.time_before_last());
         Ok(Step::Take(Taken { operation, key, pool, time_left, again: asked.again, kept }))
     }
@@ -308,7 +342,7 @@
         self.tally.malformed += 1;
         if let Some(client) = self.clients.get_mut(&id) {
             client.closing = true;
-            client.stream.consume(usize::MAX);
+            client.consume(usize::MAX);
         }
         self.reply(id, |out| resp::write_error(out, &format!("ERR {why}")));
         self.drop_input(id);
--- a/router/tests/clients.rs
+++ b/router/tests/clients.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use kestreltide_standins::*;
+use rstest::rstest;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
 const READ: &str = "c=read,d=5000";
@@ -73,3 +76,60 @@
     let late: Vec<_> = met.try_iter().filter(|id| id.starts_with("late")).collect();
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// A host that tells the id and the time (`d`, in milliseconds) of each attempt, and answers those whose id begins
+/// with `held` once it is told to.
+fn time_telling_host() -> (SocketAddr, Receiver<(String, u64)>, Sender<()>) {
+    let ((met, seen), (release, wait)) = (channel(), channel::<()>());
+    let (met, wait) = (Mutex::new(met), Mutex::new(wait));
+    let at = fake_host(move |words| {
+        let millis = words[3].rsplit("d=").next().and_then(|text| text.parse().ok());
+        let told = (words[2].clone(), millis.expect("a time"));
+        let _ = met.lock().expect("no panic before").send(told);
+        if words[2].starts_with("held") {
+            let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+        }
+        value(&words[2])
+    });
+    (at, seen, release)
+}
+
+/// As many requests of one connection as may wait for their answers, and a further one behind them: its time counts
+/// from the arrival of its last byte, wherever it waits unread.
+#[rstest]
+#[case::in_the_router(0, 0)]
+#[case::in_the_socket(3, 0)]
+#[case::half_of_it_sent_later(0, 20)]
+fn the_time_of_a_request_behind_a_full_pipeline_counts_from_its_last_byte(
+    #[case] long_ones_before: usize, #[case] sent_later: usize,
+) {
+    const MILLIS: u64 = 10_000;
+    const PAUSE: Duration = Duration::from_secs(2);
+    let (host, met, release) = time_telling_host();
+    let program = router_at(host, |text| text);
+    let (mut client, mut other) = (program.client(), program.client());
+    for id in 0..16 {
+        client.send(&["Q.DO", "k", &format!("held-{id}"), "c=switch,d=10000"]);
+    }
+    (0..16).for_each(|_| drop(met.recv_timeout(PATIENCE).expect("the hosts have all")));
+    // Two of these are more than a router keeps unread of a client.
+    for id in 0..long_ones_before {
+        client.send(&["Q.DO", "k", &format!("long-{id}"), "c=switch,d=10000", &"y".repeat(40_000)]);
+    }
+    let last = format!("*4\r\n$4\r\nQ.DO\r\n$1\r\nk\r\n$4\r\nlast\r\n$16\r\nc=switch,d={MILLIS}\r\n");
+    let (now, later) = last.split_at(last.len() - sent_later);
+    let begun = Instant::now();
+    client.write(now.as_bytes());
+    // The router has read all that it will read of it by the time that it answers this.
+    other.ask(&["Q.ASK", "k", "other", READ]);
+    thread::sleep(PAUSE);
+    client.write(later.as_bytes());
+    drop(release);
+    let (_, told) = met.iter().find(|(id, _)| id == "last").expect("the host has it");
+    if later.is_empty() {
+        assert!(told <= MILLIS - PAUSE.as_millis() as u64, "{told}");
+    } else {
+        let since_begun = MILLIS.saturating_sub(begun.elapsed().as_millis() as u64);
+        assert!(told > since_begun, "{told} of {since_begun}");
+    }
+}
