--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -318,6 +318,18 @@
         link.stream.close(&self.net);
     }
 
+    /// Gives up the attempts whose clients are gone and whose command is not written whole, so that no host has begun
+    /// them: a connection may come up long after its client has gone.
+    pub(super) fn give_up_unwritten(&mut self) {
+        let gone = |out: &Out| self.admitted.get(&out.inv).is_some_and(|admitted| admitted.left);
+        let unwritten =
+            |link: &Link| matches!(&link.at_use, Use::Dispatch(out) if !link.written && gone(out));
+        let given_up = self.links.iter().filter(|(_, link)| unwritten(link)).map(|(id, _)| *id);
+        for id in given_up.collect::<Vec<_>>() {
+            self.end_use(id, |_| Verdict::Moot);
+        }
+    }
+
     pub(super) fn close_link(&mut self, id: SocketId) {
         if let Some(link) = self.links.remove(&id) {
             link.stream.close(&self.net);
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -379,6 +379,7 @@
     /// The client is gone, or its connection is closed for want of use.
     pub(super) fn client_left(&mut self, id: SocketId) {
         let Some(client) = self.clients.remove(&id) else { return };
+        let waited = !client.queue.is_empty();
         for waiting in client.queue {
             if let Waiting::For(inv) = waiting
                 && let Some(admitted) = self.admitted.get_mut(&inv)
@@ -391,6 +392,9 @@
             }
         }
         client.stream.close(&self.net);
+        if waited {
+            self.give_up_unwritten();
+        }
     }
 
     /// Closes connections whose clients have not read for long, and the fullest where too much is unread.
--- a/router/tests/clients.rs
+++ b/router/tests/clients.rs
@@ -1,5 +1,6 @@
 //! Connections of clients, where two events cross: leaving, coming again, making room.
 
+use std::io::BufReader;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -133,3 +134,30 @@
         assert!(told > since_begun, "{told} of {since_begun}");
     }
 }
+
+/// By these settings a connection to a host has long to come up, and what is decided long to be written.
+fn patient(text: String) -> String {
+    let text = text.replace("\"connect_timeout\":250000", "\"connect_timeout\":9000000");
+    text.replace("\"drain_grace\":500000", "\"drain_grace\":30000000")
+}
+
+#[test]
+fn what_waits_for_its_connection_is_not_sent_once_its_client_is_gone() {
+    let mut door = Door::open();
+    door.shut();
+    let program = router_at(door.at, patient);
+    let (mut gone, mut stays) = (program.client(), program.client());
+    gone.send(&["Q.DO", "k", "gone", "c=switch,d=20000"]);
+    // Answered once that is read; so is the next one once the close is.
+    stays.ask(&["PING"]);
+    drop(gone);
+    stays.ask(&["PING"]);
+    // The first parts of handshakes come again after the same time each: what was sent first comes first.
+    thread::sleep(Duration::from_millis(100));
+    stays.send(&["Q.DO", "k", "stays", "c=switch,d=20000"]);
+    program.client().ask(&["PING"]);
+    door.reopen();
+    let host = door.accept();
+    let read = words(&mut BufReader::new(&host)).map(|words| words[2].clone());
+    assert_eq!(read.as_deref(), Some("stays"));
+}
