--- /dev/null
+++ b/measure/src/capacity/slopes/plan.rs
@@ -0,0 +1,39 @@
+//! The size that the operators plan with and what they allow, from their own numbers: one place for every part of
+//! the capacity measurement.
+
+/// Routers of the whole installation.
+pub(in crate::capacity) const ROUTERS: f64 = 760.0;
+/// Hosts of all services together.
+pub(in crate::capacity) const HOSTS: f64 = 7400.0;
+pub(in crate::capacity) const SERVICES: f64 = 140.0;
+/// Requests a second of all routers together, at the peak.
+pub(in crate::capacity) const PEAK_REQUESTS_PER_S: f64 = 53_000.0;
+pub(in crate::capacity) const ROUTES: f64 = 11_000.0;
+pub(in crate::capacity) const TENANTS: f64 = 53_000.0;
+/// Configuration changes a day.
+pub(in crate::capacity) const CHANGES_PER_DAY: f64 = 440.0;
+/// Processes restarted or replaced a day.
+pub(in crate::capacity) const RESTARTS_PER_DAY: f64 = 3000.0;
+/// Machines set aside for control.
+pub(in crate::capacity) const CONTROL_MACHINES: f64 = 9.0;
+
+/// Added to a request, for 99 in 100, in milliseconds.
+pub(in crate::capacity) const ADDED_MS_MOST: f64 = 7.6;
+/// Until a configuration change is in force everywhere, in seconds.
+pub(in crate::capacity) const IN_FORCE_S_MOST: f64 = 19.0;
+/// A router's share of one core for control, in percent.
+pub(in crate::capacity) const CORE_PERCENT_MOST: f64 = 3.8;
+/// A router's memory for control, in MB.
+pub(in crate::capacity) const MEMORY_MB_MOST: f64 = 256.0;
+/// A router's bytes a second for control, both directions together.
+pub(in crate::capacity) const BYTES_PER_S_MOST: f64 = 3000.0;
+
+/// Requests a second of one router at the peak.
+pub(in crate::capacity) fn requests_per_router() -> f64 {
+    PEAK_REQUESTS_PER_S / ROUTERS
+}
+
+/// Processor time of one request at which a router at the peak uses all that it may, in microseconds.
+pub(in crate::capacity) fn request_micros_most() -> f64 {
+    CORE_PERCENT_MOST / 100.0 * 1e6 / requests_per_router()
+}
