--- a/measure/src/capacity/slopes/plan.rs
+++ b/measure/src/capacity/slopes/plan.rs
@@ -29,11 +29,11 @@
 pub(in crate::capacity) const BYTES_PER_S_MOST: f64 = 3000.0;
 
 /// Requests a second of one router at the peak.
-pub(in crate::capacity) fn requests_per_router() -> f64 {
+pub(in crate::capacity) const fn requests_per_router() -> f64 {
     PEAK_REQUESTS_PER_S / ROUTERS
 }
 
 /// Processor time of one request at which a router at the peak uses all that it may, in microseconds.
-pub(in crate::capacity) fn request_micros_most() -> f64 {
+pub(in crate::capacity) const fn request_micros_most() -> f64 {
     CORE_PERCENT_MOST / 100.0 * 1e6 / requests_per_router()
 }
--- a/measure/src/capacity/slopes/tables.rs
+++ b/measure/src/capacity/slopes/tables.rs
@@ -5,6 +5,19 @@
 use super::growth::{AtFull, Growth, Role, short};
 use super::plan;
 
+/// What the tables leave out, and what has to be known to read them.
+const NOTES: [&str; 9] = [
+    "flat: the slope is less than three times its error; at full stands the mean, +- its standard deviation",
+    "power: by which power of the size the cost grew between the two largest sizes",
+    "beyond: the full size over the largest that was measured",
+    "tenants: none are kept, their list is only checked; over 4,096 of them the configuration is refused",
+    "probes: none, hosts are not probed",
+    "routes: they come by management alone, to one router at a time; watched files have none",
+    "processor time and memory of discovery, the platform and hosts are those systems' own: stand-ins do not tell them",
+    "bytes are those of messages, without the headers of TCP, UDP and IP; connections are counted, not their segments",
+    "client connections and open requests at full are a figure of our own: the operators name none",
+];
+
 /// Prints all tables; a cost without a line makes the measurement fall short.
 pub(super) fn print(growths: &[Growth], report: &mut Report) {
     plan();
@@ -12,8 +25,19 @@
     for role in Role::ALL {
         println!("\n{}", role.name());
         println!(
-            "{:<48} {:<18} {:>10} {:>9} {:>10} {:>6} {:>9} {:>8} {:>8} {:>7} {:>6}  measured",
-            "cost", "by", "slope", "+-", "intercept", "r2", "at full", "+-", "allowed", "ratio", "beyond"
+            "{:<48} {:<18} {:>10} {:>9} {:>10} {:>6} {:>6} {:>9} {:>8} {:>8} {:>7} {:>6}  measured",
+            "cost",
+            "by",
+            "slope",
+            "+-",
+            "intercept",
+            "r2",
+            "power",
+            "at full",
+            "+-",
+            "allowed",
+            "ratio",
+            "beyond"
         );
         for growth in growths.iter().filter(|growth| growth.role == role) {
             match growth.at_full() {
@@ -45,9 +69,22 @@
             growth.by.name()
         );
     }
+    println!("\nnotes");
+    NOTES.iter().for_each(|note| println!("- {note}"));
     println!();
     report.tell("lines", "lines fitted", growths.len());
     report.tell("over", "costs over their allowance", over.len());
+    if let Some((ratio, growth)) = over.first() {
+        report.tell("worst", "the worst of them", name(growth));
+        report.tell("worst_ratio", "its ratio", short(*ratio));
+    }
+}
+
+/// A cost as one word.
+fn name(growth: &Growth) -> String {
+    let text = format!("{} {} by {}", growth.role.name(), growth.cost, growth.by.name());
+    let word = |part: &str| part.chars().filter(|of| of.is_alphanumeric() || *of == '%').collect::<String>();
+    text.split_whitespace().map(word).filter(|word| !word.is_empty()).collect::<Vec<_>>().join("-")
 }
 
 fn plan() {
@@ -77,13 +114,14 @@
 fn row(growth: &Growth, full: &AtFull) {
     let none = || "-".to_owned();
     println!(
-        "{:<48} {:<18} {:>10} {:>9} {:>10} {:>6.3} {:>9} {:>8} {:>8} {:>7} {:>6}  {}",
+        "{:<48} {:<18} {:>10} {:>9} {:>10} {:>6.3} {:>6} {:>9} {:>8} {:>8} {:>7} {:>6}  {}",
         growth.cost,
         growth.by.name(),
-        short(full.line.slope),
+        if full.is_flat { "flat".into() } else { short(full.line.slope) },
         short(full.line.slope_error),
         short(full.line.intercept),
         full.line.r2,
+        full.power.map_or_else(none, |power| format!("{power:.2}")),
         short(full.value),
         short(full.error),
         growth.allowed.map_or_else(none, short),
