--- a/measure/src/capacity/slopes/tables.rs
+++ b/measure/src/capacity/slopes/tables.rs
@@ -10,7 +10,7 @@
     "flat: the slope is less than three times its error; at full stands the mean, +- its standard deviation",
     "power: by which power of the size the cost grew between the two largest sizes",
     "beyond: the full size over the largest that was measured",
-    "tenants: none are kept, their list is only checked; over 4,096 of them the configuration is refused",
+    "tenants: none are kept, their list is only read and checked; a configuration with over 4,096 of them is refused",
     "probes: none, hosts are not probed",
     "routes: they come by management alone, to one router at a time; watched files have none",
     "processor time and memory of discovery, the platform and hosts are those systems' own: stand-ins do not tell them",
