--- a/src/choice.rs
+++ b/src/choice.rs
@@ -311,14 +311,14 @@
         self.s.taken.push_back((now, operation, bound));
         let (key, again, sent) = (inv.key, inv.again, vec![]);
         let (set, pool) = (self.s.set.clone(), inv.pool);
-        let record = Inv { operation, key, work, again, slo_at, limit, sent, over: false, pool, set };
-        self.s.invs.insert(inv.id.clone(), record);
+        let record = Request { operation, key, work, again, slo_at, limit, sent, over: false, pool, set };
+        self.s.requests.insert(inv.id.clone(), record);
         self.s.asked = Self::rate(self.s.asked, now, 1.0);
         self.dispatch_or_end(now, &inv.id, false, effects);
     }
 
     /// Rule 2: where the first dispatch went that may have run, and whether nothing may follow it any more.
-    fn trace(&self, now: f64, inv: &Inv) -> (Option<HostEntry>, bool) {
+    fn trace(&self, now: f64, inv: &Request) -> (Option<HostEntry>, bool) {
         let window = self.s.operations[inv.operation].window - 2.0 * self.s.tick;
         let ran = inv.sent.iter().find(|s| s.out || s.may_have_run);
         (ran.map(|s| s.to), ran.is_some_and(|s| now - s.at >= window))
@@ -326,7 +326,7 @@
 
     /// Sends the next dispatch; where there is none to send, the final answer goes out at once (rule 1).
     fn dispatch_or_end(&mut self, now: f64, id: &InvId, copy: bool, effects: &mut Vec<Effect>) {
-        let Some(inv) = self.s.invs.get(id).filter(|inv| !inv.over) else { return };
+        let Some(inv) = self.s.requests.get(id).filter(|inv| !inv.over) else { return };
         let operation = &self.s.operations[inv.operation];
         let (ran, binding) = self.trace(now, inv);
         let throttle = !binding && (ran.is_none() || operation.group == RepeatGroup::All);
@@ -358,7 +358,7 @@
     }
 
     fn send(&mut self, now: f64, id: &InvId, host: HostId, end: f64, effects: &mut Vec<Effect>) {
-        let (Some(inv), Some(h)) = (self.s.invs.get_mut(id), self.s.hosts.get_mut(&host)) else { return };
+        let (Some(inv), Some(h)) = (self.s.requests.get_mut(id), self.s.hosts.get_mut(&host)) else { return };
         let operation = &self.s.operations[inv.operation];
         let low = self.s.low.get(&(inv.operation, h.entry.kind, EARLIER));
         let quick = low.map_or(0.1 * operation.slo, |low| low.quick * inv.work);
@@ -378,7 +378,7 @@
         let on = ConnectionTerms { unused_most, rested_least: REST, resting_most: RESTING, written_within };
         effects.extend((unused && stale).then_some(Effect::CloseIdle { host }));
         let (scored, unused) = (h.health.aside_until <= now, unused && !stale);
-        inv.sent.push(Sent { to: h.entry, at: now, out: true, may_have_run: false, scored, unused });
+        inv.sent.push(Attempt { to: h.entry, at: now, out: true, may_have_run: false, scored, unused });
         h.out.push(now);
         h.used = now;
         self.s.sending = Self::rate(self.s.sending, now, 1.0);
@@ -394,16 +394,16 @@
     }
 
     fn close(&mut self, id: &InvId) {
-        if let Some(inv) = self.s.invs.get_mut(id) {
+        if let Some(inv) = self.s.requests.get_mut(id) {
             inv.over = true;
             if inv.sent.iter().all(|s| !s.out) {
-                self.s.invs.remove(id);
+                self.s.requests.remove(id);
             }
         }
     }
 
     fn ended(&mut self, now: f64, id: InvId, no: u32, how: Outcome, effects: &mut Vec<Effect>) {
-        let Some(inv) = self.s.invs.get_mut(&id) else { return };
+        let Some(inv) = self.s.requests.get_mut(&id) else { return };
         let Some(sent) = inv.sent.get_mut(no as usize).filter(|s| s.out) else { return };
         let (verdict, took, over, unused) = how;
         (sent.out, sent.unused) = (false, unused.map_or(sent.unused, |unused| unused > UNUSED[1]));
@@ -419,8 +419,8 @@
         if over { self.close(&id) } else { self.dispatch_or_end(now, &id, false, effects) }
     }
 
-    fn learn(&mut self, now: f64, operation: usize, sent: Sent, verdict: Verdict, took: f64, work: f64) {
-        let Sent { to, at, scored, .. } = sent;
+    fn learn(&mut self, now: f64, operation: usize, sent: Attempt, verdict: Verdict, took: f64, work: f64) {
+        let Attempt { to, at, scored, .. } = sent;
         let (slo, warmth, build) = (self.s.operations[operation].slo, self.s.warmth(&to, at), to.build);
         let (time, place) = (took / work, (operation, to.kind));
         let quick = self.s.low.get(&(place.0, place.1, EARLIER)).map(|low| low.quick);
@@ -507,7 +507,7 @@
     }
 
     /// Worked out once for each group of hosts, however many are of it.
-    fn wanted(&self, now: f64, inv: &Inv) -> Wanted {
+    fn wanted(&self, now: f64, inv: &Request) -> Wanted {
         let ((first, _), bound) = (self.trace(now, inv), self.s.bound_to(&inv.key));
         let repeats = self.s.operations[inv.operation].group;
         let (mut room, mut arms) = (None, vec![]);
@@ -569,7 +569,7 @@
     }
 
     fn choose(&mut self, now: f64, id: &InvId) -> Option<HostId> {
-        let inv = self.s.invs.get(id)?;
+        let inv = self.s.requests.get(id)?;
         // An invocation is decided under the revision it came under; what was taken out since, is out.
         let own = (inv.set.revision != self.s.set.revision).then(|| {
             let mut weighed = self.s.all_weighed(now, &inv.set);
--- a/src/record.rs
+++ b/src/record.rs
@@ -103,7 +103,7 @@
 }
 
 #[derive(Clone, Copy)]
-pub(crate) struct Sent {
+pub(crate) struct Attempt {
     pub(crate) to: HostEntry,
     pub(crate) at: f64,
     pub(crate) out: bool,
@@ -117,14 +117,14 @@
 /// without use.
 pub(crate) type Outcome = (Verdict, f64, bool, Option<f64>);
 
-pub(crate) struct Inv {
+pub(crate) struct Request {
     pub(crate) operation: usize,
     pub(crate) key: Option<KeyId>,
     pub(crate) work: f64,
     pub(crate) again: bool,
     pub(crate) slo_at: f64,
     pub(crate) limit: f64,
-    pub(crate) sent: Vec<Sent>,
+    pub(crate) sent: Vec<Attempt>,
     pub(crate) over: bool,
     pub(crate) pool: Option<Arc<Pool>>,
     /// What operators had set when it came.
@@ -204,7 +204,7 @@
     pub(crate) index: HostIndex,
     /// What the list that is being told names.
     pub(crate) staged: Vec<HostId>,
-    pub(crate) invs: BTreeMap<InvId, Inv>,
+    pub(crate) requests: BTreeMap<InvId, Request>,
     pub(crate) alarms: BTreeMap<u64, Task>,
     pub(crate) next_alarm: u64,
     pub(crate) follow_wait: f64,
