--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,9 +53,9 @@
 const LOW: [f64; 2] = [0.4, 0.12]; // quantiles of times: what is quick; what shows slowness without queues
 const LOW_STEP: f64 = 0.08; // step of both, of their size: some forty dispatches
 const HOST_WEIGHT: f64 = 0.15; // weight of a new outcome in a host's own figures: some six dispatches
-const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: set aside
-const ASIDE: [f64; 2] = [1.0, 6.0]; // s set aside at first, and at most, doubling
-const ASIDE_OTHERS: [usize; 2] = [2, 3]; // others of its build at least; times those aside: else all are
+const FAULTY: f64 = 0.3; // share of a host's dispatches come to nothing, above its build's others: ejected
+const EJECTED: [f64; 2] = [1.0, 6.0]; // s ejected at first, and at most, doubling
+const EJECT_OTHERS: [usize; 2] = [2, 3]; // others of its build at least; times those ejected: else all are
 const SLOWER: f64 = 1.6; // times the pace of its build's others: a slow host, not a slow service
 const SILENT: f64 = 0.7; // of the longest SLO time without an answer before a host counts as slower
 const PACE_TIME: f64 = 4.0; // s over which the rate of succeeded dispatches is taken; longer than a short jam
@@ -120,7 +120,7 @@
     (Ballot::Stands, Push::News, Ballot::Silent, false),
 ];
 
-const UNKNOWN: Health = Health { faults: 0.0, pace: 1.5, aside_until: 0.0, aside_for: ASIDE[0] };
+const UNKNOWN: Health = Health { faults: 0.0, pace: 1.5, ejected_until: 0.0, ejected_for: EJECTED[0] };
 
 fn new_host(entry: &HostEntry) -> Box<Host> {
     let (out, used, health, since, weight) = (vec![], f64::MIN, UNKNOWN, Revision(0), 1.0);
@@ -251,7 +251,7 @@
     /// Who warms up, is ejected or fails is looked at for each request, all others by their groups.
     fn indexed(&self, now: f64, host: &Host) -> Option<Indexed> {
         let Host { health, entry, weight, .. } = host;
-        let well = health.aside_until <= now && health.faults <= FAULTY;
+        let well = health.ejected_until <= now && health.faults <= FAULTY;
         let (settled, group) = (well && self.s.warmth(entry, now) >= 1.0, Group::of(entry, self.s.by_cell));
         let (size, weight, faults, pace) = (entry.size, *weight, health.faults, health.pace);
         host.usable.then_some(Indexed { group, size, weight, settled, faults, pace })
@@ -377,7 +377,7 @@
         let written_within = left.min(WRITTEN * self.s.drain_grace).max(GUARD);
         let on = ConnectionTerms { unused_most, rested_least: REST, resting_most: RESTING, written_within };
         effects.extend((unused && stale).then_some(Effect::CloseIdle { host }));
-        let (scored, unused) = (h.health.aside_until <= now, unused && !stale);
+        let (scored, unused) = (h.health.ejected_until <= now, unused && !stale);
         inv.sent.push(Attempt { to: h.entry, at: now, out: true, may_have_run: false, scored, unused });
         h.out.push(now);
         h.used = now;
@@ -428,8 +428,8 @@
         let others = self.s.index.build(build).without(own);
         let unsettled = self.s.index.unsettled().filter(|host| *host != to.host);
         let of_build = unsettled.filter_map(|id| self.s.hosts.get(&id).filter(|h| h.entry.build == build));
-        let aside = of_build.filter(|h| h.health.aside_until > now).count();
-        let lonely = others.hosts < ASIDE_OTHERS[0] || aside * ASIDE_OTHERS[1] > others.hosts;
+        let ejected = of_build.filter(|h| h.health.ejected_until > now).count();
+        let lonely = others.hosts < EJECT_OTHERS[0] || ejected * EJECT_OTHERS[1] > others.hosts;
         let n = (others.hosts as f64).max(1.0);
         let alike = (others.faults / n, others.pace / n);
         let Some(host) = self.s.hosts.get_mut(&to.host).filter(|h| h.entry.same_process(&to)) else { return };
@@ -446,14 +446,15 @@
         health.faults += HOST_WEIGHT * (f64::from(u8::from(!served)) - health.faults);
         let ratio = quick.map_or(health.pace, |quick| (time * warmth / quick).clamp(0.2, 10.0));
         health.pace += HOST_WEIGHT * (ratio - health.pace);
-        // Set aside where it stands out in its build: a hang, a lost link, errors; a build is for the vote.
-        if !lonely && health.faults > FAULTY + alike.0 && health.aside_until <= now {
-            (health.aside_until, health.faults) = (now + health.aside_for, FAULTY + alike.0);
-            health.aside_for = (2.0 * health.aside_for).min(ASIDE[1]);
+        // Ejected where it stands out in its build: a hang, a lost link, errors; a build is for the vote.
+        if !lonely && health.faults > FAULTY + alike.0 && health.ejected_until <= now {
+            (health.ejected_until, health.faults) = (now + health.ejected_for, FAULTY + alike.0);
+            health.ejected_for = (2.0 * health.ejected_for).min(EJECTED[1]);
         } else if served && health.faults < FAULTY / 3.0 {
-            health.aside_for = ASIDE[0];
+            health.ejected_for = EJECTED[0];
         }
-        let (sick, slower) = (health.aside_until > now && !lonely, !lonely && health.pace > SLOWER * alike.1);
+        let (sick, slower) =
+            (health.ejected_until > now && !lonely, !lonely && health.pace > SLOWER * alike.1);
         let late = !served || took > slo;
         self.s.pace = Self::rate(self.s.pace, now, f64::from(u8::from(!late)));
         // Late answers shrink what this router keeps open, timely ones widen it while in use, errors and lost
@@ -540,7 +541,7 @@
         let arm = wanted.arm(&Group::of(&h.entry, self.s.by_cell))?;
         let of_pool = wanted.pool.as_ref().is_none_or(|pool| pool.holds(&h.entry));
         let (health, host) = (&h.health, h.entry.host);
-        let doubtful = health.aside_until > now || health.faults > FAULTY && !h.out.is_empty();
+        let doubtful = health.ejected_until > now || health.faults > FAULTY && !h.out.is_empty();
         let tier = if wanted.tried.contains(&host) { 2 } else { u8::from(doubtful) };
         let warmth = self.s.warmth(&h.entry, now);
         let (share, warming_up) = (weight * h.entry.size * warmth, warmth < 1.0);
--- a/src/record.rs
+++ b/src/record.rs
@@ -31,8 +31,8 @@
 pub(crate) struct Health {
     pub(crate) faults: f64,
     pub(crate) pace: f64,
-    pub(crate) aside_until: f64,
-    pub(crate) aside_for: f64,
+    pub(crate) ejected_until: f64,
+    pub(crate) ejected_for: f64,
 }
 
 /// The one record of a host.
