--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,18 +16,18 @@
 use crate::rankings::first_two;
 use crate::record::*;
 
-const SWAP_EVERY: f64 = 0.2; // s; some swaps a stage with every peer, at a small price in messages
+const GOSSIP_EVERY: f64 = 0.2; // s; some messages a stage with every peer, at a small price in messages
 const SIGHT: f64 = 0.15; // weight of what one peer tells in what a router takes all to know: some six peers
-const CLUMPED: f64 = 430.0; // routers at which half the evidence is clumps: swaps a half-life, by peers seen
+const CLUMPED: f64 = 430.0; // routers at which half the evidence is clumps: messages a half-life, by peers
 const HALF_LIFE: f64 = 5.0; // s; figures fade, about a stage long, so that late failures and old zeros show
 const VOTERS: u32 = 3; // routers; few enough to agree soon, more than one may be dead
 const HEARD_PEERS: usize = 10; // peers heard this stage before judging, or all that live
-const PEER_LIVES: f64 = 2.5; // s without word before a peer is taken for dead; a dozen swaps missed
+const PEER_LIVES: f64 = 2.5; // s without word before a peer is taken for dead; a dozen messages missed
 const ENOUGH: [f64; 2] = [20.0, 12.0]; // outcomes before a build is judged, before one operation is by itself
 const BACK_CHANCE: [f64; 2] = [0.95, 0.97]; // of being worse by over the margin; for a lesser mark alone
 const ON_CHANCE: f64 = 0.2; // vote on below it
 const MARGINS: [f64; MARKS] = [0.05, 0.02, 0.05]; // of SLO time kept, of plain errors, of quick answers
-const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: swaps mix unevenly
+const EVIDENCE: f64 = 0.5; // outcomes that a merged one is worth for a vote back: gossip mixes unevenly
 const HOST_SPREAD: [f64; MARKS] = [0.0, 0.0, 0.15]; // of a mark among the hosts of one build
 const WIDE: usize = 3; // one in so many of the trial's hosts must fail before errors speak against the build
 const BACK_FIRM: f64 = 1.0; // s that a build keeps looking worse before the vote, for figures to mix
@@ -163,8 +163,8 @@
 
     pub fn handle(&mut self, now: f64, event: Event, effects: &mut Vec<Effect>) {
         if self.s.next_alarm == 0 {
-            let first = now + SWAP_EVERY * self.rng.random::<f64>();
-            self.set_alarm(first, Task::Swap, effects);
+            let first = now + GOSSIP_EVERY * self.rng.random::<f64>();
+            self.set_alarm(first, Task::Gossip, effects);
             // Discovery serves all in turn, and calls that wait too long are lost, work and all: where a
             // large fleet restarts and asks at once, hardly any is served, again and again.
             let wait = self.s.list_asked.then_some(self.s.call_spread);
@@ -196,12 +196,12 @@
             }
             Event::ClientLeft { inv } | Event::Streaming { inv, .. } => self.close(&inv),
             Event::Alarm { key } => match self.s.alarms.remove(&key.0) {
-                Some(Task::Swap) => self.beat(now, effects),
+                Some(Task::Gossip) => self.beat(now, effects),
                 Some(Task::Follow) => effects.push(Effect::Follow { on: true }),
                 Some(Task::Further(id)) => self.dispatch_or_end(now, &id, true, effects),
                 None => {}
             },
-            Event::Told { from, payload } => self.told(now, from, &payload, effects),
+            Event::Told { from, payload } => self.gossip_received(now, from, &payload, effects),
             Event::Stage(news) => self.stage(now, news, effects),
             Event::Disputed { host, operation, .. } => {
                 let Some(build) = self.s.hosts.get(&host).map(|h| h.entry.build) else { return };
@@ -650,7 +650,7 @@
     }
 
     fn beat(&mut self, now: f64, effects: &mut Vec<Effect>) {
-        self.set_alarm(now + SWAP_EVERY, Task::Swap, effects);
+        self.set_alarm(now + GOSSIP_EVERY, Task::Gossip, effects);
         let relent = |low: &Low| low.before.map(|before| before + RELENT * (low.least - before).min(0.0));
         self.s.low.values_mut().for_each(|low| low.before = relent(low));
         self.s.lost[1] -= RELENT / 4.0 * (self.s.lost[1] - self.s.lost[0]).max(0.0);
@@ -665,7 +665,7 @@
         let part = of_trial.share / self.s.index.sum(|_| true).share.max(GUARD);
         (self.s.part, self.s.trial_hosts) = (part, of_trial.hosts as f64);
         self.s.even = if part > 0.0 { (part / (1.0 - part).max(GUARD)).min(1.0) } else { 1.0 };
-        let (fade, lives) = (0.5f64.powf(SWAP_EVERY / HALF_LIFE), self.s.earlier_lives());
+        let (fade, lives) = (0.5f64.powf(GOSSIP_EVERY / HALF_LIFE), self.s.earlier_lives());
         // Until the trial is listed the earlier arm's past is short: what comes and goes must show in both.
         let most = if part > 0.0 { f64::INFINITY } else { ENOUGH[0] };
         for [earlier, trial] in &mut self.s.sums {
@@ -678,14 +678,14 @@
         } else if self.s.news.is_some() {
             let other = self.rng.random_range(0..self.s.routers - 1);
             let peer = RouterId(other + u32::from(other >= self.s.me.0));
-            self.s.swaps.insert(peer, self.s.sums.clone());
+            self.s.gossip_sent.insert(peer, self.s.sums.clone());
             effects.push(Effect::Tell { to: Some(peer), payload: self.s.message(false, self.my_drag()) });
         }
         self.share(now);
         self.judge(now, effects);
     }
 
-    fn told(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
+    fn gossip_received(&mut self, now: f64, from: RouterId, payload: &[u8], effects: &mut Vec<Effect>) {
         let Some(told) = Message::decode(payload).filter(|_| from != self.s.me) else { return };
         self.s.heard.insert(from, (now, told.taken, told.drag.clamp(0.1, 10.0)));
         let of = self.s.news.map(|news| news.build);
@@ -694,7 +694,7 @@
         }
         let sight = self.s.sight.iter_mut().flatten().flatten().zip(&told.sums);
         sight.for_each(|(seen, theirs)| *seen += SIGHT * (theirs - *seen));
-        let mine = if told.reply { self.s.swaps.remove(&from) } else { Some(self.s.sums.clone()) };
+        let mine = if told.reply { self.s.gossip_sent.remove(&from) } else { Some(self.s.sums.clone()) };
         if !told.reply {
             effects.push(Effect::Tell { to: Some(from), payload: self.s.message(true, self.my_drag()) });
         }
@@ -736,13 +736,13 @@
             for [earlier, trial] in &mut self.s.sums {
                 (*earlier, *trial) = (if released { *trial } else { *earlier }, [0.0; 2]);
             }
-            self.s.swaps.clear();
+            self.s.gossip_sent.clear();
             self.s.sight = self.s.sums.clone();
             let [up, down] = self.s.figures(&self.s.sums, None, 0, EARLIER);
             self.s.kept_best = up / (up + down).max(1.0);
             self.s.low.retain(|key, _| key.2 == EARLIER);
             self.s.low.values_mut().for_each(|low| low.before = old.map(|_| low.least));
-            self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > SWAP_EVERY;
+            self.s.fresh = old.is_none() && news.phase == Phase::OnTrial && news.age > GOSSIP_EVERY;
         }
         if !same_build || old.is_some_and(|old| old.stage != news.stage || old.phase != news.phase) {
             self.s.drag_past = if same_build { self.s.shared_drag } else { 1.0 };
@@ -843,8 +843,8 @@
     fn share(&mut self, now: f64) {
         self.s.heard.retain(|_, heard| now - heard.0 < PEER_LIVES);
         let mine = (self.s.taken.len() as f64).max(1.0);
-        let (peers, swaps) = (f64::from(self.s.routers - 1).max(GUARD), 2.0 * PEER_LIVES / SWAP_EVERY);
-        let reached = peers * (1.0 - (-swaps / peers).exp());
+        let (peers, heard) = (f64::from(self.s.routers - 1).max(GUARD), 2.0 * PEER_LIVES / GOSSIP_EVERY);
+        let reached = peers * (1.0 - (-heard / peers).exp());
         let live = peers * (self.s.heard.len() as f64 / reached).min(1.0);
         let weights = self.s.heard.values().map(|heard| heard.1).sum::<f64>();
         let others = live * weights / (self.s.heard.len() as f64).max(1.0);
@@ -867,7 +867,7 @@
         let of = |row: &(_, _, _)| if self.s.by_clock { row.2 } else { row.1 };
         let mut wish = row.and_then(of).unwrap_or(self.s.wish);
         if wish == Sense::Hold && asked.is_none() {
-            self.s.held += SWAP_EVERY;
+            self.s.held += GOSSIP_EVERY;
             wish = if self.s.held > HOLD_MOST { Sense::None } else { wish };
         }
         (self.s.wish, self.s.wish_since) = (wish, if wish == self.s.wish { self.s.wish_since } else { now });
--- a/src/record.rs
+++ b/src/record.rs
@@ -141,7 +141,7 @@
 }
 
 pub(crate) enum Task {
-    Swap,
+    Gossip,
     Follow,
     Further(InvId),
 }
@@ -248,7 +248,7 @@
     /// What an outcome of the earlier arm weighs.
     pub(crate) even: f64,
     /// The figures as last sent to a peer, and what it last told.
-    pub(crate) swaps: BTreeMap<RouterId, Sheet>,
+    pub(crate) gossip_sent: BTreeMap<RouterId, Sheet>,
     /// When, the invocations it took in a window, the drag it sees.
     pub(crate) heard: BTreeMap<RouterId, (f64, f64, f64)>,
     pub(crate) fresh: bool,
