--- a/management/src/gnmi/edits.rs
+++ b/management/src/gnmi/edits.rs
@@ -1,7 +1,7 @@
 //! One update, replacement or deletion of a Set request as edits of the datastore.
 
 use kestreltide_model::NodeId;
-use kestreltide_model::data::Step;
+use kestreltide_model::data::{Instance, Step};
 use kestreltide_model::edit::{Edit, Op, at_path, of_json, one_of_json, values_of_json};
 use kestreltide_model::path::Pattern;
 use kestreltide_model::schema::NodeKind;
@@ -11,8 +11,20 @@
 use super::Service;
 use super::errors::{of_edits, wrong};
 use super::paths::{pattern, text};
+use crate::proto::gnmi::typed_value::Value;
 use crate::proto::gnmi::{Path, TypedValue};
 
+/// What a path of a Set request leads to.
+struct EditTarget {
+    parent: Instance,
+    /// None at the top of the model.
+    node: Option<NodeId>,
+    /// The last step of the path; without a name at the top.
+    step: Step,
+    /// The node again where it is a list or leaf-list meant as a whole.
+    list: Option<NodeId>,
+}
+
 impl Service {
     /// Edits of one update, replacement or deletion.
     pub(super) fn edit(
@@ -20,76 +32,92 @@
     ) -> Result<Vec<Edit>, Status> {
         let shown = text(path);
         let pattern = pattern(prefix, path)?;
-        let open = |why: String| wrong(&shown, &why, &shown, "one instance, with its keys");
-        // A list or leaf-list is meant as a whole where its keys are left away.
-        let whole_list =
-            pattern.0.last().filter(|last| last.keys.is_empty() && !last.deep).and_then(|last| {
-                let parent = Pattern(pattern.0[..pattern.0.len() - 1].to_vec()).instance(self.schema).ok()?;
-                let below = self.schema.below(parent.1);
-                let found = below
-                    .iter()
-                    .copied()
-                    .find(|id| Some(&self.schema.node_of(*id).name) == last.name.as_ref())?;
-                let list = matches!(
-                    self.schema.node_of(found).kind,
-                    NodeKind::List { .. } | NodeKind::LeafList { .. }
-                );
-                list.then_some((parent.0, found))
-            });
-        let (parent, node, step) = match whole_list {
+        let target = self.edit_target(&pattern, &shown)?;
+        let mut edits = vec![];
+        if op == Op::Remove || op == Op::Replace {
+            edits.extend(self.removals(&target, &shown)?);
+        }
+        if op == Op::Remove {
+            return Ok(edits);
+        }
+        let value = value
+            .and_then(|value| value.value.as_ref())
+            .ok_or_else(|| wrong(&shown, "has no value", "nothing", "a value"))?;
+        edits.extend(self.edits_of_value(&target, &shown, value)?);
+        Ok(edits)
+    }
+
+    /// What a path leads to: one instance, or a list or leaf-list as a whole where its keys are left away.
+    fn edit_target(&self, pattern: &Pattern, shown: &str) -> Result<EditTarget, Status> {
+        let (parent, node, step) = match self.whole_list(pattern) {
             Some((parent, node)) => {
                 let name = self.schema.node_of(node).name.clone();
                 (parent, Some(node), Step { name, keys: vec![] })
             }
             None => {
-                let (mut at, node) = pattern.instance(self.schema).map_err(open)?;
+                let (mut at, node) = pattern.instance(self.schema).map_err(|why| no_instance(shown, &why))?;
                 match at.0.pop() {
                     Some(step) => (at, node, step),
                     None => (at, None, Step { name: String::new(), keys: vec![] }),
                 }
             }
         };
-        let mut faults = vec![];
-        let here = if step.name.is_empty() { parent.clone() } else { parent.below(step.clone()) };
-        let list = node.filter(|node| {
-            step.keys.is_empty()
-                && matches!(
-                    self.schema.node_of(*node).kind,
-                    NodeKind::List { .. } | NodeKind::LeafList { .. }
-                )
-        });
-        let place =
-            |edit: Edit| at_path(self.schema, &parent, edit).ok_or_else(|| open("leads nowhere".into()));
-        let mut edits = vec![];
-        if op == Op::Remove || op == Op::Replace {
-            // What stands there goes first, all entries of a list as well.
-            for (node, step) in self.there(node, &step, list) {
-                let edit = Edit { node, op: Some(Op::Remove), value: None, step, children: vec![] };
-                edits.push(place(edit)?);
-            }
-        }
-        if op == Op::Remove {
-            return Ok(edits);
+        let list = node.filter(|node| step.keys.is_empty() && self.is_list(*node));
+        Ok(EditTarget { parent, node, step, list })
+    }
+
+    /// The parent and the node of a list or leaf-list that a pattern names without keys.
+    fn whole_list(&self, pattern: &Pattern) -> Option<(Instance, NodeId)> {
+        let (last, above) = pattern.0.split_last()?;
+        if !last.keys.is_empty() || last.deep {
+            return None;
         }
-        let value = value
-            .and_then(|value| value.value.as_ref())
-            .ok_or_else(|| wrong(&shown, "has no value", "nothing", "a value"))?;
-        let json = self.json_of(&shown, node, value)?;
-        let read = match (node, list) {
-            (Some(node), Some(_)) => values_of_json(self.schema, node, &parent, &json, &mut faults),
+        let (parent, parent_node) = Pattern(above.to_vec()).instance(self.schema).ok()?;
+        let named = |id: &NodeId| Some(&self.schema.node_of(*id).name) == last.name.as_ref();
+        let node = self.schema.below(parent_node).iter().copied().find(named)?;
+        self.is_list(node).then_some((parent, node))
+    }
+
+    fn is_list(&self, node: NodeId) -> bool {
+        matches!(self.schema.node_of(node).kind, NodeKind::List { .. } | NodeKind::LeafList { .. })
+    }
+
+    /// Edits that remove what stands at the target, all entries of a list as well.
+    fn removals(&self, target: &EditTarget, shown: &str) -> Result<Vec<Edit>, Status> {
+        let there = self.there(target.node, &target.step, target.list);
+        let removal = |(node, step)| Edit { node, op: Some(Op::Remove), value: None, step, children: vec![] };
+        there.into_iter().map(|found| self.place(&target.parent, removal(found), shown)).collect()
+    }
+
+    /// Edits that merge a value into the target.
+    fn edits_of_value(&self, target: &EditTarget, shown: &str, value: &Value) -> Result<Vec<Edit>, Status> {
+        let EditTarget { parent, node, step, list } = target;
+        let json = self.json_of(shown, *node, value)?;
+        let mut faults = vec![];
+        let read = match (*node, *list) {
+            (Some(node), Some(_)) => values_of_json(self.schema, node, parent, &json, &mut faults),
             (Some(node), None) => {
-                let json = with_keys(json, &step);
-                one_of_json(self.schema, node, &parent, &json, &mut faults).into_iter().collect()
+                let json = with_keys(json, step);
+                one_of_json(self.schema, node, parent, &json, &mut faults).into_iter().collect()
+            }
+            (None, _) => {
+                let here = if step.name.is_empty() { parent.clone() } else { parent.below(step.clone()) };
+                of_json(self.schema, None, &here, &json, &mut faults)
             }
-            (None, _) => of_json(self.schema, None, &here, &json, &mut faults),
         };
         if !faults.is_empty() {
             return Err(of_edits(&faults));
         }
-        for edit in read {
-            edits.push(if node.is_some() { place(Edit { op: Some(Op::Merge), ..edit })? } else { edit });
+        if node.is_none() {
+            return Ok(read);
         }
-        Ok(edits)
+        let merge = |edit| Edit { op: Some(Op::Merge), ..edit };
+        read.into_iter().map(|edit| self.place(parent, merge(edit), shown)).collect()
+    }
+
+    /// An edit below its parent, from the top of the model.
+    fn place(&self, parent: &Instance, edit: Edit, shown: &str) -> Result<Edit, Status> {
+        at_path(self.schema, parent, edit).ok_or_else(|| no_instance(shown, "leads nowhere"))
     }
 
     /// What a removal at this place has to take away.
@@ -115,6 +143,10 @@
     }
 }
 
+fn no_instance(shown: &str, why: &str) -> Status {
+    wrong(shown, why, shown, "one instance, with its keys")
+}
+
 /// The keys that a path has already said need not stand in the value again.
 fn with_keys(json: Json, step: &Step) -> Json {
     match json {
--- a/management/src/gnmi/get.rs
+++ b/management/src/gnmi/get.rs
@@ -8,7 +8,7 @@
 use tonic::{Request, Response, Status};
 
 use super::encoding::{collect, encoding};
-use super::paths::{path_of, pattern, text};
+use super::paths::{leads_nowhere, path_of, pattern, text};
 use super::{Service, nanos};
 use crate::proto::gnmi::{Encoding, GetRequest, GetResponse, Notification, Path, Update, get_request};
 use crate::state;
@@ -28,10 +28,7 @@
         for path in if asked.path.is_empty() { &everything[..] } else { &asked.path } {
             let wanted = pattern(asked.prefix.as_ref(), path)?;
             if !wanted.known(self.schema) {
-                return Err(Status::not_found(format!(
-                    "{}: leads nowhere in the model (given: {0}; taken: a path of it)",
-                    text(path)
-                )));
+                return Err(leads_nowhere(path));
             }
             let update = self.updates(&wanted, &data, encoding);
             if update.is_empty() && wanted.instance(self.schema).is_ok() && !wanted.0.is_empty() {
--- a/management/src/gnmi/paths.rs
+++ b/management/src/gnmi/paths.rs
@@ -37,6 +37,11 @@
     if out.is_empty() { "/".into() } else { out }
 }
 
+/// That a path names nothing of the model.
+pub(super) fn leads_nowhere(path: &Path) -> Status {
+    Status::not_found(format!("{}: leads nowhere in the model (given: {0}; taken: a path of it)", text(path)))
+}
+
 pub(super) fn path_of(at: &Instance) -> Path {
     let elem = |step: &Step| PathElem { name: step.name.clone(), key: step.keys.iter().cloned().collect() };
     Path { elem: at.0.iter().map(elem).collect(), ..Path::default() }
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -47,12 +47,7 @@
         number: AtomicU32::new(1),
     };
     let service = GNmiServer::new(service).max_decoding_message_size(limits.message);
-    let clients = Certificate::from_pem(tls.clients);
-    let identity = Identity::from_pem(tls.certificate, tls.key);
-    let config = ServerTlsConfig::new()
-        .identity(identity)
-        .client_ca_root(clients)
-        .timeout(Duration::from_secs_f64(limits.enter));
+    let config = tls_config(tls, &limits);
     let server =
         Server::builder().tls_config(config).map_err(|e| format!("certificate: cannot be used: {e}"))?;
     let alive = Duration::from_secs_f64(limits.alive);
@@ -68,3 +63,13 @@
         e.to_string()
     })
 }
+
+/// TLS that takes only clients with a certificate, and gives up a handshake after its time.
+fn tls_config(tls: Tls, limits: &Limits) -> ServerTlsConfig {
+    let clients = Certificate::from_pem(tls.clients);
+    let identity = Identity::from_pem(tls.certificate, tls.key);
+    ServerTlsConfig::new()
+        .identity(identity)
+        .client_ca_root(clients)
+        .timeout(Duration::from_secs_f64(limits.enter))
+}
--- a/management/src/gnmi/set.rs
+++ b/management/src/gnmi/set.rs
@@ -4,16 +4,16 @@
 
 use kestreltide_datastore::desk::Confirm;
 use kestreltide_datastore::store::Commit;
-use kestreltide_datastore::{Author, Candidate, Source};
+use kestreltide_datastore::{Author, Candidate, Key, Source};
 use kestreltide_model::edit::{Op, apply};
 use tonic::{Request, Response, Status};
 
 use super::errors::{of_edits, of_refused, wrong};
 use super::{Service, nanos};
 use crate::proto::gnmi::{SetRequest, SetResponse, Update, UpdateResult, update_result};
-use crate::proto::gnmi_ext::Extension;
 use crate::proto::gnmi_ext::commit::Action;
 use crate::proto::gnmi_ext::extension::Ext;
+use crate::proto::gnmi_ext::{Commit as CommitExt, Extension, MasterArbitration};
 
 /// Seconds that a commit waits to be confirmed where nothing is said.
 const CONFIRM: f64 = 600.0;
@@ -24,53 +24,37 @@
     ) -> Result<Response<SetResponse>, Status> {
         let (key, rights) = self.key(&request)?;
         let asked = request.into_inner();
-        if let Some(said) = extension(&asked.extension, |ext| {
-            if let Ext::MasterArbitration(said) = ext { Some(said) } else { None }
-        }) {
+        if let Some(said) = extension(&asked.extension, as_arbitration) {
             self.arbitrate(said)?;
         }
-        let commit =
-            extension(
-                &asked.extension,
-                |ext| if let Ext::Commit(said) = ext { Some(said.clone()) } else { None },
-            );
-        let prefix = asked.prefix.as_ref();
-        let empty = asked.delete.is_empty() && asked.replace.is_empty() && asked.update.is_empty();
-        let mut confirm = None;
-        if let Some(said) = &commit {
-            if self.settle(&key, said).await? {
-                if !empty {
-                    return Err(wrong(
-                        "commit",
-                        "confirms or cancels, and edits too",
-                        "edits",
-                        "one of both",
-                    ));
-                }
-                return Ok(Response::new(SetResponse {
-                    prefix: asked.prefix.clone(),
-                    timestamp: nanos(),
-                    ..SetResponse::default()
-                }));
-            }
-            let said_time = match &said.action {
-                Some(Action::Commit(request)) => request.rollback_duration.as_ref(),
-                _ => None,
-            };
-            let within = said_time.map_or(CONFIRM, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
-            if !(0.1..=86_400.0).contains(&within) || said.id.is_empty() {
-                return Err(wrong(
-                    "commit",
-                    "has no id, or a time out of range",
-                    &within.to_string(),
-                    "an id, 0.1 to 86400 seconds",
-                ));
-            }
-            confirm = Some(Confirm { within, persist: Some(said.id.clone()) });
-        }
-        // Deletions, then replacements, then updates, as one transaction (gNMI, section 3.4.3).
+        let confirm = match extension(&asked.extension, as_commit) {
+            Some(said) if self.settle(&key, said).await? => return settled(&asked),
+            Some(said) => Some(confirm_of(said)?),
+            None => None,
+        };
         let published = self.desk.published.load_full();
         let mut candidate = Candidate::of(&published.in_force);
+        let response = self.edit_candidate(&mut candidate, &asked)?;
+        let author = self.next_author(&key);
+        if let Err(fault) = rights.check(&published.in_force.tree.differences(&candidate.tree)) {
+            (self.desk.ask)(crate::Ask::Denied { author, fault: fault.clone() });
+            return Err(Status::permission_denied(fault.to_string()));
+        }
+        let session = if confirm.is_some() { self.session(&key).await } else { None };
+        match self.desk.commit(session, candidate, author, confirm, None).await {
+            Ok(Commit::Taken(_) | Commit::Nothing) => {
+                let prefix = asked.prefix.clone();
+                Ok(Response::new(SetResponse { prefix, response, timestamp: nanos(), extension: vec![] }))
+            }
+            Err(refused) => Err(of_refused(&refused)),
+        }
+    }
+
+    /// Deletions, then replacements, then updates, as one transaction (gNMI, section 3.4.3).
+    fn edit_candidate(
+        &self, candidate: &mut Candidate, asked: &SetRequest,
+    ) -> Result<Vec<UpdateResult>, Status> {
+        let prefix = asked.prefix.as_ref();
         let mut response = Vec::new();
         let update = |update: &Update| (update.path.clone().unwrap_or_default(), update.val.clone());
         let deletes = asked
@@ -86,25 +70,53 @@
                 .map_err(|faults| of_edits(&faults))?;
             response.push(UpdateResult { path: Some(path), op: told.into() });
         }
+        Ok(response)
+    }
+
+    /// The author of the next revision, with a number of its own.
+    fn next_author(&self, key: &Key) -> Author {
         let number = self.number.fetch_add(1, Relaxed);
-        let author = Author {
-            source: Source::Management,
-            name: key.name.clone(),
-            version: format!("gnmi set {number}"),
-        };
-        if let Err(fault) = rights.check(&published.in_force.tree.differences(&candidate.tree)) {
-            (self.desk.ask)(crate::Ask::Denied { author, fault: fault.clone() });
-            return Err(Status::permission_denied(fault.to_string()));
-        }
-        let session = if confirm.is_some() { self.session(&key).await } else { None };
-        match self.desk.commit(session, candidate, author, confirm, None).await {
-            Ok(Commit::Taken(_) | Commit::Nothing) => {
-                let prefix = asked.prefix.clone();
-                Ok(Response::new(SetResponse { prefix, response, timestamp: nanos(), extension: vec![] }))
-            }
-            Err(refused) => Err(of_refused(&refused)),
-        }
+        Author { source: Source::Management, name: key.name.clone(), version: format!("gnmi set {number}") }
+    }
+}
+
+/// The reply to a request that confirmed or cancelled a commit; it may not edit too.
+fn settled(asked: &SetRequest) -> Result<Response<SetResponse>, Status> {
+    let empty = asked.delete.is_empty() && asked.replace.is_empty() && asked.update.is_empty();
+    if !empty {
+        return Err(wrong("commit", "confirms or cancels, and edits too", "edits", "one of both"));
     }
+    Ok(Response::new(SetResponse {
+        prefix: asked.prefix.clone(),
+        timestamp: nanos(),
+        ..SetResponse::default()
+    }))
+}
+
+/// Within which time a commit wants to be confirmed, and by which id.
+fn confirm_of(said: &CommitExt) -> Result<Confirm, Status> {
+    let said_time = match &said.action {
+        Some(Action::Commit(request)) => request.rollback_duration.as_ref(),
+        _ => None,
+    };
+    let within = said_time.map_or(CONFIRM, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
+    if !(0.1..=86_400.0).contains(&within) || said.id.is_empty() {
+        return Err(wrong(
+            "commit",
+            "has no id, or a time out of range",
+            &within.to_string(),
+            "an id, 0.1 to 86400 seconds",
+        ));
+    }
+    Ok(Confirm { within, persist: Some(said.id.clone()) })
+}
+
+fn as_arbitration(ext: &Ext) -> Option<&MasterArbitration> {
+    if let Ext::MasterArbitration(said) = ext { Some(said) } else { None }
+}
+
+fn as_commit(ext: &Ext) -> Option<&CommitExt> {
+    if let Ext::Commit(said) = ext { Some(said) } else { None }
 }
 
 fn extension<'a, T>(all: &'a [Extension], of: impl Fn(&'a Ext) -> Option<T>) -> Option<T> {
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -5,7 +5,6 @@
 
 use kestreltide_datastore::Key;
 use kestreltide_model::Schema;
-use kestreltide_model::data::Instance;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -117,21 +116,8 @@
             return "it went away";
         }
         loop {
-            let next = self.wanted.iter().flat_map(|wanted| [wanted.due, wanted.beat]).flatten().min();
-            // Keys may go at any time, also while nothing changes.
-            let look = Instant::now() + Duration::from_secs(1);
-            tokio::select! {
-                changed = changes.changed() => if changed.is_err() { return "the router stops" },
-                _ = sleep_until(next.map_or(look, |next| next.min(look))) => {}
-                ask = asks.next() => match ask {
-                    None => return "it asked no more",
-                    Some(Err(_)) => return "it went away",
-                    Some(Ok(_)) => {
-                        let _ = self.sender.send(Err(wrong("subscribe", "a stream takes no more requests", "another", "none"))).await;
-                        return "it sent something else";
-                    }
-                },
-                _ = self.sender.closed() => return "it went away",
+            if let Err(why) = self.wait(&mut changes, &mut asks).await {
+                return why;
             }
             if !self.known() {
                 let _ = self
@@ -141,43 +127,64 @@
                 return "its key is no longer in the file of keys";
             }
             let whole = changes.borrow_and_update().clone();
-            let number = whole.number;
-            // Who reads slowly gets the newest, and is told how many changes that stands for.
-            let coalesced = number.saturating_sub(seen + 1) as u32;
-            let changed = number != seen;
-            seen = number;
-            let now = Instant::now();
-            for place in 0..self.wanted.len() {
-                let wanted = &mut self.wanted[place];
-                let sampled = wanted.due.is_some_and(|due| due <= now);
-                let beat = wanted.beat.is_some_and(|beat| beat <= now);
-                if sampled {
-                    wanted.due = wanted.sample.map(|every| now + every);
-                }
-                if beat {
-                    wanted.beat = wanted.heartbeat.map(|every| now + every);
-                }
-                if !(wanted.on_change && changed || sampled || beat) {
-                    continue;
-                }
-                let all = beat || sampled && !wanted.suppress;
-                let (now, changes) = whole.changes(self.service.schema, &wanted.wish, &wanted.sent);
-                let mut updates: Vec<_> =
-                    changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
-                if all {
-                    let told = |at: &Instance| {
-                        changes.updates.binary_search_by(|(changed, _)| changed.cmp(at)).is_ok()
-                    };
-                    updates.extend(
-                        now.iter().filter(|(at, _)| !told(at)).map(|(at, value)| update(at, value, 0)),
-                    );
-                }
-                let gone = changes.gone.clone();
-                wanted.sent = now;
-                if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
-                    return "it went away";
+            let progress = Progress::between(seen, whole.number);
+            seen = whole.number;
+            if !self.send_due(&whole, progress).await {
+                return "it went away";
+            }
+        }
+    }
+
+    /// Waits for a change, for a timer of a subscription or for the next look at the keys; an error says what ends
+    /// the stream.
+    async fn wait(
+        &self, changes: &mut watch::Receiver<Arc<Whole>>, asks: &mut Streaming<SubscribeRequest>,
+    ) -> Result<(), &'static str> {
+        let next = self.wanted.iter().filter_map(Wanted::next_timer).min();
+        // Keys may go at any time, also while nothing changes.
+        let look = Instant::now() + Duration::from_secs(1);
+        tokio::select! {
+            changed = changes.changed() => changed.map_err(|_| "the router stops"),
+            _ = sleep_until(next.map_or(look, |next| next.min(look))) => Ok(()),
+            ask = asks.next() => match ask {
+                None => Err("it asked no more"),
+                Some(Err(_)) => Err("it went away"),
+                Some(Ok(_)) => {
+                    let error = wrong("subscribe", "a stream takes no more requests", "another", "none");
+                    let _ = self.sender.send(Err(error)).await;
+                    Err("it sent something else")
                 }
+            },
+            _ = self.sender.closed() => Err("it went away"),
+        }
+    }
+
+    /// Sends what each subscription is due; false where nobody takes it any more.
+    async fn send_due(&mut self, whole: &Whole, progress: Progress) -> bool {
+        let now = Instant::now();
+        for place in 0..self.wanted.len() {
+            let wanted = &mut self.wanted[place];
+            let Some(due) = wanted.due_at(now, progress.changed) else { continue };
+            let (updates, gone) = wanted.take_updates(self.service.schema, whole, due, progress.coalesced);
+            if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
+                return false;
             }
         }
+        true
+    }
+}
+
+/// How far what is published has moved on since a stream read it last.
+#[derive(Clone, Copy)]
+struct Progress {
+    changed: bool,
+    /// Changes that the newest stands for beside itself: who reads slowly gets the newest, and is told how many
+    /// changes that stands for.
+    coalesced: u32,
+}
+
+impl Progress {
+    fn between(seen: u64, number: u64) -> Self {
+        Progress { changed: number != seen, coalesced: number.saturating_sub(seen + 1) as u32 }
     }
 }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -12,12 +12,12 @@
 use super::Service;
 use super::encoding::encoding;
 use super::errors::wrong;
-use super::paths::{pattern, text};
+use super::paths::{leads_nowhere, pattern};
 use super::stream::{Reader, Subscription};
 use super::wanted::Wanted;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscription_list::Mode;
-use crate::proto::gnmi::{Path, SubscribeRequest, SubscribeResponse};
+use crate::proto::gnmi::{Encoding, Path, SubscribeRequest, SubscribeResponse, SubscriptionList};
 
 pub(super) type Responses = Pin<Box<dyn Stream<Item = Result<SubscribeResponse, Status>> + Send>>;
 
@@ -46,15 +46,33 @@
             wrong("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
         })?;
         let encoding = encoding(list.encoding)?;
+        let wanted = self.wanted(&list, encoding)?;
+        let (sender, receiver) = mpsc::channel(4);
+        let stream = Subscription {
+            service: self.clone_for_stream(),
+            key,
+            wanted,
+            updates_only: list.updates_only,
+            sender,
+            prefix: list.prefix.as_ref().and_then(target_only),
+        };
+        self.streams.fetch_add(1, Relaxed);
+        let streams = self.streams.clone();
+        tokio::spawn(async move {
+            stream.run(mode, asks).await;
+            streams.fetch_sub(1, Relaxed);
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+    }
+
+    /// The subscriptions of a list, each with a path that the model knows.
+    fn wanted(&self, list: &SubscriptionList, encoding: Encoding) -> Result<Vec<Wanted>, Status> {
         let mut wanted = Vec::new();
         for one in &list.subscription {
             let path = one.path.clone().unwrap_or_default();
             let pattern = pattern(list.prefix.as_ref(), &path)?;
             if !pattern.known(self.schema) {
-                return Err(Status::not_found(format!(
-                    "{}: leads nowhere in the model (given: {0}; taken: a path of it)",
-                    text(&path)
-                )));
+                return Err(leads_nowhere(&path));
             }
             wanted.push(Wanted::new((pattern, encoding.into()), one, &self.limits)?);
         }
@@ -66,26 +84,7 @@
                 &format!("1 to {MOST}"),
             ));
         }
-        let (sender, receiver) = mpsc::channel(4);
-        let stream = Subscription {
-            service: self.clone_for_stream(),
-            key,
-            wanted,
-            updates_only: list.updates_only,
-            sender,
-            prefix: list
-                .prefix
-                .as_ref()
-                .filter(|prefix| !prefix.target.is_empty())
-                .map(|prefix| Path { target: prefix.target.clone(), ..Path::default() }),
-        };
-        self.streams.fetch_add(1, Relaxed);
-        let streams = self.streams.clone();
-        tokio::spawn(async move {
-            stream.run(mode, asks).await;
-            streams.fetch_sub(1, Relaxed);
-        });
-        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+        Ok(wanted)
     }
 
     fn clone_for_stream(&self) -> Arc<Reader> {
@@ -97,3 +96,9 @@
         })
     }
 }
+
+/// The prefix that notifications repeat: its target alone, where it has one.
+fn target_only(prefix: &Path) -> Option<Path> {
+    let target = prefix.target.clone();
+    (!target.is_empty()).then(|| Path { target, ..Path::default() })
+}
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/wanted.rs
@@ -3,24 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kestreltide_model::Schema;
+use kestreltide_model::data::Instance;
 use tokio::time::Instant;
 use tonic::Status;
 
+use super::encoding::update;
 use super::errors::wrong;
-use super::snapshot::{Leaves, Wish};
+use super::snapshot::{Leaves, Whole, Wish};
 use crate::Limits;
-use crate::proto::gnmi::SubscriptionMode;
+use crate::proto::gnmi::{Path, SubscriptionMode, Update};
 
 /// One subscription of a stream.
 pub(super) struct Wanted {
     pub(super) wish: Wish,
-    pub(super) on_change: bool,
+    on_change: bool,
     /// Between samples, and between signs of life; none: never.
-    pub(super) sample: Option<Duration>,
-    pub(super) heartbeat: Option<Duration>,
-    pub(super) suppress: bool,
-    pub(super) due: Option<Instant>,
-    pub(super) beat: Option<Instant>,
+    sample: Option<Duration>,
+    heartbeat: Option<Duration>,
+    suppress: bool,
+    due: Option<Instant>,
+    beat: Option<Instant>,
     /// What was sent last.
     pub(super) sent: Arc<Leaves>,
 }
@@ -51,4 +54,51 @@
         let (due, beat) = (sample.map(|every| now + every), heartbeat.map(|every| now + every));
         Ok(Wanted { wish, on_change, sample, heartbeat, suppress: of.suppress_redundant, due, beat, sent })
     }
+
+    /// When the next of its timers runs out.
+    pub(super) fn next_timer(&self) -> Option<Instant> {
+        [self.due, self.beat].into_iter().flatten().min()
+    }
+
+    /// What it is to be sent, if anything; timers that have run out begin anew.
+    pub(super) fn due_at(&mut self, now: Instant, changed: bool) -> Option<Due> {
+        let sampled = self.due.is_some_and(|due| due <= now);
+        let beat = self.beat.is_some_and(|beat| beat <= now);
+        if sampled {
+            self.due = self.sample.map(|every| now + every);
+        }
+        if beat {
+            self.beat = self.heartbeat.map(|every| now + every);
+        }
+        if !(self.on_change && changed || sampled || beat) {
+            return None;
+        }
+        Some(if beat || sampled && !self.suppress { Due::Everything } else { Due::Changes })
+    }
+
+    /// The updates and deletions that bring it to a snapshot, which counts as sent from here on. What has changed
+    /// carries the count of changes that it stands for.
+    pub(super) fn take_updates(
+        &mut self, schema: &Schema, whole: &Whole, due: Due, coalesced: u32,
+    ) -> (Vec<Update>, Vec<Path>) {
+        let (now, changes) = whole.changes(schema, &self.wish, &self.sent);
+        let mut updates: Vec<_> =
+            changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
+        if due == Due::Everything {
+            let told =
+                |at: &Instance| changes.updates.binary_search_by(|(changed, _)| changed.cmp(at)).is_ok();
+            updates.extend(now.iter().filter(|(at, _)| !told(at)).map(|(at, value)| update(at, value, 0)));
+        }
+        self.sent = now;
+        (updates, changes.gone.clone())
+    }
+}
+
+/// What a subscription is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Due {
+    /// What differs from what was sent last.
+    Changes,
+    /// That, and all else that it wants.
+    Everything,
 }
