--- a/management/src/netconf/session/edit_config.rs
+++ b/management/src/netconf/session/edit_config.rs
@@ -11,6 +11,44 @@
 use super::{Asked, Session, Step};
 use crate::desk::Handle;
 
+/// How an edit-config is done.
+struct EditOptions {
+    /// The operation of elements that name none.
+    default: Op,
+    /// Whether the result is only checked.
+    test_only: bool,
+}
+
+impl EditOptions {
+    fn of(of: &Element) -> Result<Self, Vec<RpcError>> {
+        let default = text(of, "default-operation").unwrap_or_else(|| "merge".into());
+        let wrong = || {
+            vec![RpcError::invalid(
+                "default-operation",
+                "no such operation",
+                &default,
+                "merge, replace or none",
+            )]
+        };
+        let default = Op::by_default(&default).ok_or_else(wrong)?;
+        // Whichever it is, an edit that cannot be done whole is not done at all.
+        option(of, "error-option", ["stop-on-error", "continue-on-error", "rollback-on-error"])?;
+        let test = option(of, "test-option", ["test-then-set", "set", "test-only"])?;
+        Ok(EditOptions { default, test_only: test == "test-only" })
+    }
+}
+
+/// An option that takes one of three values; the first where it is not given.
+fn option(of: &Element, name: &str, taken: [&str; 3]) -> Result<String, Vec<RpcError>> {
+    let [first, second, third] = taken;
+    let given = text(of, name).unwrap_or_else(|| first.into());
+    if taken.contains(&given.as_str()) {
+        return Ok(given);
+    }
+    let taken = format!("{first}, {second} or {third}");
+    Err(vec![RpcError::invalid(name, "no such option", &given, &taken)])
+}
+
 impl Session {
     pub(super) fn candidate(&mut self, desk: &Handle) -> &mut Candidate {
         self.candidate.get_or_insert_with(|| Candidate::of(&desk.published.load().in_force))
@@ -30,46 +68,22 @@
         &mut self, of: &Element, rights: Rights, desk: &Handle,
     ) -> Result<Step, Vec<RpcError>> {
         let target = target(of, "target")?;
-        let default = text(of, "default-operation").unwrap_or_else(|| "merge".into());
-        let wrong = || {
-            vec![RpcError::invalid(
-                "default-operation",
-                "no such operation",
-                &default,
-                "merge, replace or none",
-            )]
-        };
-        let default = Op::by_default(&default).ok_or_else(wrong)?;
-        let option = text(of, "error-option").unwrap_or_else(|| "stop-on-error".into());
-        // Whichever it is, an edit that cannot be done whole is not done at all.
-        if !["stop-on-error", "continue-on-error", "rollback-on-error"].contains(&option.as_str()) {
-            let taken = "stop-on-error, continue-on-error or rollback-on-error";
-            return Err(vec![RpcError::invalid("error-option", "no such option", &option, taken)]);
-        }
-        let test = text(of, "test-option").unwrap_or_else(|| "test-then-set".into());
-        if !["test-then-set", "set", "test-only"].contains(&test.as_str()) {
-            return Err(vec![RpcError::invalid(
-                "test-option",
-                "no such option",
-                &test,
-                "test-then-set, set or test-only",
-            )]);
-        }
+        let options = EditOptions::of(of)?;
         let config = of.child("config").ok_or_else(|| vec![RpcError::missing("config")])?;
         let mut candidate = match target {
             Target::Running => Candidate::of(&desk.published.load().in_force),
             Target::Candidate => self.candidate(desk).clone(),
         };
         let before = candidate.tree.clone();
-        let by_default = if default == Op::Replace {
+        let by_default = if options.default == Op::Replace {
             candidate.tree = Tree::default();
             Op::Merge
         } else {
-            default
+            options.default
         };
         self.edited(&mut candidate.tree, config, by_default)?;
         self.allowed(&before, &candidate.tree, rights, desk)?;
-        if test == "test-only" {
+        if options.test_only {
             return Ok(Step::Ask(Asked::Validate(candidate)));
         }
         match target {
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -20,7 +20,7 @@
 use kestreltide_datastore::{Author, Candidate, Rights, Source};
 use kestreltide_model::Schema;
 use kestreltide_model::bind::Bind;
-use kestreltide_model::xml::{self, XmlLimits, escaped};
+use kestreltide_model::xml::{self, Element, XmlLimits, escaped};
 
 pub use self::capabilities::BASE;
 use self::capabilities::CAPABILITIES;
@@ -117,16 +117,7 @@
             Err(why) => return self.malformed(&why),
         };
         if !self.greeted {
-            let capabilities = element
-                .child("capabilities")
-                .filter(|_| element.name == "hello" && element.namespace == BASE);
-            let Some(capabilities) = capabilities else { return Step::Over("the first message is no hello") };
-            let says = |base: &str| capabilities.children.iter().any(|child| child.text.trim() == base);
-            if !says(CAPABILITIES[0]) && !says(CAPABILITIES[1]) {
-                return Step::Over("no base version in common");
-            }
-            (self.greeted, self.chunks) = (true, says(CAPABILITIES[1]));
-            return Step::Reply(String::new());
+            return self.client_hello(&element);
         }
         if element.name != "rpc" || element.namespace != BASE {
             return self.malformed("is no rpc");
@@ -150,6 +141,19 @@
         self.operation(operation, rights, desk).unwrap_or_else(|errors| Step::Reply(self.errors(&errors)))
     }
 
+    /// The first message of the client.
+    fn client_hello(&mut self, element: &Element) -> Step {
+        let capabilities =
+            element.child("capabilities").filter(|_| element.name == "hello" && element.namespace == BASE);
+        let Some(capabilities) = capabilities else { return Step::Over("the first message is no hello") };
+        let says = |base: &str| capabilities.children.iter().any(|child| child.text.trim() == base);
+        if !says(CAPABILITIES[0]) && !says(CAPABILITIES[1]) {
+            return Step::Over("no base version in common");
+        }
+        (self.greeted, self.chunks) = (true, says(CAPABILITIES[1]));
+        Step::Reply(String::new())
+    }
+
     fn malformed(&self, why: &str) -> Step {
         // There is no message-id to answer with (RFC 6241, section 4.1); the session goes on.
         if !self.greeted {
--- a/management/src/netconf/session/operations.rs
+++ b/management/src/netconf/session/operations.rs
@@ -21,43 +21,13 @@
             return self.trial(of, &name, rights, desk);
         }
         match (of.namespace.as_str(), of.name.as_str()) {
-            (BASE, "get" | "get-config") => {
-                if !rights.read {
-                    return Err(vec![denied("reading", rights)]);
-                }
-                let filter = self.filter(of.child("filter"))?;
-                let data = if of.name == "get" {
-                    state::all(self.schema, &self.bind, &desk.view.load(), &desk.published.load())
-                } else {
-                    let tree = match target(of, "source")? {
-                        Target::Running => desk.published.load().in_force.tree.clone(),
-                        Target::Candidate => std::sync::Arc::new(self.candidate(desk).tree.clone()),
-                    };
-                    self.bind.data(self.schema, &tree)
-                };
-                Ok(Step::Reply(self.data(&filter.prune(self.schema, &[data]))))
-            }
+            (BASE, "get" | "get-config") => self.get(of, rights, desk),
             (BASE, "edit-config") => self.edit_config(of, rights, desk),
             (BASE, "copy-config") => Err(vec![unsupported("copy-config", "edit-config with replace")]),
             (BASE, "delete-config") => Err(vec![unsupported("delete-config", "edit-config with delete")]),
             (BASE, "lock") => Ok(Step::Ask(Asked::Lock(target(of, "target")?))),
             (BASE, "unlock") => Ok(Step::Ask(Asked::Unlock(target(of, "target")?))),
-            (BASE, "validate") => {
-                let source = of.child("source").ok_or_else(|| vec![RpcError::missing("source")])?;
-                let candidate = match source.child("config") {
-                    Some(config) => {
-                        let mut candidate = Candidate::of(&desk.published.load().in_force);
-                        candidate.tree = Tree::default();
-                        self.edited(&mut candidate.tree, config, Op::Merge)?;
-                        candidate
-                    }
-                    None => match target(of, "source")? {
-                        Target::Running => Candidate::of(&desk.published.load().in_force),
-                        Target::Candidate => self.candidate(desk).clone(),
-                    },
-                };
-                Ok(Step::Ask(Asked::Validate(candidate)))
-            }
+            (BASE, "validate") => self.validate(of, desk),
             (BASE, "commit") => self.commit(of, rights, desk),
             (BASE, "cancel-commit") => Ok(Step::Ask(Asked::Cancel { persist_id: text(of, "persist-id") })),
             (BASE, "discard-changes") => {
@@ -65,59 +35,91 @@
                 Ok(Step::Reply(self.ok()))
             }
             (BASE, "close-session") => Ok(Step::Close(self.ok())),
-            (BASE, "kill-session") => {
-                let said = text(of, "session-id").ok_or_else(|| vec![RpcError::missing("session-id")])?;
-                let session = said.parse().ok().filter(|number| *number != self.id.0 && *number > 0);
-                let wrong = || {
-                    vec![RpcError::invalid(
-                        "session-id",
-                        "is no other session",
-                        &said,
-                        "another session's id",
-                    )]
-                };
-                Ok(Step::Kill(SessionId(session.ok_or_else(wrong)?), self.ok()))
-            }
-            (NOTIFICATIONS, "create-subscription") => {
-                if !rights.read {
-                    return Err(vec![denied("reading", rights)]);
-                }
-                if self.subscribed {
-                    return Err(vec![RpcError::new(
-                        "protocol",
-                        "in-use",
-                        "this session is subscribed already",
-                    )]);
-                }
-                let stream = text(of, "stream").unwrap_or_else(|| "NETCONF".into());
-                if stream != "NETCONF" {
-                    return Err(vec![RpcError::invalid("stream", "no such stream", &stream, "NETCONF")]);
-                }
-                if let Some(other) =
-                    ["startTime", "stopTime", "filter"].into_iter().find(|name| of.child(name).is_some())
-                {
-                    return Err(vec![unsupported(other, "a subscription from now on, to everything")]);
-                }
-                self.subscribed = true;
-                Ok(Step::Subscribe(self.ok()))
-            }
-            (MONITORING, "get-schema") => {
-                let name = text(of, "identifier").ok_or_else(|| vec![RpcError::missing("identifier")])?;
-                let module = self.schema.modules.iter().find(|module| module.name == name);
-                let known: Vec<_> = self.schema.modules.iter().map(|module| module.name.as_str()).collect();
-                let module = module.ok_or_else(|| {
-                    vec![RpcError::invalid("identifier", "no such module", &name, &known.join(", "))]
-                })?;
-                let out =
-                    format!("<rpc-reply xmlns=\"{BASE}\"{}><data xmlns=\"{MONITORING}\">", self.attributes);
-                Ok(Step::Reply(format!("{out}{}</data></rpc-reply>", escaped(&module.text))))
-            }
+            (BASE, "kill-session") => self.kill_session(of),
+            (NOTIFICATIONS, "create-subscription") => self.create_subscription(of, rights),
+            (MONITORING, "get-schema") => self.get_schema(of),
             (_, other) => {
                 let error = RpcError::unknown(other);
                 Err(vec![RpcError { tag: "operation-not-supported".into(), ..error }])
             }
         }
     }
+
+    /// `get`: what operators set and the router's own state. `get-config`: what operators set, in one datastore.
+    fn get(&mut self, of: &Element, rights: Rights, desk: &Handle) -> Result<Step, Vec<RpcError>> {
+        if !rights.read {
+            return Err(vec![denied("reading", rights)]);
+        }
+        let filter = self.filter(of.child("filter"))?;
+        let data = if of.name == "get" {
+            state::all(self.schema, &self.bind, &desk.view.load(), &desk.published.load())
+        } else {
+            let tree = match target(of, "source")? {
+                Target::Running => desk.published.load().in_force.tree.clone(),
+                Target::Candidate => std::sync::Arc::new(self.candidate(desk).tree.clone()),
+            };
+            self.bind.data(self.schema, &tree)
+        };
+        Ok(Step::Reply(self.data(&filter.prune(self.schema, &[data]))))
+    }
+
+    fn validate(&mut self, of: &Element, desk: &Handle) -> Result<Step, Vec<RpcError>> {
+        let source = of.child("source").ok_or_else(|| vec![RpcError::missing("source")])?;
+        let candidate = match source.child("config") {
+            Some(config) => {
+                let mut candidate = Candidate::of(&desk.published.load().in_force);
+                candidate.tree = Tree::default();
+                self.edited(&mut candidate.tree, config, Op::Merge)?;
+                candidate
+            }
+            None => match target(of, "source")? {
+                Target::Running => Candidate::of(&desk.published.load().in_force),
+                Target::Candidate => self.candidate(desk).clone(),
+            },
+        };
+        Ok(Step::Ask(Asked::Validate(candidate)))
+    }
+
+    fn kill_session(&self, of: &Element) -> Result<Step, Vec<RpcError>> {
+        let said = text(of, "session-id").ok_or_else(|| vec![RpcError::missing("session-id")])?;
+        let session = said.parse().ok().filter(|number| *number != self.id.0 && *number > 0);
+        let wrong =
+            || vec![RpcError::invalid("session-id", "is no other session", &said, "another session's id")];
+        Ok(Step::Kill(SessionId(session.ok_or_else(wrong)?), self.ok()))
+    }
+
+    /// A subscription to all notifications from now on (RFC 5277, section 2.1.1).
+    fn create_subscription(&mut self, of: &Element, rights: Rights) -> Result<Step, Vec<RpcError>> {
+        if !rights.read {
+            return Err(vec![denied("reading", rights)]);
+        }
+        if self.subscribed {
+            return Err(vec![RpcError::new("protocol", "in-use", "this session is subscribed already")]);
+        }
+        let stream = text(of, "stream").unwrap_or_else(|| "NETCONF".into());
+        if stream != "NETCONF" {
+            return Err(vec![RpcError::invalid("stream", "no such stream", &stream, "NETCONF")]);
+        }
+        if let Some(other) =
+            ["startTime", "stopTime", "filter"].into_iter().find(|name| of.child(name).is_some())
+        {
+            return Err(vec![unsupported(other, "a subscription from now on, to everything")]);
+        }
+        self.subscribed = true;
+        Ok(Step::Subscribe(self.ok()))
+    }
+
+    /// The text of a module (RFC 6022, section 3.1).
+    fn get_schema(&self, of: &Element) -> Result<Step, Vec<RpcError>> {
+        let name = text(of, "identifier").ok_or_else(|| vec![RpcError::missing("identifier")])?;
+        let module = self.schema.modules.iter().find(|module| module.name == name);
+        let known: Vec<_> = self.schema.modules.iter().map(|module| module.name.as_str()).collect();
+        let module = module.ok_or_else(|| {
+            vec![RpcError::invalid("identifier", "no such module", &name, &known.join(", "))]
+        })?;
+        let out = format!("<rpc-reply xmlns=\"{BASE}\"{}><data xmlns=\"{MONITORING}\">", self.attributes);
+        Ok(Step::Reply(format!("{out}{}</data></rpc-reply>", escaped(&module.text))))
+    }
 }
 
 pub(super) fn text(of: &Element, name: &str) -> Option<String> {
