--- /dev/null
+++ b/management/src/netconf/session/edit_config.rs
@@ -0,0 +1,108 @@
+//! `edit-config`: edits of the session's candidate or of what runs, and whether the rights cover them.
+
+use kestreltide_datastore::desk::Target;
+use kestreltide_datastore::{Candidate, Rights, Tree};
+use kestreltide_model::data::Instance;
+use kestreltide_model::edit::{Op, apply, of_xml};
+use kestreltide_model::xml::Element;
+
+use super::operations::{target, text};
+use super::rpc_error::{RpcError, of_edit, xpath};
+use super::{Asked, Session, Step};
+use crate::desk::Handle;
+
+/// How an edit-config is done.
+struct EditOptions {
+    /// The operation of elements that name none.
+    default: Op,
+    /// Whether the result is only checked.
+    test_only: bool,
+}
+
+impl EditOptions {
+    fn of(of: &Element) -> Result<Self, Vec<RpcError>> {
+        let default = text(of, "default-operation").unwrap_or_else(|| "merge".into());
+        let wrong = || {
+            vec![RpcError::invalid(
+                "default-operation",
+                "no such operation",
+                &default,
+                "merge, replace or none",
+            )]
+        };
+        let default = Op::by_default(&default).ok_or_else(wrong)?;
+        // Whichever it is, an edit that cannot be done whole is not done at all.
+        option(of, "error-option", ["stop-on-error", "continue-on-error", "rollback-on-error"])?;
+        let test = option(of, "test-option", ["test-then-set", "set", "test-only"])?;
+        Ok(EditOptions { default, test_only: test == "test-only" })
+    }
+}
+
+/// An option that takes one of three values; the first where it is not given.
+fn option(of: &Element, name: &str, taken: [&str; 3]) -> Result<String, Vec<RpcError>> {
+    let [first, second, third] = taken;
+    let given = text(of, name).unwrap_or_else(|| first.into());
+    if taken.contains(&given.as_str()) {
+        return Ok(given);
+    }
+    let taken = format!("{first}, {second} or {third}");
+    Err(vec![RpcError::invalid(name, "no such option", &given, &taken)])
+}
+
+impl Session {
+    pub(super) fn candidate(&mut self, desk: &Handle) -> &mut Candidate {
+        self.candidate.get_or_insert_with(|| Candidate::of(&desk.published.load().in_force))
+    }
+
+    /// Edits a tree by a `config` element, whole or not at all.
+    pub(super) fn edited(&self, tree: &mut Tree, config: &Element, default: Op) -> Result<(), Vec<RpcError>> {
+        let mut faults = vec![];
+        let edits = of_xml(self.schema, None, &Instance::default(), &config.children, &mut faults);
+        if faults.is_empty() {
+            faults = apply(self.schema, &self.bind, tree, &edits, default).err().unwrap_or_default();
+        }
+        if faults.is_empty() { Ok(()) } else { Err(faults.iter().map(of_edit).collect()) }
+    }
+
+    pub(super) fn edit_config(
+        &mut self, of: &Element, rights: Rights, desk: &Handle,
+    ) -> Result<Step, Vec<RpcError>> {
+        let target = target(of, "target")?;
+        let options = EditOptions::of(of)?;
+        let config = of.child("config").ok_or_else(|| vec![RpcError::missing("config")])?;
+        let mut candidate = match target {
+            Target::Running => Candidate::of(&desk.published.load().in_force),
+            Target::Candidate => self.candidate(desk).clone(),
+        };
+        let before = candidate.tree.clone();
+        let by_default = if options.default == Op::Replace {
+            candidate.tree = Tree::default();
+            Op::Merge
+        } else {
+            options.default
+        };
+        self.edited(&mut candidate.tree, config, by_default)?;
+        self.allowed(&before, &candidate.tree, rights, desk)?;
+        if options.test_only {
+            return Ok(Step::Ask(Asked::Validate(candidate)));
+        }
+        match target {
+            Target::Running => Ok(Step::Ask(Asked::Commit { candidate, confirm: None, persist_id: None })),
+            Target::Candidate => {
+                self.candidate = Some(candidate);
+                Ok(Step::Reply(self.ok()))
+            }
+        }
+    }
+
+    /// Whether the rights cover the changes; who tries without is told and remembered.
+    pub(super) fn allowed(
+        &self, before: &Tree, after: &Tree, rights: Rights, desk: &Handle,
+    ) -> Result<(), Vec<RpcError>> {
+        rights.check(&before.differences(after)).map_err(|fault| {
+            let path = fault.path.parse().ok().map(|path| xpath(&path));
+            (desk.ask)(crate::Ask::Denied { author: self.author(), fault: fault.clone() });
+            vec![RpcError { path, ..RpcError::new("application", "access-denied", fault.to_string()) }]
+        })
+    }
+}
