--- a/management/src/desk.rs
+++ b/management/src/desk.rs
@@ -14,58 +14,93 @@
 /// What a front asks of the desk. Whoever asks waits for the reply; the desk waits for nobody.
 #[derive(Debug)]
 pub enum Ask {
+    /// Opens a session, which may hold locks and commits that wait to be confirmed.
     Open {
+        /// Gets the id of the session.
         reply: oneshot::Sender<SessionId>,
     },
+    /// A session is over: its locks are released and commits that only it could confirm are rolled back.
     Ended {
+        /// The session that ended.
         session: SessionId,
     },
+    /// Locks a datastore for a session.
     Lock {
+        /// Who wants the lock.
         session: SessionId,
+        /// The datastore to lock.
         target: Target,
+        /// Refused where another session holds the lock.
         reply: oneshot::Sender<Result<(), Refused>>,
     },
+    /// Releases a lock.
     Unlock {
+        /// Who holds the lock.
         session: SessionId,
+        /// The datastore to unlock.
         target: Target,
+        /// Refused where the session does not hold the lock.
         reply: oneshot::Sender<Result<(), Refused>>,
     },
+    /// Checks a candidate without committing it.
     Validate {
+        /// What to check.
         candidate: Candidate,
+        /// Gets the validation errors, if any.
         reply: oneshot::Sender<Result<(), Faults>>,
     },
+    /// Checks a candidate and puts it in force.
     Commit(Box<CommitAsk>),
+    /// Confirms the commit that waits for it.
     Confirm {
+        /// Who confirms; none for a party without a session.
         asker: Asker,
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
+        /// Refused where nothing waits or another has to confirm it.
         reply: oneshot::Sender<Result<(), Refused>>,
     },
+    /// Rolls back the commit that waits to be confirmed.
     Cancel {
+        /// Who cancels; none for a party without a session.
         asker: Asker,
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
+        /// Refused where nothing waits or another has to confirm it.
         reply: oneshot::Sender<Result<(), Refused>>,
     },
     /// Somebody who may not has tried; it is remembered and told as any other refusal.
     Denied {
+        /// Who tried.
         author: Author,
+        /// Which right was missing, for which change.
         fault: Fault,
     },
 }
 
+/// A candidate to commit.
 #[derive(Debug)]
 pub struct CommitAsk {
+    /// Who commits; none for a party without a session.
     pub asker: Asker,
+    /// What to commit.
     pub candidate: Candidate,
+    /// Whom the revision names as its author.
     pub author: Author,
+    /// Within which time the commit has to be confirmed; none: it stays.
     pub confirm: Option<Confirm>,
+    /// The id of the commit that waits, where whoever began it gave one.
     pub persist_id: Option<String>,
+    /// Gets the revision, or why there is none.
     pub reply: oneshot::Sender<Result<Commit, Refused>>,
 }
 
 /// What happened at the desk.
 #[derive(Clone, Debug)]
 pub enum News {
+    /// A revision is in force.
     Committed(Arc<RevisionRecord>),
+    /// A candidate was refused.
     Refused(Arc<Refusal>),
 }
 
@@ -74,11 +109,15 @@
 pub struct Handle {
     /// False where the desk has no room for one more question, or is gone.
     pub ask: Arc<dyn Fn(Ask) -> bool + Send + Sync>,
+    /// What is in force, its history and what waits.
     pub published: Arc<ArcSwap<Published>>,
+    /// The state of the router as it showed it last.
     pub view: Arc<ArcSwap<View>>,
     /// The revision that the loop has in force.
     pub in_force: Arc<AtomicU64>,
+    /// Commits and refusals, to all who subscribe.
     pub news: broadcast::Sender<News>,
+    /// Who may come in, with which rights.
     pub keys: Arc<ArcSwap<Keys>>,
 }
 
@@ -102,27 +141,34 @@
         answer.await.ok()
     }
 
+    /// Opens a session; none where the commit service does not answer.
     pub async fn open(&self) -> Option<SessionId> {
         self.asked(|reply| Ask::Open { reply }).await
     }
 
+    /// Locks a datastore for a session; refused where another holds the lock or nobody answers.
     pub async fn lock(&self, session: SessionId, target: Target) -> Result<(), Refused> {
         self.asked(|reply| Ask::Lock { session, target, reply }).await.unwrap_or(Err(busy()))
     }
 
+    /// Releases a lock; refused where the session does not hold it or nobody answers.
     pub async fn unlock(&self, session: SessionId, target: Target) -> Result<(), Refused> {
         self.asked(|reply| Ask::Unlock { session, target, reply }).await.unwrap_or(Err(busy()))
     }
 
+    /// Checks a candidate; refused with its validation errors, or where nobody answers.
     pub async fn validate(&self, candidate: Candidate) -> Result<(), Refused> {
         let answer = self.asked(|reply| Ask::Validate { candidate, reply }).await;
         answer.map_or(Err(busy()), |answer| answer.map_err(Refused::Faults))
     }
 
+    /// Confirms the commit that waits; refused where nothing waits, where another has to confirm it, or where nobody
+    /// answers.
     pub async fn confirm(&self, asker: Asker, persist_id: Option<String>) -> Result<(), Refused> {
         self.asked(|reply| Ask::Confirm { asker, persist_id, reply }).await.unwrap_or(Err(busy()))
     }
 
+    /// Rolls back the commit that waits; refused as a confirmation is.
     pub async fn cancel(&self, asker: Asker, persist_id: Option<String>) -> Result<(), Refused> {
         self.asked(|reply| Ask::Cancel { asker, persist_id, reply }).await.unwrap_or(Err(busy()))
     }
--- a/management/src/gnmi/mod.rs
+++ b/management/src/gnmi/mod.rs
@@ -41,6 +41,7 @@
 
 const VERSION: &str = "0.10.0";
 
+/// The gNMI service, shared by all connections.
 pub struct Service {
     log: Logger,
     desk: Handle,
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -18,7 +18,9 @@
 
 /// What TLS needs, in PEM.
 pub struct Tls {
+    /// The certificate chain of the server.
     pub certificate: Vec<u8>,
+    /// The private key of the server.
     pub key: Vec<u8>,
     /// Who signs clients' certificates.
     pub clients: Vec<u8>,
--- a/management/src/lib.rs
+++ b/management/src/lib.rs
@@ -27,13 +27,15 @@
 pub struct Limits {
     /// Of one message, and of one gNMI request.
     pub message: usize,
-    /// Connections of one front, and sessions of them that have come in.
+    /// Open connections of one front.
     pub connections: usize,
+    /// Sessions and streams of one front whose client has proved who it is.
     pub sessions: usize,
     /// To prove who one is, and to say hello.
     pub enter: f64,
-    /// Between signs of life of a quiet connection, and how many may be missed.
+    /// Between keepalive messages on a quiet connection.
     pub alive: f64,
+    /// Keepalive messages in a row that may stay without an answer.
     pub missed: usize,
     /// Notifications that wait for one session.
     pub news: usize,
--- a/management/src/netconf/framing.rs
+++ b/management/src/netconf/framing.rs
@@ -6,7 +6,9 @@
 /// How messages end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
+    /// Each message ends with `]]>]]>`.
     EndMark,
+    /// Each message comes in chunks with their lengths.
     Chunks,
 }
 
@@ -24,6 +26,7 @@
     }
 }
 
+/// Cuts the bytes of one direction into messages.
 #[derive(Debug)]
 pub struct Frames {
     framing: Framing,
@@ -45,6 +48,7 @@
         Frames { framing: Framing::EndMark, most, buffer, looked: 0, message, chunk: 0, chunks: 0 }
     }
 
+    /// How messages end at present.
     pub fn framing(&self) -> Framing {
         self.framing
     }
@@ -54,6 +58,7 @@
         self.framing = Framing::Chunks;
     }
 
+    /// Adds bytes that have come.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -27,16 +27,22 @@
 
 /// All that sessions share.
 pub struct Shared {
+    /// The log of the front.
     pub log: Logger,
+    /// The way to the commit service.
     pub desk: Handle,
+    /// What sessions may hold.
     pub limits: Limits,
+    /// The published model.
     pub schema: &'static Schema,
+    /// The binding of the model to the datastore.
     pub bind: Arc<Bind>,
     /// Sessions that are served, and how each is told to end.
     sessions: Mutex<BTreeMap<SessionId, Arc<Notify>>>,
 }
 
 impl Shared {
+    /// Reads the published model; an error says what is wrong with it.
     pub fn new(log: Logger, desk: Handle, limits: Limits) -> Result<Self, String> {
         let schema = kestreltide_model::published()?;
         let bind = Arc::new(Bind::new(schema)?);
@@ -47,6 +53,7 @@
         with(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// The rights of a key as the file of keys has them now; none where it is no longer there.
     pub fn rights(&self, key: &Key) -> Option<Rights> {
         self.desk.keys.load().rights(&key.name, &key.proof)
     }
--- a/management/src/netconf/session/capabilities.rs
+++ b/management/src/netconf/session/capabilities.rs
@@ -6,6 +6,7 @@
 
 use super::Session;
 
+/// The namespace of NETCONF messages.
 pub const BASE: &str = "urn:ietf:params:xml:ns:netconf:base:1.0";
 pub(super) const NOTIFICATIONS: &str = "urn:ietf:params:xml:ns:netconf:notification:1.0";
 pub(super) const MONITORING: &str = "urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring";
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -30,19 +30,29 @@
 /// What the desk is asked for a message.
 #[derive(Clone, Debug)]
 pub enum Asked {
+    /// Lock a datastore.
     Lock(Target),
+    /// Release the lock of a datastore.
     Unlock(Target),
+    /// Check a candidate without committing it.
     Validate(Candidate),
     /// Of the session's own candidate, or of one edit of what runs.
     Commit {
+        /// What to commit.
         candidate: Candidate,
+        /// Within which time it has to be confirmed; none: it stays.
         confirm: Option<Confirm>,
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
+    /// Confirm the commit that waits.
     Confirm {
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
+    /// Roll back the commit that waits.
     Cancel {
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
 }
@@ -50,6 +60,7 @@
 /// What to do after a message.
 #[derive(Debug)]
 pub enum Step {
+    /// Send the reply; an empty one is not sent.
     Reply(String),
     /// Ask, and give the answer to [`Session::answered`].
     Ask(Asked),
@@ -63,7 +74,9 @@
     Over(&'static str),
 }
 
+/// The state of one session.
 pub struct Session {
+    /// The id that hello gave the session.
     pub id: SessionId,
     name: String,
     schema: &'static Schema,
@@ -77,6 +90,7 @@
 }
 
 impl Session {
+    /// A session before the hello of its client; `name` is that of the key of the client.
     pub fn new(id: SessionId, name: &str, schema: &'static Schema, bind: std::sync::Arc<Bind>) -> Self {
         let (greeted, chunks, subscribed, attributes) = (false, false, false, String::new());
         Session {
@@ -92,6 +106,7 @@
         }
     }
 
+    /// Whether the client has said hello.
     pub fn greeted(&self) -> bool {
         self.greeted
     }
--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -30,13 +30,16 @@
 /// What all files together say.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Version {
+    /// The generation that all files name.
     pub generation: String,
+    /// The hosts and guards that they set.
     pub tree: Tree,
 }
 
 /// Why there is no version.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Spoken<V> {
+    /// The files are whole, belong together and pass all checks.
     Whole(V),
     /// Each file is whole, but they do not belong together: one may still be written.
     Apart(Faults),
--- a/watch/src/ini.rs
+++ b/watch/src/ini.rs
@@ -5,18 +5,25 @@
 use kestreltide_datastore::draft::shown;
 use kestreltide_datastore::{Fault, Faults};
 
+/// One key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Key {
+    /// The line in the text, from 1; 0 where it was not found again.
     pub line: usize,
+    /// The name without white space around it.
     pub name: String,
+    /// The value without white space around it.
     pub value: String,
 }
 
 /// A section, the one without a name first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Section {
+    /// The line of its head in the text, from 1; 0 where it was not found again.
     pub line: usize,
+    /// What stands in brackets; empty for the keys before the first section.
     pub name: String,
+    /// Its keys in the order of the text.
     pub keys: Vec<Key>,
 }
 
--- a/watch/src/notices.rs
+++ b/watch/src/notices.rs
@@ -9,6 +9,7 @@
 
 use notify::{Event, RecommendedWatcher, RecursiveMode, Watcher};
 
+/// The watches on the folders of all files.
 pub struct Notices {
     watcher: Option<RecommendedWatcher>,
     /// Which folder was found at each path when its watch began: another one needs another watch.
--- a/watch/src/read.rs
+++ b/watch/src/read.rs
@@ -28,6 +28,7 @@
         }
     }
 
+    /// The mark of the file at a path; none where there is no file.
     pub fn at(path: &Path) -> Option<Self> {
         fs::metadata(path).ok().map(|found| Mark::of(&found))
     }
--- a/watch/src/settle.rs
+++ b/watch/src/settle.rs
@@ -25,6 +25,7 @@
 /// What to do with what was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
+    /// Wait: nothing is new, or it has not settled.
     Nothing,
     /// It may be offered if it is whole by its ends; if not, it may still be written.
     Try,
@@ -32,6 +33,7 @@
     Offer,
 }
 
+/// Decides when content has settled; all times in seconds on one clock.
 #[derive(Clone, Debug)]
 pub struct Settle {
     patience: Patience,
@@ -42,6 +44,7 @@
 }
 
 impl Settle {
+    /// Before anything was read.
     pub fn new(patience: Patience) -> Self {
         Settle { patience, state: State::Still, done: None, noticed: true }
     }
@@ -51,6 +54,7 @@
         (self.state, self.done) = (State::Still, Some((digest, now)));
     }
 
+    /// Something may have changed.
     pub fn notice(&mut self) {
         self.noticed = true;
     }
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -14,9 +14,11 @@
 /// Which files, and how.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Watched {
+    /// The paths of the files, in the order in which their contents are handed on.
     pub files: Vec<PathBuf>,
     /// Bytes of one file that are read at most.
     pub most: usize,
+    /// How long changes settle and how far versions are apart.
     pub patience: Patience,
     /// Seconds after which content is compared though nothing seems to have changed.
     pub compare: f64,
@@ -27,6 +29,7 @@
 /// What there is to tell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told<V> {
+    /// A whole version.
     Version(V),
     /// It is not taken as it stands, and would not be later.
     Refused(Faults),
