--- a/management/src/gnmi/get.rs
+++ b/management/src/gnmi/get.rs
@@ -8,7 +8,7 @@
 use tonic::{Request, Response, Status};
 
 use super::encoding::{collect, encoding};
-use super::paths::{leads_nowhere, path_of, pattern, text};
+use super::paths::{leads_nowhere, path_of, pattern, select, text};
 use super::{Service, nanos};
 use crate::proto::gnmi::{Encoding, GetRequest, GetResponse, Notification, Path, Update, get_request};
 use crate::state;
@@ -63,11 +63,7 @@
     }
 
     fn updates(&self, wanted: &Pattern, data: &[Data], of: Encoding) -> Vec<Update> {
-        let found: Vec<(Instance, &Data)> = if wanted.0.is_empty() {
-            data.iter().map(|data| (Instance(vec![data.step(self.schema)]), data)).collect()
-        } else {
-            wanted.select(self.schema, data)
-        };
+        let found = select(self.schema, wanted, data);
         if of == Encoding::Proto {
             let mut leaves = BTreeMap::new();
             found.iter().for_each(|(at, data)| collect(self.schema, of, at, data, &mut leaves));
--- a/management/src/gnmi/paths.rs
+++ b/management/src/gnmi/paths.rs
@@ -1,6 +1,7 @@
 //! Paths of gNMI to and from the model's patterns and instances.
 
-use kestreltide_model::data::{Instance, Step};
+use kestreltide_model::Schema;
+use kestreltide_model::data::{Data, Instance, Step};
 use kestreltide_model::path::Pattern;
 use tonic::Status;
 
@@ -42,6 +43,15 @@
     Status::not_found(format!("{}: leads nowhere in the model (given: {0}; taken: a path of it)", text(path)))
 }
 
+/// The instances that a pattern selects from data; those at the top for the empty pattern.
+pub(super) fn select<'a>(schema: &Schema, pattern: &Pattern, data: &'a [Data]) -> Vec<(Instance, &'a Data)> {
+    if pattern.0.is_empty() {
+        data.iter().map(|data| (Instance(vec![data.step(schema)]), data)).collect()
+    } else {
+        pattern.select(schema, data)
+    }
+}
+
 pub(super) fn path_of(at: &Instance) -> Path {
     let elem = |step: &Step| PathElem { name: step.name.clone(), key: step.keys.iter().cloned().collect() };
     Path { elem: at.0.iter().map(elem).collect(), ..Path::default() }
--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use super::encoding::collect;
-use super::paths::path_of;
+use super::paths::{path_of, select};
 use crate::desk::Handle;
 use crate::proto::gnmi::{Encoding, Path, TypedValue};
 use crate::state;
@@ -62,12 +62,7 @@
             return leaves.clone();
         }
         let (pattern, encoding) = (&wish.0, Encoding::try_from(wish.1).unwrap_or_default());
-        let data = self.data();
-        let instances: Vec<(Instance, &Data)> = if pattern.0.is_empty() {
-            data.iter().map(|data| (Instance(vec![data.step(schema)]), data)).collect()
-        } else {
-            pattern.select(schema, data)
-        };
+        let instances = select(schema, pattern, self.data());
         let mut leaves = Leaves::new();
         instances.iter().for_each(|(at, data)| collect(schema, encoding, at, data, &mut leaves));
         let leaves = Arc::new(leaves);
