--- a/management/src/netconf/session/filter.rs
+++ b/management/src/netconf/session/filter.rs
@@ -20,10 +20,7 @@
                         "missing-attribute",
                         "filter: has no select (given: nothing; taken: an XPath)",
                     );
-                    vec![RpcError {
-                        info: vec![("bad-attribute", "select".into()), ("bad-element", "filter".into())],
-                        ..error
-                    }]
+                    vec![error.with_bad_attribute("select", "filter")]
                 };
                 let select = of("select").ok_or_else(missing)?;
                 let wrong = |why: String| {
@@ -42,11 +39,8 @@
             }
             other => {
                 let error = RpcError::invalid("filter/type", "no such type", other, "subtree or xpath");
-                Err(vec![RpcError {
-                    tag: "bad-attribute".into(),
-                    info: vec![("bad-attribute", "type".into()), ("bad-element", "filter".into())],
-                    ..error
-                }])
+                let error = RpcError { tag: "bad-attribute".into(), ..error };
+                Err(vec![error.with_bad_attribute("type", "filter")])
             }
         }
     }
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -147,8 +147,7 @@
                 "missing-attribute",
                 "rpc: has no message-id (given: nothing; taken: message-id)",
             );
-            let info = vec![("bad-attribute", "message-id".into()), ("bad-element", "rpc".into())];
-            return Step::Reply(self.errors(&[RpcError { info, ..error }]));
+            return Step::Reply(self.errors(&[error.with_bad_attribute("message-id", "rpc")]));
         }
         let [operation] = element.children.as_slice() else {
             return Step::Reply(self.errors(&[RpcError::missing("operation")]));
--- a/management/src/netconf/session/rpc_error.rs
+++ b/management/src/netconf/session/rpc_error.rs
@@ -25,21 +25,24 @@
     }
 
     pub(super) fn missing(element: &str) -> Self {
-        let error = Self::new(
-            "protocol",
-            "missing-element",
-            format!("{element}: is missing (given: nothing; taken: {element})"),
-        );
-        RpcError { info: vec![("bad-element", element.into())], ..error }
+        let message = format!("{element}: is missing (given: nothing; taken: {element})");
+        Self::bad_element("missing-element", element, message)
     }
 
     pub(super) fn unknown(element: &str) -> Self {
-        let error = Self::new(
-            "protocol",
-            "unknown-element",
-            format!("{element}: is not known here (given: {element}; taken: what RFC 6241 has)"),
-        );
-        RpcError { info: vec![("bad-element", element.into())], ..error }
+        let message = format!("{element}: is not known here (given: {element}; taken: what RFC 6241 has)");
+        Self::bad_element("unknown-element", element, message)
+    }
+
+    fn bad_element(tag: &str, element: &str, message: String) -> Self {
+        let info = vec![("bad-element", element.into())];
+        RpcError { info, ..Self::new("protocol", tag, message) }
+    }
+
+    /// That an attribute is not as it has to be, on which element.
+    pub(super) fn with_bad_attribute(self, attribute: &str, element: &str) -> Self {
+        let info = vec![("bad-attribute", attribute.into()), ("bad-element", element.into())];
+        RpcError { info, ..self }
     }
 
     pub(super) fn invalid(path: &str, what: &str, given: &str, taken: &str) -> Self {
