--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -25,6 +25,23 @@
     (program, lists)
 }
 
+/// A router with room for few connections that knows one host.
+fn router_with_few_sockets(host: std::net::SocketAddr) -> (Sender<String>, Program) {
+    let (lists, answers) = channel();
+    let few = config(fake_discovery(answers), &list(1, true, &[("a", host, "Ready")]));
+    let program = Program::start(BINARY, &few.replace("\"sockets\":256", "\"sockets\":48"));
+    (lists, program)
+}
+
+/// A client that has asked more than once on its connection.
+fn usual_client(program: &Program) -> Client {
+    let mut usual = program.client();
+    for id in ["one", "again"] {
+        assert_eq!(usual.ask(&["Q.ASK", "k", id, READ]), format!("of {id}"));
+    }
+    usual
+}
+
 /// A host that answers all at once with a value that names the invocation.
 fn well() -> Option<std::net::SocketAddr> {
     Some(fake_host(|words| value(&format!("of {}", words[2]))))
@@ -273,14 +290,8 @@
 
 #[test]
 fn silent_connections_make_room_before_those_of_usual_clients() {
-    let (_lists, answers) = channel();
-    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
-    let few = config(fake_discovery(answers), &known).replace("\"sockets\":256", "\"sockets\":48");
-    let program = Program::start(BINARY, &few);
-    let mut usual = program.client();
-    for id in ["one", "again"] {
-        assert_eq!(usual.ask(&["Q.ASK", "k", id, READ]), format!("of {id}"));
-    }
+    let (_lists, program) = router_with_few_sockets(well().expect("a host"));
+    let mut usual = usual_client(&program);
     let mut silent: Vec<_> = (0..40).map(|_| program.client()).collect();
     assert_eq!(silent[0].answer(), "", "closed for want of room");
     assert_eq!(usual.ask(&["Q.ASK", "k", "two", READ]), "of two");
@@ -288,14 +299,8 @@
 
 #[test]
 fn who_asks_once_and_stays_keeps_nobody_out() {
-    let (_lists, answers) = channel();
-    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
-    let few = config(fake_discovery(answers), &known).replace("\"sockets\":256", "\"sockets\":48");
-    let program = Program::start(BINARY, &few);
-    let mut usual = program.client();
-    for id in ["one", "again"] {
-        assert_eq!(usual.ask(&["Q.ASK", "k", id, READ]), format!("of {id}"));
-    }
+    let (_lists, program) = router_with_few_sockets(well().expect("a host"));
+    let mut usual = usual_client(&program);
     // There is room for eight connections in all.
     let mut once: Vec<_> = (0..4).map(|_| program.client()).collect();
     for (id, client) in once.iter_mut().enumerate() {
@@ -528,10 +533,7 @@
 
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn() {
-    let (lists, answers) = channel();
-    let known = list(1, true, &[("a", well().expect("a host"), "Ready")]);
-    let few = config(fake_discovery(answers), &known).replace("\"sockets\":256", "\"sockets\":48");
-    let program = Program::start(BINARY, &few);
+    let (lists, program) = router_with_few_sockets(well().expect("a host"));
     let mut clients: Vec<_> = (0..40).map(|_| program.client()).collect();
     // Those without use make room for those that come; who was closed finds out and comes again.
     let last = clients.last_mut().expect("clients");
@@ -549,9 +551,7 @@
         let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
         value("held")
     });
-    let (_lists, answers) = channel();
-    let few = config(fake_discovery(answers), &list(1, true, &[("a", at, "Ready")]));
-    let program = Program::start(BINARY, &few.replace("\"sockets\":256", "\"sockets\":48"));
+    let (_lists, program) = router_with_few_sockets(at);
     let mut held: Vec<_> = (0..6).map(|_| program.client()).collect();
     for (id, client) in held.iter_mut().enumerate() {
         client.send(&["Q.ASK", "k", &format!("held-{id}"), READ]);
