--- a/management/src/desk.rs
+++ b/management/src/commit_service.rs
@@ -1,4 +1,4 @@
-//! How fronts reach the desk: what they ask, what they read, and what they are told.
+//! How fronts reach the commit service: what they ask, what they read, and what they are told.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -11,7 +11,7 @@
 use kestreltide_datastore::{Author, Candidate, Fault, Faults, Keys, RevisionRecord};
 use tokio::sync::{broadcast, oneshot};
 
-/// What a front asks of the desk. Whoever asks waits for the reply; the desk waits for nobody.
+/// What a front asks of the commit service. Whoever asks waits for the reply; the commit service waits for nobody.
 #[derive(Debug)]
 pub enum Ask {
     /// Opens a session, which may hold locks and commits that wait to be confirmed.
@@ -95,7 +95,7 @@
     pub reply: oneshot::Sender<Result<Commit, Refused>>,
 }
 
-/// What happened at the desk.
+/// What happened at the commit service.
 #[derive(Clone, Debug)]
 pub enum News {
     /// A revision is in force.
@@ -107,7 +107,7 @@
 /// What every front holds.
 #[derive(Clone)]
 pub struct Handle {
-    /// False where the desk has no room for one more question, or is gone.
+    /// False where the commit service has no room for one more question, or is gone.
     pub ask: Arc<dyn Fn(Ask) -> bool + Send + Sync>,
     /// What is in force, its history and what waits.
     pub published: Arc<ArcSwap<Published>>,
@@ -124,7 +124,7 @@
 /// How long a reply to a commit waits for the loop to take it.
 const TAKEN: Duration = Duration::from_millis(50);
 
-/// That the desk does not answer.
+/// That the commit service does not answer.
 pub fn busy() -> Refused {
     Refused::Faults(
         Fault::new("running", "the desk has no room for one more question", "a question", "the same later")
--- a/management/src/gnmi/access.rs
+++ b/management/src/gnmi/access.rs
@@ -16,7 +16,8 @@
         let first = certificates.first().ok_or_else(denied)?;
         let mut hash = [0; 32];
         hash.copy_from_slice(ring::digest::digest(&ring::digest::SHA256, first).as_ref());
-        let key = self.desk.keys.load().find(&Proof::Certificate(hash)).cloned().ok_or_else(denied)?;
+        let key =
+            self.commit_service.keys.load().find(&Proof::Certificate(hash)).cloned().ok_or_else(denied)?;
         let rights = key.rights;
         Ok((key, rights))
     }
--- a/management/src/gnmi/confirmed_commit.rs
+++ b/management/src/gnmi/confirmed_commit.rs
@@ -12,12 +12,12 @@
 use crate::proto::gnmi_ext::commit::Action;
 
 impl Service {
-    /// The session at the desk of who has this key: commits that wait are its.
+    /// The session at the commit service of who has this key: commits that wait are its.
     pub(super) async fn session(&self, key: &Key) -> Option<SessionId> {
         if let Some(session) = self.sessions.lock().unwrap_or_else(PoisonError::into_inner).get(&key.name) {
             return Some(*session);
         }
-        let session = self.desk.open().await?;
+        let session = self.commit_service.open().await?;
         let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
         Some(*sessions.entry(key.name.clone()).or_insert(session))
     }
@@ -28,12 +28,15 @@
         match &said.action {
             Some(Action::Confirm(_)) => {
                 let session = self.session(key).await;
-                self.desk.confirm(session, persist).await.map_err(|refused| of_refused(&refused))?;
+                self.commit_service
+                    .confirm(session, persist)
+                    .await
+                    .map_err(|refused| of_refused(&refused))?;
                 Ok(true)
             }
             Some(Action::Cancel(_)) => {
                 let session = self.session(key).await;
-                self.desk.cancel(session, persist).await.map_err(|refused| of_refused(&refused))?;
+                self.commit_service.cancel(session, persist).await.map_err(|refused| of_refused(&refused))?;
                 Ok(true)
             }
             Some(Action::SetRollbackDuration(_)) => {
--- a/management/src/gnmi/edits.rs
+++ b/management/src/gnmi/edits.rs
@@ -122,7 +122,7 @@
 
     /// What a removal at this place has to take away.
     fn there(&self, node: Option<NodeId>, step: &Step, list: Option<NodeId>) -> Vec<(NodeId, Step)> {
-        let tree = &self.desk.published.load().in_force.tree;
+        let tree = &self.commit_service.published.load().in_force.tree;
         match (node, list) {
             (Some(_), Some(list)) if matches!(self.schema.node_of(list).kind, NodeKind::List { .. }) => {
                 let names: Vec<String> = match self.schema.node_of(list).name.as_str() {
--- a/management/src/gnmi/get.rs
+++ b/management/src/gnmi/get.rs
@@ -20,7 +20,12 @@
         self.may_read(&request)?;
         let asked = request.into_inner();
         let encoding = encoding(asked.encoding)?;
-        let data = state::all(self.schema, &self.bind, &self.desk.view.load(), &self.desk.published.load());
+        let data = state::all(
+            self.schema,
+            &self.bind,
+            &self.commit_service.view.load(),
+            &self.commit_service.published.load(),
+        );
         let data = self.of_type(data, asked.r#type);
         let timestamp = nanos();
         let mut notification = Vec::new();
--- a/management/src/gnmi/mod.rs
+++ b/management/src/gnmi/mod.rs
@@ -32,7 +32,7 @@
 use self::snapshot::Whole;
 use self::subscribe::Responses;
 use crate::Limits;
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::g_nmi_server::GNmi;
 use crate::proto::gnmi::{
     CapabilityRequest, CapabilityResponse, Encoding, GetRequest, GetResponse, ModelData, SetRequest,
@@ -44,14 +44,14 @@
 /// The gNMI service, shared by all connections.
 pub struct Service {
     log: Logger,
-    desk: Handle,
+    commit_service: Handle,
     limits: Limits,
     schema: &'static Schema,
     bind: Arc<Bind>,
     whole: watch::Receiver<Arc<Whole>>,
     /// The highest election id of each role: who has it may set.
     masters: Mutex<BTreeMap<String, (u64, u64)>>,
-    /// Sessions at the desk of those whose commits wait to be confirmed, by name.
+    /// Sessions at the commit service of those whose commits wait to be confirmed, by name.
     sessions: Mutex<BTreeMap<String, SessionId>>,
     streams: Arc<AtomicUsize>,
     number: AtomicU32,
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -13,7 +13,7 @@
 use super::connections::placed;
 use super::snapshot::follow;
 use crate::Limits;
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::g_nmi_server::GNmiServer;
 
 /// What TLS needs, in PEM.
@@ -28,17 +28,17 @@
 
 /// Serves until the listener fails for good.
 pub async fn serve(
-    log: Logger, desk: Handle, limits: Limits, listener: TcpListener, tls: Tls,
+    log: Logger, commit_service: Handle, limits: Limits, listener: TcpListener, tls: Tls,
 ) -> Result<(), String> {
     let schema = kestreltide_model::published()?;
     let bind = Arc::new(Bind::new(schema)?);
     let whole = {
-        let (desk, bind) = (desk.clone(), bind.clone());
-        follow(schema, bind, desk)
+        let (commit_service, bind) = (commit_service.clone(), bind.clone());
+        follow(schema, bind, commit_service)
     };
     let service = Service {
         log: log.clone(),
-        desk,
+        commit_service,
         limits: limits.clone(),
         schema,
         bind,
--- a/management/src/gnmi/set.rs
+++ b/management/src/gnmi/set.rs
@@ -32,16 +32,16 @@
             Some(said) => Some(confirm_of(said)?),
             None => None,
         };
-        let published = self.desk.published.load_full();
+        let published = self.commit_service.published.load_full();
         let mut candidate = Candidate::of(&published.in_force);
         let response = self.edit_candidate(&mut candidate, &asked)?;
         let author = self.next_author(&key);
         if let Err(fault) = rights.check(&published.in_force.tree.differences(&candidate.tree)) {
-            (self.desk.ask)(crate::Ask::Denied { author, fault: fault.clone() });
+            (self.commit_service.ask)(crate::Ask::Denied { author, fault: fault.clone() });
             return Err(Status::permission_denied(fault.to_string()));
         }
         let session = if confirm.is_some() { self.session(&key).await } else { None };
-        match self.desk.commit(session, candidate, author, confirm, None).await {
+        match self.commit_service.commit(session, candidate, author, confirm, None).await {
             Ok(Commit::Taken(_) | Commit::Nothing) => {
                 let prefix = asked.prefix.clone();
                 Ok(Response::new(SetResponse { prefix, response, timestamp: nanos(), extension: vec![] }))
--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -16,7 +16,7 @@
 
 use super::encoding::collect;
 use super::paths::{path_of, select};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::{Encoding, Path, TypedValue};
 use crate::state;
 
@@ -98,26 +98,29 @@
 const LOOK: Duration = Duration::from_millis(5);
 
 /// Follows what is published, and says when something changed. Streams share what they make of it.
-pub(super) fn follow(schema: &'static Schema, bind: Arc<Bind>, desk: Handle) -> watch::Receiver<Arc<Whole>> {
+pub(super) fn follow(
+    schema: &'static Schema, bind: Arc<Bind>, commit_service: Handle,
+) -> watch::Receiver<Arc<Whole>> {
     let whole = move |number, view: &Arc<View>, published: &Arc<Published>| {
         let (bind, view, published) = (bind.clone(), view.clone(), published.clone());
         Arc::new(Whole::new(number, Box::new(move || vec![state::all(schema, &bind, &view, &published)])))
     };
-    let (mut view, mut published) = (desk.view.load_full(), desk.published.load_full());
+    let (mut view, mut published) = (commit_service.view.load_full(), commit_service.published.load_full());
     let (sender, receiver) = watch::channel(whole(0, &view, &published));
     tokio::spawn(async move {
         let mut number = 0;
         while !sender.is_closed() {
             // Nobody has to tell: a look costs two pointers.
             sleep(LOOK).await;
-            let (now, of_desk) = (desk.view.load_full(), desk.published.load_full());
-            if Arc::ptr_eq(&now, &view) && Arc::ptr_eq(&of_desk, &published) {
+            let (now, published_now) =
+                (commit_service.view.load_full(), commit_service.published.load_full());
+            if Arc::ptr_eq(&now, &view) && Arc::ptr_eq(&published_now, &published) {
                 continue;
             }
             // Each revision counts, also those that came between two looks: who is told of the newest is told how
             // many it stands for.
-            let revisions = of_desk.in_force.revision.0.saturating_sub(published.in_force.revision.0);
-            (view, published, number) = (now, of_desk, number + revisions.max(1));
+            let revisions = published_now.in_force.revision.0.saturating_sub(published.in_force.revision.0);
+            (view, published, number) = (now, published_now, number + revisions.max(1));
             let _ = sender.send(whole(number, &view, &published));
         }
     });
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -16,7 +16,7 @@
 use super::nanos;
 use super::snapshot::Whole;
 use super::wanted::Wanted;
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscribe_response::Response as Told;
 use crate::proto::gnmi::subscription_list::Mode;
@@ -26,7 +26,7 @@
 pub(super) struct Reader {
     pub(super) schema: &'static Schema,
     pub(super) whole: watch::Receiver<Arc<Whole>>,
-    pub(super) desk: Handle,
+    pub(super) commit_service: Handle,
     pub(super) log: Logger,
 }
 
@@ -102,7 +102,7 @@
 
     fn known(&self) -> bool {
         self.service
-            .desk
+            .commit_service
             .keys
             .load()
             .rights(&self.key.name, &self.key.proof)
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -91,7 +91,7 @@
         Arc::new(Reader {
             schema: self.schema,
             whole: self.whole.clone(),
-            desk: self.desk.clone(),
+            commit_service: self.commit_service.clone(),
             log: self.log.clone(),
         })
     }
--- a/management/src/lib.rs
+++ b/management/src/lib.rs
@@ -1,9 +1,9 @@
 //! Management fronts: NETCONF over SSH and gNMI over TLS, by the published models. Nothing here writes to the
-//! router: every edit is a candidate that the desk checks and commits, and what is read is the published whole.
+//! router: every edit is a candidate that the commit service checks and commits, and what is read is the published whole.
 //!
 //! Both fronts run in a thread of their own, with a runtime of their own.
 
-pub mod desk;
+pub mod commit_service;
 pub mod gnmi;
 pub mod netconf;
 pub mod state;
@@ -19,7 +19,7 @@
     }
 }
 
-pub use desk::{Ask, Handle, News};
+pub use commit_service::{Ask, Handle, News};
 pub use russh::keys;
 
 /// What sessions may hold. Sizes in bytes, times in seconds.
--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -22,7 +22,7 @@
 
 use super::framing::{Frames, Framing, write};
 use super::session::{Asked, Session, Step};
-use crate::desk::{Handle, News};
+use crate::commit_service::{Handle, News};
 use crate::{Limits, state};
 
 /// All that sessions share.
@@ -30,7 +30,7 @@
     /// The log of the front.
     pub log: Logger,
     /// The way to the commit service.
-    pub desk: Handle,
+    pub commit_service: Handle,
     /// What sessions may hold.
     pub limits: Limits,
     /// The published model.
@@ -43,10 +43,10 @@
 
 impl Shared {
     /// Reads the published model; an error says what is wrong with it.
-    pub fn new(log: Logger, desk: Handle, limits: Limits) -> Result<Self, String> {
+    pub fn new(log: Logger, commit_service: Handle, limits: Limits) -> Result<Self, String> {
         let schema = kestreltide_model::published()?;
         let bind = Arc::new(Bind::new(schema)?);
-        Ok(Shared { log, desk, limits, schema, bind, sessions: Mutex::default() })
+        Ok(Shared { log, commit_service, limits, schema, bind, sessions: Mutex::default() })
     }
 
     fn with_sessions<T>(&self, with: impl FnOnce(&mut BTreeMap<SessionId, Arc<Notify>>) -> T) -> T {
@@ -55,7 +55,7 @@
 
     /// The rights of a key as the file of keys has them now; none where it is no longer there.
     pub fn rights(&self, key: &Key) -> Option<Rights> {
-        self.desk.keys.load().rights(&key.name, &key.proof)
+        self.commit_service.keys.load().rights(&key.name, &key.proof)
     }
 }
 
@@ -138,8 +138,8 @@
     type Error = russh::Error;
 
     async fn auth_publickey(&mut self, user: &str, key: VerifiedPublicKey<'_>) -> Result<Auth, Self::Error> {
-        let known =
-            proof(key.public_key).and_then(|proof| self.shared.desk.keys.load().find(&proof).cloned());
+        let known = proof(key.public_key)
+            .and_then(|proof| self.shared.commit_service.keys.load().find(&proof).cloned());
         Ok(match known.filter(|key| key.name == user) {
             Some(key) => {
                 self.entered.store(true, Relaxed);
@@ -187,7 +187,7 @@
 
 /// One session from its hello to its end, whatever ends it.
 async fn session_over(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
-    let Some(id) = shared.desk.open().await else { return };
+    let Some(id) = shared.commit_service.open().await else { return };
     let killed = Arc::new(Notify::new());
     let room = shared.with_sessions(|sessions| {
         let room = sessions.len() < shared.limits.sessions;
@@ -205,7 +205,7 @@
     }
     shared.with_sessions(|sessions| sessions.remove(&id));
     // Its locks are let go, and what only it could confirm is undone.
-    (shared.desk.ask)(crate::Ask::Ended { session: id });
+    (shared.commit_service.ask)(crate::Ask::Ended { session: id });
 }
 
 async fn talk(
@@ -271,13 +271,13 @@
                         Err(_) => return "its messages cannot be read",
                     };
                     let Some(rights) = shared.rights(key) else { return "its key is no longer in the file of keys" };
-                    let step = session.message(&message, rights, &shared.desk);
+                    let step = session.message(&message, rights, &shared.commit_service);
                     let (reply, over) = match step {
                         Step::Reply(reply) => (reply, None),
                         Step::Close(reply) => (reply, Some("it closed")),
                         Step::Over(why) => return why,
                         Step::Subscribe(reply) => {
-                            news = Some(shared.desk.news.subscribe());
+                            news = Some(shared.commit_service.news.subscribe());
                             (reply, None)
                         }
                         Step::Kill(other, reply) => {
@@ -309,16 +309,17 @@
 }
 
 async fn ask(shared: &Shared, id: SessionId, session: &Session, asked: &Asked) -> Result<(), Refused> {
-    let desk = &shared.desk;
+    let commit_service = &shared.commit_service;
     match asked.clone() {
-        Asked::Lock(target) => desk.lock(id, target).await,
-        Asked::Unlock(target) => desk.unlock(id, target).await,
-        Asked::Validate(candidate) => desk.validate(candidate).await,
-        Asked::Commit { candidate, confirm, persist_id } => {
-            desk.commit(Some(id), candidate, session.asked_by(), confirm, persist_id).await.map(|_| ())
-        }
-        Asked::Confirm { persist_id } => desk.confirm(Some(id), persist_id).await,
-        Asked::Cancel { persist_id } => desk.cancel(Some(id), persist_id).await,
+        Asked::Lock(target) => commit_service.lock(id, target).await,
+        Asked::Unlock(target) => commit_service.unlock(id, target).await,
+        Asked::Validate(candidate) => commit_service.validate(candidate).await,
+        Asked::Commit { candidate, confirm, persist_id } => commit_service
+            .commit(Some(id), candidate, session.asked_by(), confirm, persist_id)
+            .await
+            .map(|_| ()),
+        Asked::Confirm { persist_id } => commit_service.confirm(Some(id), persist_id).await,
+        Asked::Cancel { persist_id } => commit_service.cancel(Some(id), persist_id).await,
     }
 }
 
--- a/management/src/netconf/session/commit.rs
+++ b/management/src/netconf/session/commit.rs
@@ -7,14 +7,14 @@
 use super::operations::text;
 use super::rpc_error::RpcError;
 use super::{Asked, Session, Step};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 
 /// Seconds: how long a commit waits to be confirmed where nothing is said (RFC 6241, section 8.4.5.1), and at most.
 const CONFIRM: [f64; 2] = [600.0, 86_400.0];
 
 impl Session {
     pub(super) fn commit(
-        &mut self, of: &Element, rights: Rights, desk: &Handle,
+        &mut self, of: &Element, rights: Rights, commit_service: &Handle,
     ) -> Result<Step, Vec<RpcError>> {
         let persist_id = text(of, "persist-id");
         let confirm = match of.child("confirmed") {
@@ -41,14 +41,14 @@
                 Some(Confirm { within: within.ok_or_else(wrong)?, persist: text(of, "persist") })
             }
         };
-        let published = desk.published.load();
+        let published = commit_service.published.load();
         let changed = self.candidate.as_ref().is_some_and(|candidate| !candidate.is_unchanged());
         // Without anything to commit it confirms, where something waits for that.
         if !changed && confirm.is_none() && (published.pending.is_some() || persist_id.is_some()) {
             return Ok(Step::Ask(Asked::Confirm { persist_id }));
         }
-        let candidate = self.candidate(desk).clone();
-        self.allowed(candidate.base_tree(), &candidate.tree, rights, desk)?;
+        let candidate = self.candidate(commit_service).clone();
+        self.allowed(candidate.base_tree(), &candidate.tree, rights, commit_service)?;
         Ok(Step::Ask(Asked::Commit { candidate, confirm, persist_id }))
     }
 }
--- a/management/src/netconf/session/edit_config.rs
+++ b/management/src/netconf/session/edit_config.rs
@@ -9,7 +9,7 @@
 use super::operations::{target, text};
 use super::rpc_error::{RpcError, of_edit, xpath};
 use super::{Asked, Session, Step};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 
 /// How an edit-config is done.
 struct EditOptions {
@@ -50,8 +50,8 @@
 }
 
 impl Session {
-    pub(super) fn candidate(&mut self, desk: &Handle) -> &mut Candidate {
-        self.candidate.get_or_insert_with(|| Candidate::of(&desk.published.load().in_force))
+    pub(super) fn candidate(&mut self, commit_service: &Handle) -> &mut Candidate {
+        self.candidate.get_or_insert_with(|| Candidate::of(&commit_service.published.load().in_force))
     }
 
     /// Edits a tree by a `config` element, whole or not at all.
@@ -65,14 +65,14 @@
     }
 
     pub(super) fn edit_config(
-        &mut self, of: &Element, rights: Rights, desk: &Handle,
+        &mut self, of: &Element, rights: Rights, commit_service: &Handle,
     ) -> Result<Step, Vec<RpcError>> {
         let target = target(of, "target")?;
         let options = EditOptions::of(of)?;
         let config = of.child("config").ok_or_else(|| vec![RpcError::missing("config")])?;
         let mut candidate = match target {
-            Target::Running => Candidate::of(&desk.published.load().in_force),
-            Target::Candidate => self.candidate(desk).clone(),
+            Target::Running => Candidate::of(&commit_service.published.load().in_force),
+            Target::Candidate => self.candidate(commit_service).clone(),
         };
         let before = candidate.tree.clone();
         let by_default = if options.default == Op::Replace {
@@ -82,7 +82,7 @@
             options.default
         };
         self.edited(&mut candidate.tree, config, by_default)?;
-        self.allowed(&before, &candidate.tree, rights, desk)?;
+        self.allowed(&before, &candidate.tree, rights, commit_service)?;
         if options.test_only {
             return Ok(Step::Ask(Asked::Validate(candidate)));
         }
@@ -97,11 +97,11 @@
 
     /// Whether the rights cover the changes; who tries without is told and remembered.
     pub(super) fn allowed(
-        &self, before: &Tree, after: &Tree, rights: Rights, desk: &Handle,
+        &self, before: &Tree, after: &Tree, rights: Rights, commit_service: &Handle,
     ) -> Result<(), Vec<RpcError>> {
         rights.check(&before.differences(after)).map_err(|fault| {
             let path = fault.path.parse().ok().map(|path| xpath(&path));
-            (desk.ask)(crate::Ask::Denied { author: self.author(), fault: fault.clone() });
+            (commit_service.ask)(crate::Ask::Denied { author: self.author(), fault: fault.clone() });
             vec![RpcError { path, ..RpcError::new("application", "access-denied", fault.to_string()) }]
         })
     }
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -1,4 +1,4 @@
-//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the desk
+//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the commit service
 //! and come back with its answer.
 //!
 //! Each session has a candidate of its own, made from the revision that was in force when it began; who commits
@@ -25,9 +25,9 @@
 pub use self::capabilities::BASE;
 use self::capabilities::CAPABILITIES;
 use self::rpc_error::{RpcError, of_refused};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 
-/// What the desk is asked for a message.
+/// What the commit service is asked for a message.
 #[derive(Clone, Debug)]
 pub enum Asked {
     /// Lock a datastore.
@@ -125,7 +125,7 @@
     }
 
     /// What a message leads to.
-    pub fn message(&mut self, bytes: &[u8], rights: Rights, desk: &Handle) -> Step {
+    pub fn message(&mut self, bytes: &[u8], rights: Rights, commit_service: &Handle) -> Step {
         let Ok(text) = std::str::from_utf8(bytes) else { return self.malformed("is not UTF-8") };
         let element = match xml::read(text, &XmlLimits::default()) {
             Ok(element) => element,
@@ -152,7 +152,8 @@
         let [operation] = element.children.as_slice() else {
             return Step::Reply(self.errors(&[RpcError::missing("operation")]));
         };
-        self.operation(operation, rights, desk).unwrap_or_else(|errors| Step::Reply(self.errors(&errors)))
+        self.operation(operation, rights, commit_service)
+            .unwrap_or_else(|errors| Step::Reply(self.errors(&errors)))
     }
 
     /// The first message of the client.
@@ -183,7 +184,7 @@
         Step::Reply(out + "</rpc-reply>")
     }
 
-    /// The desk's answer to what was asked.
+    /// The commit service's answer to what was asked.
     pub fn answered(&mut self, asked: &Asked, answer: Result<(), Refused>) -> String {
         match answer {
             Ok(()) => {
@@ -196,7 +197,7 @@
         }
     }
 
-    /// Who asks, for the desk's records.
+    /// Who asks, for the commit service's records.
     pub fn asked_by(&self) -> Author {
         self.author()
     }
--- a/management/src/netconf/session/operations.rs
+++ b/management/src/netconf/session/operations.rs
@@ -8,27 +8,27 @@
 use super::capabilities::{BASE, MONITORING, NOTIFICATIONS};
 use super::rpc_error::{RpcError, denied, unsupported};
 use super::{Asked, Session, Step};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::state;
 
 impl Session {
     pub(super) fn operation(
-        &mut self, of: &Element, rights: Rights, desk: &Handle,
+        &mut self, of: &Element, rights: Rights, commit_service: &Handle,
     ) -> Result<Step, Vec<RpcError>> {
         let own = self.schema.modules.iter().find(|module| module.namespace == of.namespace);
         if let Some(module) = own {
             let name = format!("{}:{}", module.name, of.name);
-            return self.trial(of, &name, rights, desk);
+            return self.trial(of, &name, rights, commit_service);
         }
         match (of.namespace.as_str(), of.name.as_str()) {
-            (BASE, "get" | "get-config") => self.get(of, rights, desk),
-            (BASE, "edit-config") => self.edit_config(of, rights, desk),
+            (BASE, "get" | "get-config") => self.get(of, rights, commit_service),
+            (BASE, "edit-config") => self.edit_config(of, rights, commit_service),
             (BASE, "copy-config") => Err(vec![unsupported("copy-config", "edit-config with replace")]),
             (BASE, "delete-config") => Err(vec![unsupported("delete-config", "edit-config with delete")]),
             (BASE, "lock") => Ok(Step::Ask(Asked::Lock(target(of, "target")?))),
             (BASE, "unlock") => Ok(Step::Ask(Asked::Unlock(target(of, "target")?))),
-            (BASE, "validate") => self.validate(of, desk),
-            (BASE, "commit") => self.commit(of, rights, desk),
+            (BASE, "validate") => self.validate(of, commit_service),
+            (BASE, "commit") => self.commit(of, rights, commit_service),
             (BASE, "cancel-commit") => Ok(Step::Ask(Asked::Cancel { persist_id: text(of, "persist-id") })),
             (BASE, "discard-changes") => {
                 self.candidate = None;
@@ -46,35 +46,35 @@
     }
 
     /// `get`: what operators set and the router's own state. `get-config`: what operators set, in one datastore.
-    fn get(&mut self, of: &Element, rights: Rights, desk: &Handle) -> Result<Step, Vec<RpcError>> {
+    fn get(&mut self, of: &Element, rights: Rights, commit_service: &Handle) -> Result<Step, Vec<RpcError>> {
         if !rights.read {
             return Err(vec![denied("reading", rights)]);
         }
         let filter = self.filter(of.child("filter"))?;
         let data = if of.name == "get" {
-            state::all(self.schema, &self.bind, &desk.view.load(), &desk.published.load())
+            state::all(self.schema, &self.bind, &commit_service.view.load(), &commit_service.published.load())
         } else {
             let tree = match target(of, "source")? {
-                Target::Running => desk.published.load().in_force.tree.clone(),
-                Target::Candidate => std::sync::Arc::new(self.candidate(desk).tree.clone()),
+                Target::Running => commit_service.published.load().in_force.tree.clone(),
+                Target::Candidate => std::sync::Arc::new(self.candidate(commit_service).tree.clone()),
             };
             self.bind.data(self.schema, &tree)
         };
         Ok(Step::Reply(self.data(&filter.prune(self.schema, &[data]))))
     }
 
-    fn validate(&mut self, of: &Element, desk: &Handle) -> Result<Step, Vec<RpcError>> {
+    fn validate(&mut self, of: &Element, commit_service: &Handle) -> Result<Step, Vec<RpcError>> {
         let source = of.child("source").ok_or_else(|| vec![RpcError::missing("source")])?;
         let candidate = match source.child("config") {
             Some(config) => {
-                let mut candidate = Candidate::of(&desk.published.load().in_force);
+                let mut candidate = Candidate::of(&commit_service.published.load().in_force);
                 candidate.tree = Tree::default();
                 self.edited(&mut candidate.tree, config, Op::Merge)?;
                 candidate
             }
             None => match target(of, "source")? {
-                Target::Running => Candidate::of(&desk.published.load().in_force),
-                Target::Candidate => self.candidate(desk).clone(),
+                Target::Running => Candidate::of(&commit_service.published.load().in_force),
+                Target::Candidate => self.candidate(commit_service).clone(),
             },
         };
         Ok(Step::Ask(Asked::Validate(candidate)))
--- a/management/src/netconf/session/trial.rs
+++ b/management/src/netconf/session/trial.rs
@@ -7,12 +7,12 @@
 
 use super::rpc_error::{RpcError, of_edit, of_fault};
 use super::{Asked, Session, Step};
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 
 impl Session {
     /// The model's own operations: what is asked of the build on trial.
     pub(super) fn trial(
-        &mut self, of: &Element, name: &str, rights: Rights, desk: &Handle,
+        &mut self, of: &Element, name: &str, rights: Rights, commit_service: &Handle,
     ) -> Result<Step, Vec<RpcError>> {
         let Some(input) = self.schema.rpcs.get(&of.name).copied() else {
             let known: Vec<_> = self.schema.rpcs.keys().map(String::as_str).collect();
@@ -25,7 +25,7 @@
             return Err(faults.iter().map(of_edit).collect());
         }
         let build = edits.iter().find(|edit| edit.step.name == "build").and_then(|edit| edit.value.clone());
-        let mut candidate = Candidate::of(&desk.published.load().in_force);
+        let mut candidate = Candidate::of(&commit_service.published.load().in_force);
         let before = candidate.tree.clone();
         if of.name == "let-trial-go" {
             candidate.tree.ring = Default::default();
@@ -37,7 +37,7 @@
                 self.bind.set(&mut candidate.tree, &path, text).map_err(|fault| vec![of_fault(&fault)])?;
             }
         }
-        self.allowed(&before, &candidate.tree, rights, desk)?;
+        self.allowed(&before, &candidate.tree, rights, commit_service)?;
         Ok(Step::Ask(Asked::Commit { candidate, confirm: None, persist_id: None }))
     }
 }
