--- a/management/src/gnmi/mod.rs
+++ b/management/src/gnmi/mod.rs
@@ -29,7 +29,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 pub use self::serve::{Tls, serve};
-use self::snapshot::Whole;
+use self::snapshot::Snapshot;
 use self::subscribe::Responses;
 use crate::Limits;
 use crate::commit_service::Handle;
@@ -48,7 +48,7 @@
     limits: Limits,
     schema: &'static Schema,
     bind: Arc<Bind>,
-    whole: watch::Receiver<Arc<Whole>>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
     /// The highest election id of each role: who has it may set.
     masters: Mutex<BTreeMap<String, (u64, u64)>>,
     /// Sessions at the commit service of those whose commits wait to be confirmed, by name.
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -32,7 +32,7 @@
 ) -> Result<(), String> {
     let schema = kestreltide_model::published()?;
     let bind = Arc::new(Bind::new(schema)?);
-    let whole = {
+    let snapshot = {
         let (commit_service, bind) = (commit_service.clone(), bind.clone());
         follow(schema, bind, commit_service)
     };
@@ -42,7 +42,7 @@
         limits: limits.clone(),
         schema,
         bind,
-        whole,
+        snapshot,
         masters: Mutex::default(),
         sessions: Mutex::default(),
         streams: Arc::default(),
--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -21,7 +21,7 @@
 use crate::state;
 
 /// What all streams read, made when the first of them wants it: what many want is worked out once.
-pub(super) struct Whole {
+pub(super) struct Snapshot {
     /// How often something changed so far, each revision counted.
     pub(super) number: u64,
     make: Box<dyn Fn() -> Vec<Data> + Send + Sync>,
@@ -45,10 +45,10 @@
     pub(super) gone: Vec<Path>,
 }
 
-impl Whole {
+impl Snapshot {
     fn new(number: u64, make: Box<dyn Fn() -> Vec<Data> + Send + Sync>) -> Self {
         let (data, found, differences) = (OnceLock::new(), Mutex::default(), Mutex::default());
-        Whole { number, make, data, found, differences }
+        Snapshot { number, make, data, found, differences }
     }
 
     fn data(&self) -> &[Data] {
@@ -100,13 +100,13 @@
 /// Follows what is published, and says when something changed. Streams share what they make of it.
 pub(super) fn follow(
     schema: &'static Schema, bind: Arc<Bind>, commit_service: Handle,
-) -> watch::Receiver<Arc<Whole>> {
-    let whole = move |number, view: &Arc<View>, published: &Arc<Published>| {
+) -> watch::Receiver<Arc<Snapshot>> {
+    let snapshot = move |number, view: &Arc<View>, published: &Arc<Published>| {
         let (bind, view, published) = (bind.clone(), view.clone(), published.clone());
-        Arc::new(Whole::new(number, Box::new(move || vec![state::all(schema, &bind, &view, &published)])))
+        Arc::new(Snapshot::new(number, Box::new(move || vec![state::all(schema, &bind, &view, &published)])))
     };
     let (mut view, mut published) = (commit_service.view.load_full(), commit_service.published.load_full());
-    let (sender, receiver) = watch::channel(whole(0, &view, &published));
+    let (sender, receiver) = watch::channel(snapshot(0, &view, &published));
     tokio::spawn(async move {
         let mut number = 0;
         while !sender.is_closed() {
@@ -121,7 +121,7 @@
             // many it stands for.
             let revisions = published_now.in_force.revision.0.saturating_sub(published.in_force.revision.0);
             (view, published, number) = (now, published_now, number + revisions.max(1));
-            let _ = sender.send(whole(number, &view, &published));
+            let _ = sender.send(snapshot(number, &view, &published));
         }
     });
     receiver
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -14,7 +14,7 @@
 use super::encoding::update;
 use super::errors::wrong;
 use super::nanos;
-use super::snapshot::Whole;
+use super::snapshot::Snapshot;
 use super::wanted::Wanted;
 use crate::commit_service::Handle;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
@@ -25,7 +25,7 @@
 /// What a stream holds of the service.
 pub(super) struct Reader {
     pub(super) schema: &'static Schema,
-    pub(super) whole: watch::Receiver<Arc<Whole>>,
+    pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
     pub(super) commit_service: Handle,
     pub(super) log: Logger,
 }
@@ -56,9 +56,9 @@
 
     /// Everything that is wanted, then that it was everything.
     async fn all(&mut self, silent: bool) -> bool {
-        let whole = self.service.whole.borrow().clone();
+        let snapshot = self.service.snapshot.borrow().clone();
         for place in 0..self.wanted.len() {
-            let now = whole.leaves(self.service.schema, &self.wanted[place].wish);
+            let now = snapshot.leaves(self.service.schema, &self.wanted[place].wish);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
             self.wanted[place].sent = now;
             if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
@@ -110,7 +110,7 @@
     }
 
     async fn streamed(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
-        let mut changes = self.service.whole.clone();
+        let mut changes = self.service.snapshot.clone();
         let mut seen = changes.borrow_and_update().number;
         if !self.all(self.updates_only).await {
             return "it went away";
@@ -126,10 +126,10 @@
                     .await;
                 return "its key is no longer in the file of keys";
             }
-            let whole = changes.borrow_and_update().clone();
-            let progress = Progress::between(seen, whole.number);
-            seen = whole.number;
-            if !self.send_due(&whole, progress).await {
+            let snapshot = changes.borrow_and_update().clone();
+            let progress = Progress::between(seen, snapshot.number);
+            seen = snapshot.number;
+            if !self.send_due(&snapshot, progress).await {
                 return "it went away";
             }
         }
@@ -138,7 +138,7 @@
     /// Waits for a change, for a timer of a subscription or for the next look at the keys; an error says what ends
     /// the stream.
     async fn wait(
-        &self, changes: &mut watch::Receiver<Arc<Whole>>, asks: &mut Streaming<SubscribeRequest>,
+        &self, changes: &mut watch::Receiver<Arc<Snapshot>>, asks: &mut Streaming<SubscribeRequest>,
     ) -> Result<(), &'static str> {
         let next = self.wanted.iter().filter_map(Wanted::next_timer).min();
         // Keys may go at any time, also while nothing changes.
@@ -160,12 +160,12 @@
     }
 
     /// Sends what each subscription is due; false where nobody takes it any more.
-    async fn send_due(&mut self, whole: &Whole, progress: Progress) -> bool {
+    async fn send_due(&mut self, snapshot: &Snapshot, progress: Progress) -> bool {
         let now = Instant::now();
         for place in 0..self.wanted.len() {
             let wanted = &mut self.wanted[place];
             let Some(due) = wanted.due_at(now, progress.changed) else { continue };
-            let (updates, gone) = wanted.take_updates(self.service.schema, whole, due, progress.coalesced);
+            let (updates, gone) = wanted.take_updates(self.service.schema, snapshot, due, progress.coalesced);
             if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
                 return false;
             }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -90,7 +90,7 @@
     fn clone_for_stream(&self) -> Arc<Reader> {
         Arc::new(Reader {
             schema: self.schema,
-            whole: self.whole.clone(),
+            snapshot: self.snapshot.clone(),
             commit_service: self.commit_service.clone(),
             log: self.log.clone(),
         })
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/wanted.rs
@@ -10,7 +10,7 @@
 
 use super::encoding::update;
 use super::errors::wrong;
-use super::snapshot::{Leaves, Whole, Wish};
+use super::snapshot::{Leaves, Snapshot, Wish};
 use crate::Limits;
 use crate::proto::gnmi::{Path, SubscriptionMode, Update};
 
@@ -79,9 +79,9 @@
     /// The updates and deletions that bring it to a snapshot, which counts as sent from here on. What has changed
     /// carries the count of changes that it stands for.
     pub(super) fn take_updates(
-        &mut self, schema: &Schema, whole: &Whole, due: Due, coalesced: u32,
+        &mut self, schema: &Schema, snapshot: &Snapshot, due: Due, coalesced: u32,
     ) -> (Vec<Update>, Vec<Path>) {
-        let (now, changes) = whole.changes(schema, &self.wish, &self.sent);
+        let (now, changes) = snapshot.changes(schema, &self.wish, &self.sent);
         let mut updates: Vec<_> =
             changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
         if due == Due::Everything {
--- a/management/src/lib.rs
+++ b/management/src/lib.rs
@@ -1,5 +1,6 @@
 //! Management fronts: NETCONF over SSH and gNMI over TLS, by the published models. Nothing here writes to the
-//! router: every edit is a candidate that the commit service checks and commits, and what is read is the published whole.
+//! router: every edit is a candidate that the commit service checks and commits, and what is read is what it has
+//! published.
 //!
 //! Both fronts run in a thread of their own, with a runtime of their own.
 
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -1,5 +1,5 @@
-//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the commit service
-//! and come back with its answer.
+//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the
+//! commit service and come back with its answer.
 //!
 //! Each session has a candidate of its own, made from the revision that was in force when it began; who commits
 //! second is told which leaf both changed (draft-ietf-netconf-privcand has the same idea). Edits are all or
