--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -26,12 +26,12 @@
     pub(super) number: u64,
     make: Box<dyn Fn() -> Vec<Data> + Send + Sync>,
     data: OnceLock<Vec<Data>>,
-    found: Mutex<BTreeMap<Wish, Arc<Leaves>>>,
-    differences: Mutex<BTreeMap<(Wish, usize), Difference>>,
+    found: Mutex<BTreeMap<Selection, Arc<Leaves>>>,
+    differences: Mutex<BTreeMap<(Selection, usize), Difference>>,
 }
 
-/// A path and an encoding.
-pub(super) type Wish = (Pattern, i32);
+/// What a subscription selects: a path, and the encoding of what is sent for it.
+pub(super) type Selection = (Pattern, i32);
 /// Leaf by leaf, where it stands and its value.
 pub(super) type Leaves = BTreeMap<Instance, TypedValue>;
 
@@ -56,31 +56,31 @@
     }
 
     /// All leaves that a path wants, in an encoding.
-    pub(super) fn leaves(&self, schema: &Schema, wish: &Wish) -> Arc<Leaves> {
+    pub(super) fn leaves(&self, schema: &Schema, selection: &Selection) -> Arc<Leaves> {
         let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(leaves) = found.get(wish) {
+        if let Some(leaves) = found.get(selection) {
             return leaves.clone();
         }
-        let (pattern, encoding) = (&wish.0, Encoding::try_from(wish.1).unwrap_or_default());
+        let (pattern, encoding) = (&selection.0, Encoding::try_from(selection.1).unwrap_or_default());
         let instances = select(schema, pattern, self.data());
         let mut leaves = Leaves::new();
         instances.iter().for_each(|(at, data)| collect(schema, encoding, at, data, &mut leaves));
         let leaves = Arc::new(leaves);
         // Bounded by what streams there are; the next change begins anew.
-        found.insert(wish.clone(), leaves.clone());
+        found.insert(selection.clone(), leaves.clone());
         leaves
     }
 
     /// What differs from what a stream has sent.
     pub(super) fn changes(
-        &self, schema: &Schema, wish: &Wish, sent: &Arc<Leaves>,
+        &self, schema: &Schema, selection: &Selection, sent: &Arc<Leaves>,
     ) -> (Arc<Leaves>, Arc<Changes>) {
-        let now = self.leaves(schema, wish);
+        let now = self.leaves(schema, selection);
         if Arc::ptr_eq(&now, sent) {
             return (now, Arc::default());
         }
         // Held with it, so that the place in memory stays that of these leaves.
-        let key = (wish.clone(), Arc::as_ptr(sent) as usize);
+        let key = (selection.clone(), Arc::as_ptr(sent) as usize);
         let mut differences = self.differences.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((_, changes)) = differences.get(&key) {
             return (now, changes.clone());
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -58,7 +58,7 @@
     async fn all(&mut self, silent: bool) -> bool {
         let snapshot = self.service.snapshot.borrow().clone();
         for place in 0..self.wanted.len() {
-            let now = snapshot.leaves(self.service.schema, &self.wanted[place].wish);
+            let now = snapshot.leaves(self.service.schema, &self.wanted[place].selection);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
             self.wanted[place].sent = now;
             if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/wanted.rs
@@ -10,13 +10,13 @@
 
 use super::encoding::update;
 use super::errors::wrong;
-use super::snapshot::{Leaves, Snapshot, Wish};
+use super::snapshot::{Leaves, Selection, Snapshot};
 use crate::Limits;
 use crate::proto::gnmi::{Path, SubscriptionMode, Update};
 
 /// One subscription of a stream.
 pub(super) struct Wanted {
-    pub(super) wish: Wish,
+    pub(super) selection: Selection,
     on_change: bool,
     /// Between samples, and between signs of life; none: never.
     sample: Option<Duration>,
@@ -30,7 +30,7 @@
 
 impl Wanted {
     pub(super) fn new(
-        wish: Wish, of: &crate::proto::gnmi::Subscription, limits: &Limits,
+        selection: Selection, of: &crate::proto::gnmi::Subscription, limits: &Limits,
     ) -> Result<Self, Status> {
         let mode = SubscriptionMode::try_from(of.mode).map_err(|_| {
             wrong("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
@@ -52,7 +52,16 @@
             (of.heartbeat_interval > 0).then(|| Duration::from_nanos(of.heartbeat_interval).max(least));
         let (now, sent) = (Instant::now(), Arc::default());
         let (due, beat) = (sample.map(|every| now + every), heartbeat.map(|every| now + every));
-        Ok(Wanted { wish, on_change, sample, heartbeat, suppress: of.suppress_redundant, due, beat, sent })
+        Ok(Wanted {
+            selection,
+            on_change,
+            sample,
+            heartbeat,
+            suppress: of.suppress_redundant,
+            due,
+            beat,
+            sent,
+        })
     }
 
     /// When the next of its timers runs out.
@@ -81,7 +90,7 @@
     pub(super) fn take_updates(
         &mut self, schema: &Schema, snapshot: &Snapshot, due: Due, coalesced: u32,
     ) -> (Vec<Update>, Vec<Path>) {
-        let (now, changes) = snapshot.changes(schema, &self.wish, &self.sent);
+        let (now, changes) = snapshot.changes(schema, &self.selection, &self.sent);
         let mut updates: Vec<_> =
             changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
         if due == Due::Everything {
