--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -42,7 +42,7 @@
 #[derive(Default)]
 pub(super) struct Changes {
     pub(super) updates: Vec<(Instance, TypedValue)>,
-    pub(super) gone: Vec<Path>,
+    pub(super) deleted: Vec<Path>,
 }
 
 impl Snapshot {
@@ -87,8 +87,8 @@
         }
         let differs = |(at, value): &(&Instance, &TypedValue)| sent.get(*at) != Some(*value);
         let updates = now.iter().filter(differs).map(|(at, value)| (at.clone(), value.clone())).collect();
-        let gone = sent.keys().filter(|at| !now.contains_key(*at)).map(path_of).collect();
-        let changes = Arc::new(Changes { updates, gone });
+        let deleted = sent.keys().filter(|at| !now.contains_key(*at)).map(path_of).collect();
+        let changes = Arc::new(Changes { updates, deleted });
         differences.insert(key, (sent.clone(), changes.clone()));
         (now, changes)
     }
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -165,8 +165,9 @@
         for place in 0..self.wanted.len() {
             let wanted = &mut self.wanted[place];
             let Some(due) = wanted.due_at(now, progress.changed) else { continue };
-            let (updates, gone) = wanted.take_updates(self.service.schema, snapshot, due, progress.coalesced);
-            if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
+            let (updates, deleted) =
+                wanted.take_updates(self.service.schema, snapshot, due, progress.coalesced);
+            if (!updates.is_empty() || !deleted.is_empty()) && !self.tell(updates, deleted).await {
                 return false;
             }
         }
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/wanted.rs
@@ -99,7 +99,7 @@
             updates.extend(now.iter().filter(|(at, _)| !told(at)).map(|(at, value)| update(at, value, 0)));
         }
         self.sent = now;
-        (updates, changes.gone.clone())
+        (updates, changes.deleted.clone())
     }
 }
 
