--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -23,15 +23,15 @@
 use crate::proto::gnmi::{Notification, Path, SubscribeRequest, SubscribeResponse, Update};
 
 /// What a stream holds of the service.
-pub(super) struct Reader {
+pub(super) struct StreamContext {
     pub(super) schema: &'static Schema,
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
     pub(super) commit_service: Handle,
     pub(super) log: Logger,
 }
 
-pub(super) struct Subscription {
-    pub(super) service: Arc<Reader>,
+pub(super) struct SubscribeStream {
+    pub(super) context: Arc<StreamContext>,
     pub(super) key: Key,
     pub(super) wanted: Vec<Wanted>,
     pub(super) updates_only: bool,
@@ -39,15 +39,15 @@
     pub(super) prefix: Option<Path>,
 }
 
-impl Subscription {
+impl SubscribeStream {
     pub(super) async fn run(mut self, mode: Mode, asks: Streaming<SubscribeRequest>) {
-        info!(self.service.log, "a gNMI stream began"; "key" => &self.key.name, "mode" => ?mode);
+        info!(self.context.log, "a gNMI stream began"; "key" => &self.key.name, "mode" => ?mode);
         let why = match mode {
             Mode::Once => self.once().await,
             Mode::Poll => self.polled(asks).await,
             Mode::Stream => self.streamed(asks).await,
         };
-        info!(self.service.log, "a gNMI stream ended"; "key" => &self.key.name, "why" => why);
+        info!(self.context.log, "a gNMI stream ended"; "key" => &self.key.name, "why" => why);
     }
 
     async fn send(&self, response: Told) -> bool {
@@ -56,9 +56,9 @@
 
     /// Everything that is wanted, then that it was everything.
     async fn all(&mut self, silent: bool) -> bool {
-        let snapshot = self.service.snapshot.borrow().clone();
+        let snapshot = self.context.snapshot.borrow().clone();
         for place in 0..self.wanted.len() {
-            let now = snapshot.leaves(self.service.schema, &self.wanted[place].selection);
+            let now = snapshot.leaves(self.context.schema, &self.wanted[place].selection);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
             self.wanted[place].sent = now;
             if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
@@ -101,7 +101,7 @@
     }
 
     fn known(&self) -> bool {
-        self.service
+        self.context
             .commit_service
             .keys
             .load()
@@ -110,7 +110,7 @@
     }
 
     async fn streamed(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
-        let mut changes = self.service.snapshot.clone();
+        let mut changes = self.context.snapshot.clone();
         let mut seen = changes.borrow_and_update().number;
         if !self.all(self.updates_only).await {
             return "it went away";
@@ -166,7 +166,7 @@
             let wanted = &mut self.wanted[place];
             let Some(due) = wanted.due_at(now, progress.changed) else { continue };
             let (updates, deleted) =
-                wanted.take_updates(self.service.schema, snapshot, due, progress.coalesced);
+                wanted.take_updates(self.context.schema, snapshot, due, progress.coalesced);
             if (!updates.is_empty() || !deleted.is_empty()) && !self.tell(updates, deleted).await {
                 return false;
             }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -13,7 +13,7 @@
 use super::encoding::encoding;
 use super::errors::wrong;
 use super::paths::{leads_nowhere, pattern};
-use super::stream::{Reader, Subscription};
+use super::stream::{StreamContext, SubscribeStream};
 use super::wanted::Wanted;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscription_list::Mode;
@@ -48,8 +48,8 @@
         let encoding = encoding(list.encoding)?;
         let wanted = self.wanted(&list, encoding)?;
         let (sender, receiver) = mpsc::channel(4);
-        let stream = Subscription {
-            service: self.clone_for_stream(),
+        let stream = SubscribeStream {
+            context: self.stream_context(),
             key,
             wanted,
             updates_only: list.updates_only,
@@ -87,8 +87,8 @@
         Ok(wanted)
     }
 
-    fn clone_for_stream(&self) -> Arc<Reader> {
-        Arc::new(Reader {
+    fn stream_context(&self) -> Arc<StreamContext> {
+        Arc::new(StreamContext {
             schema: self.schema,
             snapshot: self.snapshot.clone(),
             commit_service: self.commit_service.clone(),
