--- a/management/src/gnmi/mod.rs
+++ b/management/src/gnmi/mod.rs
@@ -9,13 +9,13 @@
 mod encoding;
 mod errors;
 mod get;
+mod path_subscription;
 mod paths;
 mod serve;
 mod set;
 mod snapshot;
 mod stream;
 mod subscribe;
-mod wanted;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, AtomicUsize};
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/path_subscription.rs
@@ -15,7 +15,7 @@
 use crate::proto::gnmi::{Path, SubscriptionMode, Update};
 
 /// One subscription of a stream.
-pub(super) struct Wanted {
+pub(super) struct PathSubscription {
     pub(super) selection: Selection,
     on_change: bool,
     /// Between samples, and between signs of life; none: never.
@@ -28,7 +28,7 @@
     pub(super) sent: Arc<Leaves>,
 }
 
-impl Wanted {
+impl PathSubscription {
     pub(super) fn new(
         selection: Selection, of: &crate::proto::gnmi::Subscription, limits: &Limits,
     ) -> Result<Self, Status> {
@@ -52,7 +52,7 @@
             (of.heartbeat_interval > 0).then(|| Duration::from_nanos(of.heartbeat_interval).max(least));
         let (now, sent) = (Instant::now(), Arc::default());
         let (due, beat) = (sample.map(|every| now + every), heartbeat.map(|every| now + every));
-        Ok(Wanted {
+        Ok(PathSubscription {
             selection,
             on_change,
             sample,
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -14,8 +14,8 @@
 use super::encoding::update;
 use super::errors::wrong;
 use super::nanos;
+use super::path_subscription::PathSubscription;
 use super::snapshot::Snapshot;
-use super::wanted::Wanted;
 use crate::commit_service::Handle;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscribe_response::Response as Told;
@@ -33,7 +33,7 @@
 pub(super) struct SubscribeStream {
     pub(super) context: Arc<StreamContext>,
     pub(super) key: Key,
-    pub(super) wanted: Vec<Wanted>,
+    pub(super) subscriptions: Vec<PathSubscription>,
     pub(super) updates_only: bool,
     pub(super) sender: mpsc::Sender<Result<SubscribeResponse, Status>>,
     pub(super) prefix: Option<Path>,
@@ -57,10 +57,10 @@
     /// Everything that is wanted, then that it was everything.
     async fn all(&mut self, silent: bool) -> bool {
         let snapshot = self.context.snapshot.borrow().clone();
-        for place in 0..self.wanted.len() {
-            let now = snapshot.leaves(self.context.schema, &self.wanted[place].selection);
+        for place in 0..self.subscriptions.len() {
+            let now = snapshot.leaves(self.context.schema, &self.subscriptions[place].selection);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
-            self.wanted[place].sent = now;
+            self.subscriptions[place].sent = now;
             if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
                 return false;
             }
@@ -140,7 +140,7 @@
     async fn wait(
         &self, changes: &mut watch::Receiver<Arc<Snapshot>>, asks: &mut Streaming<SubscribeRequest>,
     ) -> Result<(), &'static str> {
-        let next = self.wanted.iter().filter_map(Wanted::next_timer).min();
+        let next = self.subscriptions.iter().filter_map(PathSubscription::next_timer).min();
         // Keys may go at any time, also while nothing changes.
         let look = Instant::now() + Duration::from_secs(1);
         tokio::select! {
@@ -162,11 +162,11 @@
     /// Sends what each subscription is due; false where nobody takes it any more.
     async fn send_due(&mut self, snapshot: &Snapshot, progress: Progress) -> bool {
         let now = Instant::now();
-        for place in 0..self.wanted.len() {
-            let wanted = &mut self.wanted[place];
-            let Some(due) = wanted.due_at(now, progress.changed) else { continue };
+        for place in 0..self.subscriptions.len() {
+            let subscription = &mut self.subscriptions[place];
+            let Some(due) = subscription.due_at(now, progress.changed) else { continue };
             let (updates, deleted) =
-                wanted.take_updates(self.context.schema, snapshot, due, progress.coalesced);
+                subscription.take_updates(self.context.schema, snapshot, due, progress.coalesced);
             if (!updates.is_empty() || !deleted.is_empty()) && !self.tell(updates, deleted).await {
                 return false;
             }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -12,9 +12,9 @@
 use super::Service;
 use super::encoding::encoding;
 use super::errors::wrong;
+use super::path_subscription::PathSubscription;
 use super::paths::{leads_nowhere, pattern};
 use super::stream::{StreamContext, SubscribeStream};
-use super::wanted::Wanted;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscription_list::Mode;
 use crate::proto::gnmi::{Encoding, Path, SubscribeRequest, SubscribeResponse, SubscriptionList};
@@ -46,12 +46,12 @@
             wrong("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
         })?;
         let encoding = encoding(list.encoding)?;
-        let wanted = self.wanted(&list, encoding)?;
+        let subscriptions = self.path_subscriptions(&list, encoding)?;
         let (sender, receiver) = mpsc::channel(4);
         let stream = SubscribeStream {
             context: self.stream_context(),
             key,
-            wanted,
+            subscriptions,
             updates_only: list.updates_only,
             sender,
             prefix: list.prefix.as_ref().and_then(target_only),
@@ -66,25 +66,27 @@
     }
 
     /// The subscriptions of a list, each with a path that the model knows.
-    fn wanted(&self, list: &SubscriptionList, encoding: Encoding) -> Result<Vec<Wanted>, Status> {
-        let mut wanted = Vec::new();
+    fn path_subscriptions(
+        &self, list: &SubscriptionList, encoding: Encoding,
+    ) -> Result<Vec<PathSubscription>, Status> {
+        let mut subscriptions = Vec::new();
         for one in &list.subscription {
             let path = one.path.clone().unwrap_or_default();
             let pattern = pattern(list.prefix.as_ref(), &path)?;
             if !pattern.known(self.schema) {
                 return Err(leads_nowhere(&path));
             }
-            wanted.push(Wanted::new((pattern, encoding.into()), one, &self.limits)?);
+            subscriptions.push(PathSubscription::new((pattern, encoding.into()), one, &self.limits)?);
         }
-        if wanted.is_empty() || wanted.len() > MOST {
+        if subscriptions.is_empty() || subscriptions.len() > MOST {
             return Err(wrong(
                 "subscribe",
                 "has no subscription, or too many",
-                &wanted.len().to_string(),
+                &subscriptions.len().to_string(),
                 &format!("1 to {MOST}"),
             ));
         }
-        Ok(wanted)
+        Ok(subscriptions)
     }
 
     fn stream_context(&self) -> Arc<StreamContext> {
