--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -43,9 +43,9 @@
     pub(super) async fn run(mut self, mode: Mode, asks: Streaming<SubscribeRequest>) {
         info!(self.context.log, "a gNMI stream began"; "key" => &self.key.name, "mode" => ?mode);
         let why = match mode {
-            Mode::Once => self.once().await,
-            Mode::Poll => self.polled(asks).await,
-            Mode::Stream => self.streamed(asks).await,
+            Mode::Once => self.serve_once().await,
+            Mode::Poll => self.serve_polls(asks).await,
+            Mode::Stream => self.serve_changes(asks).await,
         };
         info!(self.context.log, "a gNMI stream ended"; "key" => &self.key.name, "why" => why);
     }
@@ -55,38 +55,40 @@
     }
 
     /// Everything that is wanted, then that it was everything.
-    async fn all(&mut self, silent: bool) -> bool {
+    async fn send_all(&mut self, silent: bool) -> bool {
         let snapshot = self.context.snapshot.borrow().clone();
         for place in 0..self.subscriptions.len() {
             let now = snapshot.leaves(self.context.schema, &self.subscriptions[place].selection);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
             self.subscriptions[place].sent = now;
-            if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
+            if !silent && !update.is_empty() && !self.send_notification(update, vec![]).await {
                 return false;
             }
         }
         self.send(Told::SyncResponse(true)).await
     }
 
-    async fn tell(&self, update: Vec<Update>, delete: Vec<Path>) -> bool {
+    async fn send_notification(&self, update: Vec<Update>, delete: Vec<Path>) -> bool {
         let prefix = self.prefix.clone();
         self.send(Told::Update(Notification { timestamp: nanos(), prefix, update, delete, atomic: false }))
             .await
     }
 
-    async fn once(&mut self) -> &'static str {
-        if self.all(self.updates_only).await { "all was sent" } else { "it went away" }
+    async fn serve_once(&mut self) -> &'static str {
+        if self.send_all(self.updates_only).await { "all was sent" } else { "it went away" }
     }
 
-    async fn polled(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
-        if !self.all(self.updates_only).await {
+    async fn serve_polls(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
+        if !self.send_all(self.updates_only).await {
             return "it went away";
         }
         while let Some(Ok(ask)) = asks.next().await {
             match ask.request {
-                Some(Asked::Poll(_)) if !self.known() => return "its key is no longer in the file of keys",
+                Some(Asked::Poll(_)) if !self.may_still_read() => {
+                    return "its key is no longer in the file of keys";
+                }
                 Some(Asked::Poll(_)) => {
-                    if !self.all(false).await {
+                    if !self.send_all(false).await {
                         return "it went away";
                     }
                 }
@@ -100,7 +102,7 @@
         "it asked no more"
     }
 
-    fn known(&self) -> bool {
+    fn may_still_read(&self) -> bool {
         self.context
             .commit_service
             .keys
@@ -109,17 +111,17 @@
             .is_some_and(|rights| rights.read)
     }
 
-    async fn streamed(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
+    async fn serve_changes(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
         let mut changes = self.context.snapshot.clone();
         let mut seen = changes.borrow_and_update().number;
-        if !self.all(self.updates_only).await {
+        if !self.send_all(self.updates_only).await {
             return "it went away";
         }
         loop {
             if let Err(why) = self.wait(&mut changes, &mut asks).await {
                 return why;
             }
-            if !self.known() {
+            if !self.may_still_read() {
                 let _ = self
                     .sender
                     .send(Err(Status::unauthenticated("certificate: is no longer in the file of keys")))
@@ -167,7 +169,8 @@
             let Some(due) = subscription.due_at(now, progress.changed) else { continue };
             let (updates, deleted) =
                 subscription.take_updates(self.context.schema, snapshot, due, progress.coalesced);
-            if (!updates.is_empty() || !deleted.is_empty()) && !self.tell(updates, deleted).await {
+            if (!updates.is_empty() || !deleted.is_empty()) && !self.send_notification(updates, deleted).await
+            {
                 return false;
             }
         }
