--- a/management/src/gnmi/arbitration.rs
+++ b/management/src/gnmi/arbitration.rs
@@ -5,7 +5,7 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use crate::proto::gnmi_ext::MasterArbitration;
 
 impl Service {
@@ -13,8 +13,9 @@
     pub(super) fn arbitrate(&self, said: &MasterArbitration) -> Result<(), Status> {
         let role = said.role.as_ref().map_or("", |role| role.id.as_str());
         let id = said.election_id.as_ref().map(|id| (id.high, id.low));
-        let id =
-            id.ok_or_else(|| wrong("master_arbitration", "has no election id", "nothing", "an election id"))?;
+        let id = id.ok_or_else(|| {
+            invalid_argument("master_arbitration", "has no election id", "nothing", "an election id")
+        })?;
         let mut masters = self.masters.lock().unwrap_or_else(PoisonError::into_inner);
         // Roles that nobody has are not kept without end.
         if masters.len() >= 64 && !masters.contains_key(role) {
--- a/management/src/gnmi/confirmed_commit.rs
+++ b/management/src/gnmi/confirmed_commit.rs
@@ -7,7 +7,7 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::{of_refused, wrong};
+use super::errors::{invalid_argument, refusal_status};
 use crate::proto::gnmi_ext::Commit as CommitExt;
 use crate::proto::gnmi_ext::commit::Action;
 
@@ -31,19 +31,27 @@
                 self.commit_service
                     .confirm(session, persist)
                     .await
-                    .map_err(|refused| of_refused(&refused))?;
+                    .map_err(|refused| refusal_status(&refused))?;
                 Ok(true)
             }
             Some(Action::Cancel(_)) => {
                 let session = self.session(key).await;
-                self.commit_service.cancel(session, persist).await.map_err(|refused| of_refused(&refused))?;
+                self.commit_service
+                    .cancel(session, persist)
+                    .await
+                    .map_err(|refused| refusal_status(&refused))?;
                 Ok(true)
             }
             Some(Action::SetRollbackDuration(_)) => {
                 Err(Status::unimplemented("commit/set_rollback_duration: is not served here"))
             }
             Some(Action::Commit(_)) => Ok(false),
-            None => Err(wrong("commit", "says neither what to do", "nothing", "commit, confirm or cancel")),
+            None => Err(invalid_argument(
+                "commit",
+                "says neither what to do",
+                "nothing",
+                "commit, confirm or cancel",
+            )),
         }
     }
 }
--- a/management/src/gnmi/edits.rs
+++ b/management/src/gnmi/edits.rs
@@ -9,7 +9,7 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::{of_edits, wrong};
+use super::errors::{edit_errors_status, invalid_argument};
 use super::paths::{pattern, text};
 use crate::proto::gnmi::typed_value::Value;
 use crate::proto::gnmi::{Path, TypedValue};
@@ -42,7 +42,7 @@
         }
         let value = value
             .and_then(|value| value.value.as_ref())
-            .ok_or_else(|| wrong(&shown, "has no value", "nothing", "a value"))?;
+            .ok_or_else(|| invalid_argument(&shown, "has no value", "nothing", "a value"))?;
         edits.extend(self.edits_of_value(&target, &shown, value)?);
         Ok(edits)
     }
@@ -106,7 +106,7 @@
             }
         };
         if !faults.is_empty() {
-            return Err(of_edits(&faults));
+            return Err(edit_errors_status(&faults));
         }
         if node.is_none() {
             return Ok(read);
@@ -144,7 +144,7 @@
 }
 
 fn no_instance(shown: &str, why: &str) -> Status {
-    wrong(shown, why, shown, "one instance, with its keys")
+    invalid_argument(shown, why, shown, "one instance, with its keys")
 }
 
 /// The keys that a path has already said need not stand in the value again.
--- a/management/src/gnmi/encoding.rs
+++ b/management/src/gnmi/encoding.rs
@@ -9,7 +9,7 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use super::paths::path_of;
 use crate::proto::gnmi::typed_value::Value;
 use crate::proto::gnmi::{Encoding, ScalarArray, TypedValue, Update};
@@ -45,7 +45,12 @@
             Value::JsonIetfVal(bytes) | Value::JsonVal(bytes) => {
                 let read = serde_json::from_slice(bytes);
                 read.map_err(|e| {
-                    wrong(at, &format!("is no JSON: {e}"), &String::from_utf8_lossy(bytes), "JSON (RFC 7951)")
+                    invalid_argument(
+                        at,
+                        &format!("is no JSON: {e}"),
+                        &String::from_utf8_lossy(bytes),
+                        "JSON (RFC 7951)",
+                    )
                 })?
             }
             Value::StringVal(text) | Value::AsciiVal(text) => typed(text.clone()),
@@ -58,7 +63,12 @@
                 Json::Array(items.map(|item| self.json_of(at, node, item)).collect::<Result<_, _>>()?)
             }
             Value::BytesVal(_) | Value::AnyVal(_) | Value::ProtoBytes(_) => {
-                return Err(wrong(at, "is of a form that is not read", "bytes", "JSON_IETF, JSON or PROTO"));
+                return Err(invalid_argument(
+                    at,
+                    "is of a form that is not read",
+                    "bytes",
+                    "JSON_IETF, JSON or PROTO",
+                ));
             }
         })
     }
--- a/management/src/gnmi/errors.rs
+++ b/management/src/gnmi/errors.rs
@@ -4,17 +4,17 @@
 use kestreltide_model::edit::EditFault;
 use tonic::Status;
 
-pub(super) fn wrong(path: &str, what: &str, given: &str, taken: &str) -> Status {
+pub(super) fn invalid_argument(path: &str, what: &str, given: &str, taken: &str) -> Status {
     let given = kestreltide_datastore::draft::shown(given);
     Status::invalid_argument(kestreltide_datastore::Fault::new(path, what, given, taken).to_string())
 }
 
-pub(super) fn of_edits(faults: &[EditFault]) -> Status {
+pub(super) fn edit_errors_status(faults: &[EditFault]) -> Status {
     let all: Vec<_> = faults.iter().map(|fault| fault.fault.to_string()).collect();
     Status::invalid_argument(all.join("\n"))
 }
 
-pub(super) fn of_refused(refused: &Refused) -> Status {
+pub(super) fn refusal_status(refused: &Refused) -> Status {
     match refused {
         // Another's change of the same leaf, or a rule: the request is well, the time or the set is not.
         Refused::Faults(faults)
--- a/management/src/gnmi/path_subscription.rs
+++ b/management/src/gnmi/path_subscription.rs
@@ -9,7 +9,7 @@
 use tonic::Status;
 
 use super::encoding::update;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use super::snapshot::{Leaves, Selection, Snapshot};
 use crate::Limits;
 use crate::proto::gnmi::{Path, SubscriptionMode, Update};
@@ -33,14 +33,14 @@
         selection: Selection, of: &crate::proto::gnmi::Subscription, limits: &Limits,
     ) -> Result<Self, Status> {
         let mode = SubscriptionMode::try_from(of.mode).map_err(|_| {
-            wrong("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
+            invalid_argument("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
         })?;
         let on_change = mode != SubscriptionMode::Sample;
         let least = Duration::from_secs_f64(limits.sample);
         let interval = Duration::from_nanos(of.sample_interval);
         if !on_change && of.sample_interval > 0 && interval < least {
             let taken = format!("0, or at least {} ns", least.as_nanos());
-            return Err(wrong(
+            return Err(invalid_argument(
                 "subscription/sample_interval",
                 "is too short",
                 &of.sample_interval.to_string(),
--- a/management/src/gnmi/paths.rs
+++ b/management/src/gnmi/paths.rs
@@ -5,7 +5,7 @@
 use kestreltide_model::path::Pattern;
 use tonic::Status;
 
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use crate::proto::gnmi::{Path, PathElem};
 
 /// A path below a prefix; an origin other than the models' own is refused.
@@ -14,14 +14,14 @@
     let mut all = Pattern::default();
     for path in prefix.into_iter().chain([path]) {
         if !["", "kestreltide", "openconfig", "rfc7951"].contains(&path.origin.as_str()) {
-            return Err(wrong(&shown, "no such origin", &path.origin, "none, or kestreltide"));
+            return Err(invalid_argument(&shown, "no such origin", &path.origin, "none, or kestreltide"));
         }
         let steps = path.elem.iter().map(|elem| {
             let keys = elem.key.iter().map(|(name, value)| (name.clone(), value.clone())).collect();
             (elem.name.as_str(), keys)
         });
-        let steps =
-            Pattern::steps(steps).map_err(|why| wrong(&shown, &why, &shown, "names with their keys"))?;
+        let steps = Pattern::steps(steps)
+            .map_err(|why| invalid_argument(&shown, &why, &shown, "names with their keys"))?;
         all = steps.below(&all);
     }
     Ok(all)
--- a/management/src/gnmi/set.rs
+++ b/management/src/gnmi/set.rs
@@ -8,7 +8,7 @@
 use kestreltide_model::edit::{Op, apply};
 use tonic::{Request, Response, Status};
 
-use super::errors::{of_edits, of_refused, wrong};
+use super::errors::{edit_errors_status, invalid_argument, refusal_status};
 use super::{Service, nanos};
 use crate::proto::gnmi::{SetRequest, SetResponse, Update, UpdateResult, update_result};
 use crate::proto::gnmi_ext::commit::Action;
@@ -46,7 +46,7 @@
                 let prefix = asked.prefix.clone();
                 Ok(Response::new(SetResponse { prefix, response, timestamp: nanos(), extension: vec![] }))
             }
-            Err(refused) => Err(of_refused(&refused)),
+            Err(refused) => Err(refusal_status(&refused)),
         }
     }
 
@@ -67,7 +67,7 @@
         for ((path, value), op, told) in deletes.chain(replaces).chain(updates) {
             let edits = self.edit(prefix, &path, value.as_ref(), op)?;
             apply(self.schema, &self.bind, &mut candidate.tree, &edits, Op::Merge)
-                .map_err(|faults| of_edits(&faults))?;
+                .map_err(|faults| edit_errors_status(&faults))?;
             response.push(UpdateResult { path: Some(path), op: told.into() });
         }
         Ok(response)
@@ -84,7 +84,7 @@
 fn settled(asked: &SetRequest) -> Result<Response<SetResponse>, Status> {
     let empty = asked.delete.is_empty() && asked.replace.is_empty() && asked.update.is_empty();
     if !empty {
-        return Err(wrong("commit", "confirms or cancels, and edits too", "edits", "one of both"));
+        return Err(invalid_argument("commit", "confirms or cancels, and edits too", "edits", "one of both"));
     }
     Ok(Response::new(SetResponse {
         prefix: asked.prefix.clone(),
@@ -101,7 +101,7 @@
     };
     let within = said_time.map_or(CONFIRM, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
     if !(0.1..=86_400.0).contains(&within) || said.id.is_empty() {
-        return Err(wrong(
+        return Err(invalid_argument(
             "commit",
             "has no id, or a time out of range",
             &within.to_string(),
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -12,7 +12,7 @@
 use tonic::{Status, Streaming};
 
 use super::encoding::update;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use super::nanos;
 use super::path_subscription::PathSubscription;
 use super::snapshot::Snapshot;
@@ -93,8 +93,10 @@
                     }
                 }
                 _ => {
-                    let _ =
-                        self.sender.send(Err(wrong("subscribe", "is no poll", "another", "a poll"))).await;
+                    let _ = self
+                        .sender
+                        .send(Err(invalid_argument("subscribe", "is no poll", "another", "a poll")))
+                        .await;
                     return "it sent something else than a poll";
                 }
             }
@@ -152,7 +154,7 @@
                 None => Err("it asked no more"),
                 Some(Err(_)) => Err("it went away"),
                 Some(Ok(_)) => {
-                    let error = wrong("subscribe", "a stream takes no more requests", "another", "none");
+                    let error = invalid_argument("subscribe", "a stream takes no more requests", "another", "none");
                     let _ = self.sender.send(Err(error)).await;
                     Err("it sent something else")
                 }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -11,7 +11,7 @@
 
 use super::Service;
 use super::encoding::encoding;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use super::path_subscription::PathSubscription;
 use super::paths::{leads_nowhere, pattern};
 use super::stream::{StreamContext, SubscribeStream};
@@ -32,7 +32,7 @@
         let mut asks = request.into_inner();
         let Some(Ok(SubscribeRequest { request: Some(Asked::Subscribe(list)), .. })) = asks.next().await
         else {
-            return Err(wrong(
+            return Err(invalid_argument(
                 "subscribe",
                 "the first message is none",
                 "another",
@@ -43,7 +43,7 @@
             return Err(Status::resource_exhausted("subscribe: no room for one more stream"));
         }
         let mode = Mode::try_from(list.mode).map_err(|_| {
-            wrong("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
+            invalid_argument("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
         })?;
         let encoding = encoding(list.encoding)?;
         let subscriptions = self.path_subscriptions(&list, encoding)?;
@@ -79,7 +79,7 @@
             subscriptions.push(PathSubscription::new((pattern, encoding.into()), one, &self.limits)?);
         }
         if subscriptions.is_empty() || subscriptions.len() > MOST {
-            return Err(wrong(
+            return Err(invalid_argument(
                 "subscribe",
                 "has no subscription, or too many",
                 &subscriptions.len().to_string(),
--- a/management/src/netconf/session/commit.rs
+++ b/management/src/netconf/session/commit.rs
@@ -48,7 +48,7 @@
             return Ok(Step::Ask(Asked::Confirm { persist_id }));
         }
         let candidate = self.candidate(commit_service).clone();
-        self.allowed(candidate.base_tree(), &candidate.tree, rights, commit_service)?;
+        self.check_rights(candidate.base_tree(), &candidate.tree, rights, commit_service)?;
         Ok(Step::Ask(Asked::Commit { candidate, confirm, persist_id }))
     }
 }
--- a/management/src/netconf/session/edit_config.rs
+++ b/management/src/netconf/session/edit_config.rs
@@ -7,7 +7,7 @@
 use kestreltide_model::xml::Element;
 
 use super::operations::{target, text};
-use super::rpc_error::{RpcError, of_edit, xpath};
+use super::rpc_error::{RpcError, edit_error, xpath};
 use super::{Asked, Session, Step};
 use crate::commit_service::Handle;
 
@@ -61,7 +61,7 @@
         if faults.is_empty() {
             faults = apply(self.schema, &self.bind, tree, &edits, default).err().unwrap_or_default();
         }
-        if faults.is_empty() { Ok(()) } else { Err(faults.iter().map(of_edit).collect()) }
+        if faults.is_empty() { Ok(()) } else { Err(faults.iter().map(edit_error).collect()) }
     }
 
     pub(super) fn edit_config(
@@ -82,7 +82,7 @@
             options.default
         };
         self.edited(&mut candidate.tree, config, by_default)?;
-        self.allowed(&before, &candidate.tree, rights, commit_service)?;
+        self.check_rights(&before, &candidate.tree, rights, commit_service)?;
         if options.test_only {
             return Ok(Step::Ask(Asked::Validate(candidate)));
         }
@@ -96,7 +96,7 @@
     }
 
     /// Whether the rights cover the changes; who tries without is told and remembered.
-    pub(super) fn allowed(
+    pub(super) fn check_rights(
         &self, before: &Tree, after: &Tree, rights: Rights, commit_service: &Handle,
     ) -> Result<(), Vec<RpcError>> {
         rights.check(&before.differences(after)).map_err(|fault| {
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -24,7 +24,7 @@
 
 pub use self::capabilities::BASE;
 use self::capabilities::CAPABILITIES;
-use self::rpc_error::{RpcError, of_refused};
+use self::rpc_error::{RpcError, refusal_errors};
 use crate::commit_service::Handle;
 
 /// What the commit service is asked for a message.
@@ -193,7 +193,7 @@
                 }
                 self.ok()
             }
-            Err(refused) => self.errors(&of_refused(&refused)),
+            Err(refused) => self.errors(&refusal_errors(&refused)),
         }
     }
 
--- a/management/src/netconf/session/rpc_error.rs
+++ b/management/src/netconf/session/rpc_error.rs
@@ -98,13 +98,13 @@
     out
 }
 
-pub(super) fn of_fault(fault: &Fault) -> RpcError {
+pub(super) fn validation_error(fault: &Fault) -> RpcError {
     let tag = if fault.what.contains("is missing") { "data-missing" } else { "operation-failed" };
     let path = fault.path.parse().ok().map(|path| xpath(&path));
     RpcError { path, ..RpcError::new("application", tag, fault.to_string()) }
 }
 
-pub(super) fn of_edit(fault: &EditFault) -> RpcError {
+pub(super) fn edit_error(fault: &EditFault) -> RpcError {
     let info = match fault.tag {
         Tag::UnknownElement | Tag::MissingElement => vec![("bad-element", fault.about.clone())],
         Tag::UnknownNamespace => {
@@ -119,10 +119,10 @@
     RpcError { path, info, ..RpcError::new("application", &fault.tag.to_string(), fault.fault.to_string()) }
 }
 
-pub(super) fn of_refused(refused: &Refused) -> Vec<RpcError> {
+pub(super) fn refusal_errors(refused: &Refused) -> Vec<RpcError> {
     match refused {
         Refused::Faults(faults) => {
-            let mut errors: Vec<_> = faults.first.iter().map(of_fault).collect();
+            let mut errors: Vec<_> = faults.first.iter().map(validation_error).collect();
             if faults.more > 0 {
                 errors.push(RpcError::new(
                     "application",
--- a/management/src/netconf/session/trial.rs
+++ b/management/src/netconf/session/trial.rs
@@ -5,7 +5,7 @@
 use kestreltide_model::edit::of_xml;
 use kestreltide_model::xml::Element;
 
-use super::rpc_error::{RpcError, of_edit, of_fault};
+use super::rpc_error::{RpcError, edit_error, validation_error};
 use super::{Asked, Session, Step};
 use crate::commit_service::Handle;
 
@@ -22,7 +22,7 @@
         let mut faults = vec![];
         let edits = of_xml(self.schema, Some(input), &Instance::default(), &of.children, &mut faults);
         if !faults.is_empty() {
-            return Err(faults.iter().map(of_edit).collect());
+            return Err(faults.iter().map(edit_error).collect());
         }
         let build = edits.iter().find(|edit| edit.step.name == "build").and_then(|edit| edit.value.clone());
         let mut candidate = Candidate::of(&commit_service.published.load().in_force);
@@ -33,11 +33,13 @@
             let build = build.ok_or_else(|| vec![RpcError::missing("build")])?;
             let ask = if of.name == "hold-trial" { "ring/hold" } else { "ring/back" };
             for (at, text) in [("ring/build", build.as_str()), (ask, "true")] {
-                let path: Path = at.parse().map_err(|fault| vec![of_fault(&fault)])?;
-                self.bind.set(&mut candidate.tree, &path, text).map_err(|fault| vec![of_fault(&fault)])?;
+                let path: Path = at.parse().map_err(|fault| vec![validation_error(&fault)])?;
+                self.bind
+                    .set(&mut candidate.tree, &path, text)
+                    .map_err(|fault| vec![validation_error(&fault)])?;
             }
         }
-        self.allowed(&before, &candidate.tree, rights, commit_service)?;
+        self.check_rights(&before, &candidate.tree, rights, commit_service)?;
         Ok(Step::Ask(Asked::Commit { candidate, confirm: None, persist_id: None }))
     }
 }
