--- a/management/src/gnmi/connections.rs
+++ b/management/src/gnmi/connections.rs
@@ -13,12 +13,12 @@
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
 /// A connection that has its place among those that may be open.
-pub(super) struct Placed {
+pub(super) struct AdmittedConnection {
     stream: TcpStream,
-    _place: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
 }
 
-impl Connected for Placed {
+impl Connected for AdmittedConnection {
     type ConnectInfo = TcpConnectInfo;
 
     fn connect_info(&self) -> TcpConnectInfo {
@@ -26,7 +26,7 @@
     }
 }
 
-impl AsyncRead for Placed {
+impl AsyncRead for AdmittedConnection {
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Ready<std::io::Result<()>> {
@@ -34,7 +34,7 @@
     }
 }
 
-impl AsyncWrite for Placed {
+impl AsyncWrite for AdmittedConnection {
     fn poll_write(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8],
     ) -> Ready<std::io::Result<usize>> {
@@ -51,7 +51,9 @@
 }
 
 /// Connections that come, those beyond so many closed at once: half a handshake holds a place, not the service.
-pub(super) fn placed(listener: TcpListener, most: usize) -> ReceiverStream<std::io::Result<Placed>> {
+pub(super) fn accept_connections(
+    listener: TcpListener, most: usize,
+) -> ReceiverStream<std::io::Result<AdmittedConnection>> {
     let (sender, receiver) = mpsc::channel(1);
     let room = Arc::new(Semaphore::new(most));
     tokio::spawn(async move {
@@ -60,8 +62,8 @@
                 sleep(Duration::from_millis(100)).await;
                 continue;
             };
-            let Ok(place) = room.clone().try_acquire_owned() else { continue };
-            if sender.send(Ok(Placed { stream, _place: place })).await.is_err() {
+            let Ok(permit) = room.clone().try_acquire_owned() else { continue };
+            if sender.send(Ok(AdmittedConnection { stream, _permit: permit })).await.is_err() {
                 return;
             }
         }
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -10,7 +10,7 @@
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
 use super::Service;
-use super::connections::placed;
+use super::connections::accept_connections;
 use super::snapshot::follow;
 use crate::Limits;
 use crate::commit_service::Handle;
@@ -60,10 +60,14 @@
         .http2_keepalive_timeout(Some(alive * limits.missed as u32))
         .http2_max_pending_accept_reset_streams(Some(limits.streams as usize))
         .tcp_nodelay(true);
-    server.add_service(service).serve_with_incoming(placed(listener, limits.connections)).await.map_err(|e| {
-        warn!(log, "gNMI ended"; "error" => %e);
-        e.to_string()
-    })
+    server
+        .add_service(service)
+        .serve_with_incoming(accept_connections(listener, limits.connections))
+        .await
+        .map_err(|e| {
+            warn!(log, "gNMI ended"; "error" => %e);
+            e.to_string()
+        })
 }
 
 /// TLS that takes only clients with a certificate, and gives up a handshake after its time.
