--- a/management/src/gnmi/arbitration.rs
+++ b/management/src/gnmi/arbitration.rs
@@ -10,7 +10,7 @@
 
 impl Service {
     /// Only who has the highest election id of a role may set.
-    pub(super) fn arbitrate(&self, said: &MasterArbitration) -> Result<(), Status> {
+    pub(super) fn check_master(&self, said: &MasterArbitration) -> Result<(), Status> {
         let role = said.role.as_ref().map_or("", |role| role.id.as_str());
         let id = said.election_id.as_ref().map(|id| (id.high, id.low));
         let id = id.ok_or_else(|| {
--- a/management/src/gnmi/confirmed_commit.rs
+++ b/management/src/gnmi/confirmed_commit.rs
@@ -13,7 +13,7 @@
 
 impl Service {
     /// The session at the commit service of who has this key: commits that wait are its.
-    pub(super) async fn session(&self, key: &Key) -> Option<SessionId> {
+    pub(super) async fn confirming_session(&self, key: &Key) -> Option<SessionId> {
         if let Some(session) = self.sessions.lock().unwrap_or_else(PoisonError::into_inner).get(&key.name) {
             return Some(*session);
         }
@@ -23,11 +23,11 @@
     }
 
     /// A commit-confirmed request that edits nothing: confirm or cancel what waits.
-    pub(super) async fn settle(&self, key: &Key, said: &CommitExt) -> Result<bool, Status> {
+    pub(super) async fn confirm_or_cancel(&self, key: &Key, said: &CommitExt) -> Result<bool, Status> {
         let persist = Some(said.id.clone());
         match &said.action {
             Some(Action::Confirm(_)) => {
-                let session = self.session(key).await;
+                let session = self.confirming_session(key).await;
                 self.commit_service
                     .confirm(session, persist)
                     .await
@@ -35,7 +35,7 @@
                 Ok(true)
             }
             Some(Action::Cancel(_)) => {
-                let session = self.session(key).await;
+                let session = self.confirming_session(key).await;
                 self.commit_service
                     .cancel(session, persist)
                     .await
--- a/management/src/gnmi/connections.rs
+++ b/management/src/gnmi/connections.rs
@@ -52,10 +52,10 @@
 
 /// Connections that come, those beyond so many closed at once: half a handshake holds a place, not the service.
 pub(super) fn accept_connections(
-    listener: TcpListener, most: usize,
+    listener: TcpListener, limit: usize,
 ) -> ReceiverStream<std::io::Result<AdmittedConnection>> {
     let (sender, receiver) = mpsc::channel(1);
-    let room = Arc::new(Semaphore::new(most));
+    let room = Arc::new(Semaphore::new(limit));
     tokio::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
--- a/management/src/gnmi/edits.rs
+++ b/management/src/gnmi/edits.rs
@@ -10,7 +10,7 @@
 
 use super::Service;
 use super::errors::{edit_errors_status, invalid_argument};
-use super::paths::{pattern, text};
+use super::paths::{path_text, pattern};
 use crate::proto::gnmi::typed_value::Value;
 use crate::proto::gnmi::{Path, TypedValue};
 
@@ -30,7 +30,7 @@
     pub(super) fn edit(
         &self, prefix: Option<&Path>, path: &Path, value: Option<&TypedValue>, op: Op,
     ) -> Result<Vec<Edit>, Status> {
-        let shown = text(path);
+        let shown = path_text(path);
         let pattern = pattern(prefix, path)?;
         let target = self.edit_target(&pattern, &shown)?;
         let mut edits = vec![];
@@ -84,7 +84,7 @@
 
     /// Edits that remove what stands at the target, all entries of a list as well.
     fn removals(&self, target: &EditTarget, shown: &str) -> Result<Vec<Edit>, Status> {
-        let there = self.there(target.node, &target.step, target.list);
+        let there = self.entries_to_remove(target.node, &target.step, target.list);
         let removal = |(node, step)| Edit { node, op: Some(Op::Remove), value: None, step, children: vec![] };
         there.into_iter().map(|found| self.place(&target.parent, removal(found), shown)).collect()
     }
@@ -121,7 +121,9 @@
     }
 
     /// What a removal at this place has to take away.
-    fn there(&self, node: Option<NodeId>, step: &Step, list: Option<NodeId>) -> Vec<(NodeId, Step)> {
+    fn entries_to_remove(
+        &self, node: Option<NodeId>, step: &Step, list: Option<NodeId>,
+    ) -> Vec<(NodeId, Step)> {
         let tree = &self.commit_service.published.load().in_force.tree;
         match (node, list) {
             (Some(_), Some(list)) if matches!(self.schema.node_of(list).kind, NodeKind::List { .. }) => {
--- a/management/src/gnmi/get.rs
+++ b/management/src/gnmi/get.rs
@@ -8,7 +8,7 @@
 use tonic::{Request, Response, Status};
 
 use super::encoding::{collect, encoding};
-use super::paths::{leads_nowhere, path_of, pattern, select, text};
+use super::paths::{leads_nowhere, path_of, path_text, pattern, select};
 use super::{Service, nanos};
 use crate::proto::gnmi::{Encoding, GetRequest, GetResponse, Notification, Path, Update, get_request};
 use crate::state;
@@ -26,7 +26,7 @@
             &self.commit_service.view.load(),
             &self.commit_service.published.load(),
         );
-        let data = self.of_type(data, asked.r#type);
+        let data = self.filter_by_type(data, asked.r#type);
         let timestamp = nanos();
         let mut notification = Vec::new();
         let everything = [Path::default()];
@@ -39,7 +39,7 @@
             if update.is_empty() && wanted.instance(self.schema).is_ok() && !wanted.0.is_empty() {
                 return Err(Status::not_found(format!(
                     "{}: is not there (given: {0}; taken: what is there)",
-                    text(path)
+                    path_text(path)
                 )));
             }
             notification.push(Notification {
@@ -54,7 +54,7 @@
     }
 
     /// What of everything is asked for: what operators set, or the router's own.
-    fn of_type(&self, mut data: Data, of: i32) -> Vec<Data> {
+    fn filter_by_type(&self, mut data: Data, of: i32) -> Vec<Data> {
         use get_request::DataType;
         if let Content::Inner(children) = &mut data.content {
             let config = |child: &Data| self.schema.node_of(child.node).config;
--- a/management/src/gnmi/paths.rs
+++ b/management/src/gnmi/paths.rs
@@ -10,7 +10,7 @@
 
 /// A path below a prefix; an origin other than the models' own is refused.
 pub(super) fn pattern(prefix: Option<&Path>, path: &Path) -> Result<Pattern, Status> {
-    let shown = text(path);
+    let shown = path_text(path);
     let mut all = Pattern::default();
     for path in prefix.into_iter().chain([path]) {
         if !["", "kestreltide", "openconfig", "rfc7951"].contains(&path.origin.as_str()) {
@@ -27,7 +27,7 @@
     Ok(all)
 }
 
-pub(super) fn text(path: &Path) -> String {
+pub(super) fn path_text(path: &Path) -> String {
     let mut out = String::new();
     for elem in &path.elem {
         out += &format!("/{}", elem.name);
@@ -40,7 +40,10 @@
 
 /// That a path names nothing of the model.
 pub(super) fn leads_nowhere(path: &Path) -> Status {
-    Status::not_found(format!("{}: leads nowhere in the model (given: {0}; taken: a path of it)", text(path)))
+    Status::not_found(format!(
+        "{}: leads nowhere in the model (given: {0}; taken: a path of it)",
+        path_text(path)
+    ))
 }
 
 /// The instances that a pattern selects from data; those at the top for the empty pattern.
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -11,7 +11,7 @@
 
 use super::Service;
 use super::connections::accept_connections;
-use super::snapshot::follow;
+use super::snapshot::follow_published;
 use crate::Limits;
 use crate::commit_service::Handle;
 use crate::proto::gnmi::g_nmi_server::GNmiServer;
@@ -34,7 +34,7 @@
     let bind = Arc::new(Bind::new(schema)?);
     let snapshot = {
         let (commit_service, bind) = (commit_service.clone(), bind.clone());
-        follow(schema, bind, commit_service)
+        follow_published(schema, bind, commit_service)
     };
     let service = Service {
         log: log.clone(),
--- a/management/src/gnmi/set.rs
+++ b/management/src/gnmi/set.rs
@@ -16,7 +16,7 @@
 use crate::proto::gnmi_ext::{Commit as CommitExt, Extension, MasterArbitration};
 
 /// Seconds that a commit waits to be confirmed where nothing is said.
-const CONFIRM: f64 = 600.0;
+const DEFAULT_CONFIRM_SECONDS: f64 = 600.0;
 
 impl Service {
     pub(super) async fn apply_set(
@@ -25,10 +25,10 @@
         let (key, rights) = self.key(&request)?;
         let asked = request.into_inner();
         if let Some(said) = extension(&asked.extension, as_arbitration) {
-            self.arbitrate(said)?;
+            self.check_master(said)?;
         }
         let confirm = match extension(&asked.extension, as_commit) {
-            Some(said) if self.settle(&key, said).await? => return settled(&asked),
+            Some(said) if self.confirm_or_cancel(&key, said).await? => return settled(&asked),
             Some(said) => Some(confirm_of(said)?),
             None => None,
         };
@@ -40,7 +40,7 @@
             (self.commit_service.ask)(crate::Ask::Denied { author, fault: fault.clone() });
             return Err(Status::permission_denied(fault.to_string()));
         }
-        let session = if confirm.is_some() { self.session(&key).await } else { None };
+        let session = if confirm.is_some() { self.confirming_session(&key).await } else { None };
         match self.commit_service.commit(session, candidate, author, confirm, None).await {
             Ok(Commit::Taken(_) | Commit::Nothing) => {
                 let prefix = asked.prefix.clone();
@@ -99,7 +99,8 @@
         Some(Action::Commit(request)) => request.rollback_duration.as_ref(),
         _ => None,
     };
-    let within = said_time.map_or(CONFIRM, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
+    let within =
+        said_time.map_or(DEFAULT_CONFIRM_SECONDS, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
     if !(0.1..=86_400.0).contains(&within) || said.id.is_empty() {
         return Err(invalid_argument(
             "commit",
--- a/management/src/gnmi/snapshot.rs
+++ b/management/src/gnmi/snapshot.rs
@@ -95,10 +95,10 @@
 }
 
 /// Between looks at what is published.
-const LOOK: Duration = Duration::from_millis(5);
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Follows what is published, and says when something changed. Streams share what they make of it.
-pub(super) fn follow(
+pub(super) fn follow_published(
     schema: &'static Schema, bind: Arc<Bind>, commit_service: Handle,
 ) -> watch::Receiver<Arc<Snapshot>> {
     let snapshot = move |number, view: &Arc<View>, published: &Arc<Published>| {
@@ -111,7 +111,7 @@
         let mut number = 0;
         while !sender.is_closed() {
             // Nobody has to tell: a look costs two pointers.
-            sleep(LOOK).await;
+            sleep(LOOK_INTERVAL).await;
             let (now, published_now) =
                 (commit_service.view.load_full(), commit_service.published.load_full());
             if Arc::ptr_eq(&now, &view) && Arc::ptr_eq(&published_now, &published) {
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -154,7 +154,8 @@
                 None => Err("it asked no more"),
                 Some(Err(_)) => Err("it went away"),
                 Some(Ok(_)) => {
-                    let error = invalid_argument("subscribe", "a stream takes no more requests", "another", "none");
+                    let what = "a stream takes no more requests";
+                    let error = invalid_argument("subscribe", what, "another", "none");
                     let _ = self.sender.send(Err(error)).await;
                     Err("it sent something else")
                 }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -22,7 +22,7 @@
 pub(super) type Responses = Pin<Box<dyn Stream<Item = Result<SubscribeResponse, Status>> + Send>>;
 
 /// Subscriptions of one stream.
-const MOST: usize = 64;
+const MAX_SUBSCRIPTIONS: usize = 64;
 
 impl Service {
     pub(super) async fn start_subscription(
@@ -78,12 +78,12 @@
             }
             subscriptions.push(PathSubscription::new((pattern, encoding.into()), one, &self.limits)?);
         }
-        if subscriptions.is_empty() || subscriptions.len() > MOST {
+        if subscriptions.is_empty() || subscriptions.len() > MAX_SUBSCRIPTIONS {
             return Err(invalid_argument(
                 "subscribe",
                 "has no subscription, or too many",
                 &subscriptions.len().to_string(),
-                &format!("1 to {MOST}"),
+                &format!("1 to {MAX_SUBSCRIPTIONS}"),
             ));
         }
         Ok(subscriptions)
