--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -176,7 +176,7 @@
         // One session a connection: with the one the other ends.
         let (shared, ssh) = (self.shared.clone(), session.handle());
         tokio::spawn(async move {
-            session_over(shared, key, channel).await;
+            serve_session(shared, key, channel).await;
             let _ = ssh
                 .disconnect(russh::Disconnect::ByApplication, "the session is over".into(), "en".into())
                 .await;
@@ -186,7 +186,7 @@
 }
 
 /// One session from its hello to its end, whatever ends it.
-async fn session_over(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
+async fn serve_session(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
     let Some(id) = shared.commit_service.open().await else { return };
     let killed = Arc::new(Notify::new());
     let room = shared.with_sessions(|sessions| {
@@ -198,7 +198,7 @@
     });
     if room {
         info!(shared.log, "a NETCONF session began"; "session" => id.0, "key" => &key.name);
-        let why = talk(&shared, id, &key, channel, &killed).await;
+        let why = exchange_messages(&shared, id, &key, channel, &killed).await;
         info!(shared.log, "a NETCONF session ended"; "session" => id.0, "key" => &key.name, "why" => why);
     } else {
         warn!(shared.log, "no room for one more NETCONF session"; "key" => &key.name);
@@ -208,7 +208,7 @@
     (shared.commit_service.ask)(crate::Ask::Ended { session: id });
 }
 
-async fn talk(
+async fn exchange_messages(
     shared: &Shared, id: SessionId, key: &Key, channel: Channel<Msg>, killed: &Notify,
 ) -> &'static str {
     let mut session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
@@ -222,7 +222,7 @@
     let mut news: Option<broadcast::Receiver<News>> = None;
     let mut missed = 0;
     let mut buffer = vec![0; 16 * 1024];
-    let mut look = interval(Duration::from_secs(1));
+    let mut key_check = interval(Duration::from_secs(1));
     let begun = tokio::time::Instant::now();
     loop {
         let told = async {
@@ -233,7 +233,7 @@
         };
         tokio::select! {
             _ = killed.notified() => return "it was killed",
-            _ = look.tick() => {
+            _ = key_check.tick() => {
                 if shared.rights(key).is_none() {
                     return "its key is no longer in the file of keys";
                 }
@@ -245,7 +245,7 @@
             }
             told = told => {
                 let data = match told {
-                    Ok(told) => notice(shared, &told, std::mem::take(&mut missed)),
+                    Ok(told) => notification(shared, &told, std::mem::take(&mut missed)),
                     Err(RecvError::Lagged(count)) => {
                         missed += count;
                         continue;
@@ -286,7 +286,7 @@
                             (reply, None)
                         }
                         Step::Ask(asked) => {
-                            let answer = ask(shared, id, &session, &asked).await;
+                            let answer = ask_commit_service(shared, id, &session, &asked).await;
                             (session.answered(&asked, answer), None)
                         }
                     };
@@ -308,7 +308,9 @@
     }
 }
 
-async fn ask(shared: &Shared, id: SessionId, session: &Session, asked: &Asked) -> Result<(), Refused> {
+async fn ask_commit_service(
+    shared: &Shared, id: SessionId, session: &Session, asked: &Asked,
+) -> Result<(), Refused> {
     let commit_service = &shared.commit_service;
     match asked.clone() {
         Asked::Lock(target) => commit_service.lock(id, target).await,
@@ -324,7 +326,7 @@
 }
 
 /// What happened, as a notification and when; none where the model has no such.
-fn notice(shared: &Shared, told: &News, missed: u64) -> Option<(f64, kestreltide_model::Data)> {
+fn notification(shared: &Shared, told: &News, missed: u64) -> Option<(f64, kestreltide_model::Data)> {
     let node = |name: &str| -> Option<NodeId> { shared.schema.notifications.get(name).copied() };
     Some(match told {
         News::Committed(record) => {
