--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -55,7 +55,7 @@
 
 /// What these files say together; `place` is how each is called in what is shown.
 pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken<Version> {
-    let (mut draft, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
+    let (mut candidate, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
     let mut generations: Vec<(&str, String)> = vec![];
     for (kind, place, content) in files {
         let text = match text_of(place, content) {
@@ -69,7 +69,7 @@
                 continue;
             }
         };
-        match one(*kind, place, text, &mut draft, &mut wrong) {
+        match one(*kind, place, text, &mut candidate, &mut wrong) {
             Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
             Err(fault) => torn.push(fault),
         }
@@ -77,7 +77,7 @@
     if !torn.is_empty() {
         return Spoken::Torn(torn);
     }
-    let tree = draft.finish();
+    let tree = candidate.finish();
     if let Err(faults) = &tree {
         wrong.extend(faults.first.iter().cloned());
         wrong.more += faults.more;
@@ -215,11 +215,13 @@
     Some(hash)
 }
 
-/// Reads one file into the draft. An error means that it is not whole, whatever else is wrong with it.
-fn one(kind: Kind, place: &str, text: &str, draft: &mut Draft, wrong: &mut Faults) -> Result<Ends, Fault> {
+/// Reads one file into the candidate. An error means that it is not whole, whatever else is wrong with it.
+fn one(
+    kind: Kind, place: &str, text: &str, candidate: &mut Draft, wrong: &mut Faults,
+) -> Result<Ends, Fault> {
     framed(kind, place, text, wrong, |body, wrong| match kind {
-        Kind::Weights => weights(place, body, draft, wrong),
-        Kind::Hosts | Kind::Keys => hosts(place, body, draft, wrong),
+        Kind::Weights => weights(place, body, candidate, wrong),
+        Kind::Hosts | Kind::Keys => hosts(place, body, candidate, wrong),
     })
 }
 
@@ -281,19 +283,19 @@
     Some(key.value.clone())
 }
 
-fn hosts(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+fn hosts(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
             leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
-                draft.set(at, Path::Guards(leaf), &key.value);
+                candidate.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
-            let Some(host) = draft.host(&at, name.trim()) else { continue };
+            let Some(host) = candidate.host(&at, name.trim()) else { continue };
             leaves(place, section, wrong, Place::Host, |key, leaf, at| {
-                draft.set_host(at, &host, leaf, &key.value);
+                candidate.set_host(at, &host, leaf, &key.value);
             });
         } else {
             wrong.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
@@ -318,7 +320,7 @@
     }
 }
 
-fn weights(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+fn weights(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
@@ -334,7 +336,7 @@
             count += 1;
             let at = format!("{place}:{}", key.line);
             match key.name.parse::<HostName>() {
-                Ok(host) => draft.set_host(&at, &host, leaf, &key.value),
+                Ok(host) => candidate.set_host(&at, &host, leaf, &key.value),
                 Err(why) => {
                     let what = format!("the host's name {why}");
                     wrong.push(Fault::new(at, what, shown(&key.name), "letters, digits and . _ : -"));
