--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -69,7 +69,7 @@
                 continue;
             }
         };
-        match one(*kind, place, text, &mut candidate, &mut wrong) {
+        match read_file(*kind, place, text, &mut candidate, &mut wrong) {
             Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
             Err(fault) => torn.push(fault),
         }
@@ -116,8 +116,8 @@
         Err(why) => return Spoken::Wrong(why.1.into()),
     };
     let (mut found, mut wrong) = (vec![], Faults::default());
-    let read = framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
-        key_sections(place, body, &mut found, wrong)
+    let read = read_framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
+        read_keys(place, body, &mut found, wrong)
     });
     match read {
         Err(fault) => Spoken::Torn(fault.into()),
@@ -128,7 +128,7 @@
     }
 }
 
-fn key_sections(place: &str, body: &[Section], found: &mut Vec<Key>, wrong: &mut Faults) -> usize {
+fn read_keys(place: &str, body: &[Section], found: &mut Vec<Key>, wrong: &mut Faults) -> usize {
     for section in body {
         let at = format!("{place}:{}", section.line);
         let Some(name) = section.name.strip_prefix("key ").map(str::trim).filter(|name| !name.is_empty())
@@ -172,7 +172,7 @@
             }
         }
         if let Some(key) = said("certificate") {
-            match hash(&key.value) {
+            match parse_hash(&key.value) {
                 Some(hash) => proofs.push(Proof::Certificate(hash)),
                 None => {
                     let path = format!("{place}:{}: [key {name}] certificate", key.line);
@@ -203,7 +203,7 @@
     body.len()
 }
 
-fn hash(text: &str) -> Option<[u8; 32]> {
+fn parse_hash(text: &str) -> Option<[u8; 32]> {
     let digits: Vec<u8> = text.bytes().filter(|byte| *byte != b':').collect();
     let mut hash = [0; 32];
     if digits.len() != 64 {
@@ -216,17 +216,17 @@
 }
 
 /// Reads one file into the candidate. An error means that it is not whole, whatever else is wrong with it.
-fn one(
+fn read_file(
     kind: Kind, place: &str, text: &str, candidate: &mut Draft, wrong: &mut Faults,
 ) -> Result<Ends, Fault> {
-    framed(kind, place, text, wrong, |body, wrong| match kind {
-        Kind::Weights => weights(place, body, candidate, wrong),
-        Kind::Hosts | Kind::Keys => hosts(place, body, candidate, wrong),
+    read_framed(kind, place, text, wrong, |body, wrong| match kind {
+        Kind::Weights => read_weights(place, body, candidate, wrong),
+        Kind::Hosts | Kind::Keys => read_hosts(place, body, candidate, wrong),
     })
 }
 
 /// The head and the end that every file has; what stands between is read by its kind, and counted.
-fn framed(
+fn read_framed(
     kind: Kind, place: &str, text: &str, wrong: &mut Faults,
     between: impl FnOnce(&[Section], &mut Faults) -> usize,
 ) -> Result<Ends, Fault> {
@@ -250,7 +250,7 @@
             ));
         }
     };
-    let generation = generation(place, head, wrong);
+    let generation = parse_generation(place, head, wrong);
     let Some((end, body)) = rest.split_last().filter(|(end, _)| end.name == END) else {
         if let Some(end) = rest.iter().find(|section| section.name == END) {
             let at = format!("{place}:{}", end.line);
@@ -259,11 +259,11 @@
         return Err(Fault::new(place, "has no [end]", "nothing", "[end] with the count and the generation"));
     };
     let count = between(body, wrong);
-    ended(kind, place, end, count, generation.as_deref(), wrong)?;
+    check_end(kind, place, end, count, generation.as_deref(), wrong)?;
     Ok(Ends { generation })
 }
 
-fn generation(place: &str, head: &Section, wrong: &mut Faults) -> Option<String> {
+fn parse_generation(place: &str, head: &Section, wrong: &mut Faults) -> Option<String> {
     ini::known_keys(place, head, &["generation"], wrong);
     let Some(key) = head.keys.iter().find(|key| key.name == "generation") else {
         wrong.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
@@ -283,18 +283,18 @@
     Some(key.value.clone())
 }
 
-fn hosts(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
+fn read_hosts(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
-            leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
+            read_leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
                 candidate.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
             let Some(host) = candidate.host(&at, name.trim()) else { continue };
-            leaves(place, section, wrong, Place::Host, |key, leaf, at| {
+            read_leaves(place, section, wrong, Place::Host, |key, leaf, at| {
                 candidate.set_host(at, &host, leaf, &key.value);
             });
         } else {
@@ -304,7 +304,7 @@
     count
 }
 
-fn leaves(
+fn read_leaves(
     place: &str, section: &Section, wrong: &mut Faults, of: Place, mut set: impl FnMut(&ini::Key, Leaf, &str),
 ) {
     for key in &section.keys {
@@ -320,7 +320,7 @@
     }
 }
 
-fn weights(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
+fn read_weights(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
@@ -348,7 +348,7 @@
 }
 
 /// The end says again what the head said, and how much stands between.
-fn ended(
+fn check_end(
     kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>, wrong: &mut Faults,
 ) -> Result<(), Fault> {
     let counted = match kind {
