--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -55,34 +55,37 @@
 
 /// What these files say together; `place` is how each is called in what is shown.
 pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken<Version> {
-    let (mut candidate, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
+    let (mut candidate, mut incomplete, mut validation_errors) =
+        (Draft::default(), Faults::default(), Faults::default());
     let mut generations: Vec<(&str, String)> = vec![];
     for (kind, place, content) in files {
         let text = match text_of(place, content) {
             Ok(text) => text,
             Err(why) => {
                 if why.0 {
-                    torn.push(why.1)
+                    incomplete.push(why.1)
                 } else {
-                    wrong.push(why.1)
+                    validation_errors.push(why.1)
                 }
                 continue;
             }
         };
-        match read_file(*kind, place, text, &mut candidate, &mut wrong) {
+        match read_file(*kind, place, text, &mut candidate, &mut validation_errors) {
             Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
-            Err(fault) => torn.push(fault),
+            Err(fault) => incomplete.push(fault),
         }
     }
-    if !torn.is_empty() {
-        return Spoken::Torn(torn);
+    if !incomplete.is_empty() {
+        return Spoken::Torn(incomplete);
     }
     let tree = candidate.finish();
-    if let Err(faults) = &tree {
-        wrong.extend(faults.first.iter().cloned());
-        wrong.more += faults.more;
+    if let Err(found) = &tree {
+        validation_errors.extend(found.first.iter().cloned());
+        validation_errors.more += found.more;
     }
-    let Some((first, generation)) = generations.first().cloned() else { return Spoken::Wrong(wrong) };
+    let Some((first, generation)) = generations.first().cloned() else {
+        return Spoken::Wrong(validation_errors);
+    };
     if let Some((place, other)) = generations.iter().find(|(_, other)| *other != generation) {
         let what = format!("is of another generation than {first}, which names {}", shown(&generation));
         return Spoken::Apart(
@@ -91,8 +94,8 @@
         );
     }
     match tree {
-        Ok(tree) if wrong.is_empty() => Spoken::Whole(Version { generation, tree }),
-        _ => Spoken::Wrong(wrong),
+        Ok(tree) if validation_errors.is_empty() => Spoken::Whole(Version { generation, tree }),
+        _ => Spoken::Wrong(validation_errors),
     }
 }
 
@@ -115,38 +118,43 @@
         Err(why) if why.0 => return Spoken::Torn(why.1.into()),
         Err(why) => return Spoken::Wrong(why.1.into()),
     };
-    let (mut found, mut wrong) = (vec![], Faults::default());
-    let read = read_framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
-        read_keys(place, body, &mut found, wrong)
+    let (mut found, mut validation_errors) = (vec![], Faults::default());
+    let read = read_framed(Kind::Keys, place, text, &mut validation_errors, |body, validation_errors| {
+        read_keys(place, body, &mut found, validation_errors)
     });
     match read {
         Err(fault) => Spoken::Torn(fault.into()),
-        Ok(_) if !wrong.is_empty() => Spoken::Wrong(wrong),
+        Ok(_) if !validation_errors.is_empty() => Spoken::Wrong(validation_errors),
         Ok(Ends { generation }) => {
             Spoken::Whole(Keys { generation: generation.unwrap_or_default(), keys: found })
         }
     }
 }
 
-fn read_keys(place: &str, body: &[Section], found: &mut Vec<Key>, wrong: &mut Faults) -> usize {
+fn read_keys(place: &str, body: &[Section], found: &mut Vec<Key>, validation_errors: &mut Faults) -> usize {
     for section in body {
         let at = format!("{place}:{}", section.line);
         let Some(name) = section.name.strip_prefix("key ").map(str::trim).filter(|name| !name.is_empty())
         else {
-            wrong.push(unknown(&at, "section", &section.name, ["key NAME", END]));
+            validation_errors.push(unknown(&at, "section", &section.name, ["key NAME", END]));
             continue;
         };
-        ini::known_keys(place, section, &["ssh", "certificate", "rights"], wrong);
+        ini::known_keys(place, section, &["ssh", "certificate", "rights"], validation_errors);
         let said = |key: &str| section.keys.iter().find(|said| said.name == key);
         let rights = match said("rights").map(|key| (key, Rights::parse(&key.value))) {
             Some((_, Ok(rights))) => rights,
             Some((key, Err(why))) => {
                 let path = format!("{place}:{}: [key {name}] rights", key.line);
-                wrong.push(Fault::new(path, why, shown(&key.value), "read, weights, routes, ring"));
+                validation_errors.push(Fault::new(
+                    path,
+                    why,
+                    shown(&key.value),
+                    "read, weights, routes, ring",
+                ));
                 continue;
             }
             None => {
-                wrong.push(Fault::new(
+                validation_errors.push(Fault::new(
                     format!("{at}: [key {name}] rights"),
                     "is missing",
                     "nothing",
@@ -162,7 +170,7 @@
                 [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
                 _ => {
                     let path = format!("{place}:{}: [key {name}] ssh", key.line);
-                    wrong.push(Fault::new(
+                    validation_errors.push(Fault::new(
                         path,
                         "is no public key",
                         shown(&key.value),
@@ -176,12 +184,17 @@
                 Some(hash) => proofs.push(Proof::Certificate(hash)),
                 None => {
                     let path = format!("{place}:{}: [key {name}] certificate", key.line);
-                    wrong.push(Fault::new(path, "is no SHA-256", shown(&key.value), "64 hexadecimal digits"));
+                    validation_errors.push(Fault::new(
+                        path,
+                        "is no SHA-256",
+                        shown(&key.value),
+                        "64 hexadecimal digits",
+                    ));
                 }
             }
         }
-        if proofs.is_empty() && wrong.is_empty() {
-            wrong.push(Fault::new(
+        if proofs.is_empty() && validation_errors.is_empty() {
+            validation_errors.push(Fault::new(
                 format!("{at}: [key {name}]"),
                 "has neither of both",
                 "nothing",
@@ -190,7 +203,7 @@
         }
         for proof in proofs {
             if let Some(other) = found.iter().find(|key| key.proof == proof) {
-                wrong.push(Fault::new(
+                validation_errors.push(Fault::new(
                     &at,
                     format!("is the key of {} too", other.name),
                     name,
@@ -217,17 +230,17 @@
 
 /// Reads one file into the candidate. An error means that it is not whole, whatever else is wrong with it.
 fn read_file(
-    kind: Kind, place: &str, text: &str, candidate: &mut Draft, wrong: &mut Faults,
+    kind: Kind, place: &str, text: &str, candidate: &mut Draft, validation_errors: &mut Faults,
 ) -> Result<Ends, Fault> {
-    read_framed(kind, place, text, wrong, |body, wrong| match kind {
-        Kind::Weights => read_weights(place, body, candidate, wrong),
-        Kind::Hosts | Kind::Keys => read_hosts(place, body, candidate, wrong),
+    read_framed(kind, place, text, validation_errors, |body, validation_errors| match kind {
+        Kind::Weights => read_weights(place, body, candidate, validation_errors),
+        Kind::Hosts | Kind::Keys => read_hosts(place, body, candidate, validation_errors),
     })
 }
 
 /// The head and the end that every file has; what stands between is read by its kind, and counted.
 fn read_framed(
-    kind: Kind, place: &str, text: &str, wrong: &mut Faults,
+    kind: Kind, place: &str, text: &str, validation_errors: &mut Faults,
     between: impl FnOnce(&[Section], &mut Faults) -> usize,
 ) -> Result<Ends, Fault> {
     if text.trim().is_empty() {
@@ -250,7 +263,7 @@
             ));
         }
     };
-    let generation = parse_generation(place, head, wrong);
+    let generation = parse_generation(place, head, validation_errors);
     let Some((end, body)) = rest.split_last().filter(|(end, _)| end.name == END) else {
         if let Some(end) = rest.iter().find(|section| section.name == END) {
             let at = format!("{place}:{}", end.line);
@@ -258,22 +271,22 @@
         }
         return Err(Fault::new(place, "has no [end]", "nothing", "[end] with the count and the generation"));
     };
-    let count = between(body, wrong);
-    check_end(kind, place, end, count, generation.as_deref(), wrong)?;
+    let count = between(body, validation_errors);
+    check_end(kind, place, end, count, generation.as_deref(), validation_errors)?;
     Ok(Ends { generation })
 }
 
-fn parse_generation(place: &str, head: &Section, wrong: &mut Faults) -> Option<String> {
-    ini::known_keys(place, head, &["generation"], wrong);
+fn parse_generation(place: &str, head: &Section, validation_errors: &mut Faults) -> Option<String> {
+    ini::known_keys(place, head, &["generation"], validation_errors);
     let Some(key) = head.keys.iter().find(|key| key.name == "generation") else {
-        wrong.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
+        validation_errors.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
         return None;
     };
     let plain =
         !key.value.is_empty() && key.value.len() <= GENERATION_MOST && !key.value.contains(char::is_control);
     if !plain {
         let taken = format!("1 to {GENERATION_MOST} characters");
-        wrong.push(Fault::new(
+        validation_errors.push(Fault::new(
             format!("{place}:{}: generation", key.line),
             "is no name",
             shown(&key.value),
@@ -283,29 +296,30 @@
     Some(key.value.clone())
 }
 
-fn read_hosts(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
+fn read_hosts(place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
-            read_leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
+            read_leaves(place, section, validation_errors, Place::Guards, |key, leaf, at| {
                 candidate.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
             let Some(host) = candidate.host(&at, name.trim()) else { continue };
-            read_leaves(place, section, wrong, Place::Host, |key, leaf, at| {
+            read_leaves(place, section, validation_errors, Place::Host, |key, leaf, at| {
                 candidate.set_host(at, &host, leaf, &key.value);
             });
         } else {
-            wrong.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
+            validation_errors.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
         }
     }
     count
 }
 
 fn read_leaves(
-    place: &str, section: &Section, wrong: &mut Faults, of: Place, mut set: impl FnMut(&ini::Key, Leaf, &str),
+    place: &str, section: &Section, validation_errors: &mut Faults, of: Place,
+    mut set: impl FnMut(&ini::Key, Leaf, &str),
 ) {
     for key in &section.keys {
         let at = format!("{place}:{}", key.line);
@@ -314,13 +328,15 @@
             None => {
                 let known: Vec<_> = Leaf::all_of(of).map(Leaf::name).collect();
                 let path = format!("{at}: [{}] {}", section.name, shown(&key.name));
-                wrong.push(unknown(&path, "key", &key.name, known));
+                validation_errors.push(unknown(&path, "key", &key.name, known));
             }
         }
     }
 }
 
-fn read_weights(place: &str, body: &[Section], candidate: &mut Draft, wrong: &mut Faults) -> usize {
+fn read_weights(
+    place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults,
+) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
@@ -328,7 +344,7 @@
             "weights" => Leaf::Weight,
             "states" => Leaf::State,
             other => {
-                wrong.push(unknown(&at, "section", other, ["weights", "states", END]));
+                validation_errors.push(unknown(&at, "section", other, ["weights", "states", END]));
                 continue;
             }
         };
@@ -339,7 +355,12 @@
                 Ok(host) => candidate.set_host(&at, &host, leaf, &key.value),
                 Err(why) => {
                     let what = format!("the host's name {why}");
-                    wrong.push(Fault::new(at, what, shown(&key.name), "letters, digits and . _ : -"));
+                    validation_errors.push(Fault::new(
+                        at,
+                        what,
+                        shown(&key.name),
+                        "letters, digits and . _ : -",
+                    ));
                 }
             }
         }
@@ -349,14 +370,15 @@
 
 /// The end says again what the head said, and how much stands between.
 fn check_end(
-    kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>, wrong: &mut Faults,
+    kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>,
+    validation_errors: &mut Faults,
 ) -> Result<(), Fault> {
     let counted = match kind {
         Kind::Hosts => "hosts",
         Kind::Weights => "entries",
         Kind::Keys => "keys",
     };
-    ini::known_keys(place, end, &[counted, "generation"], wrong);
+    ini::known_keys(place, end, &[counted, "generation"], validation_errors);
     let key = |name: &str, taken: &dyn std::fmt::Display| {
         let path = format!("{place}:{}: [end] {name}", end.line);
         let found = end.keys.iter().find(|key| key.name == name);
--- a/watch/src/ini.rs
+++ b/watch/src/ini.rs
@@ -111,13 +111,13 @@
 }
 
 /// Pushes a fault for each key that stands twice, or is not among these.
-pub fn known_keys(place: &str, section: &Section, known: &[&str], faults: &mut Faults) {
+pub fn known_keys(place: &str, section: &Section, known: &[&str], validation_errors: &mut Faults) {
     for (number, key) in section.keys.iter().enumerate() {
         let path = format!("{place}:{}: [{}] {}", key.line, section.name, shown(&key.name));
         if !known.contains(&key.name.as_str()) {
-            faults.push(unknown(&path, "key", &key.name, known.iter().copied()));
+            validation_errors.push(unknown(&path, "key", &key.name, known.iter().copied()));
         } else if section.keys[..number].iter().any(|before| before.name == key.name) {
-            faults.push(Fault::new(path, "stands twice", shown(&key.value), "each key once"));
+            validation_errors.push(Fault::new(path, "stands twice", shown(&key.value), "each key once"));
         }
     }
 }
