--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -70,7 +70,7 @@
                 continue;
             }
         };
-        match read_file(*kind, place, text, &mut candidate, &mut validation_errors) {
+        match parse_file(*kind, place, text, &mut candidate, &mut validation_errors) {
             Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
             Err(fault) => incomplete.push(fault),
         }
@@ -119,8 +119,8 @@
         Err(why) => return Spoken::Wrong(why.1.into()),
     };
     let (mut found, mut validation_errors) = (vec![], Faults::default());
-    let read = read_framed(Kind::Keys, place, text, &mut validation_errors, |body, validation_errors| {
-        read_keys(place, body, &mut found, validation_errors)
+    let read = parse_framed(Kind::Keys, place, text, &mut validation_errors, |body, validation_errors| {
+        parse_keys(place, body, &mut found, validation_errors)
     });
     match read {
         Err(fault) => Spoken::Torn(fault.into()),
@@ -131,7 +131,7 @@
     }
 }
 
-fn read_keys(place: &str, body: &[Section], found: &mut Vec<Key>, validation_errors: &mut Faults) -> usize {
+fn parse_keys(place: &str, body: &[Section], found: &mut Vec<Key>, validation_errors: &mut Faults) -> usize {
     for section in body {
         let at = format!("{place}:{}", section.line);
         let Some(name) = section.name.strip_prefix("key ").map(str::trim).filter(|name| !name.is_empty())
@@ -229,17 +229,17 @@
 }
 
 /// Reads one file into the candidate. An error means that it is not whole, whatever else is wrong with it.
-fn read_file(
+fn parse_file(
     kind: Kind, place: &str, text: &str, candidate: &mut Draft, validation_errors: &mut Faults,
 ) -> Result<Ends, Fault> {
-    read_framed(kind, place, text, validation_errors, |body, validation_errors| match kind {
-        Kind::Weights => read_weights(place, body, candidate, validation_errors),
-        Kind::Hosts | Kind::Keys => read_hosts(place, body, candidate, validation_errors),
+    parse_framed(kind, place, text, validation_errors, |body, validation_errors| match kind {
+        Kind::Weights => parse_weights(place, body, candidate, validation_errors),
+        Kind::Hosts | Kind::Keys => parse_hosts(place, body, candidate, validation_errors),
     })
 }
 
 /// The head and the end that every file has; what stands between is read by its kind, and counted.
-fn read_framed(
+fn parse_framed(
     kind: Kind, place: &str, text: &str, validation_errors: &mut Faults,
     between: impl FnOnce(&[Section], &mut Faults) -> usize,
 ) -> Result<Ends, Fault> {
@@ -296,18 +296,20 @@
     Some(key.value.clone())
 }
 
-fn read_hosts(place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults) -> usize {
+fn parse_hosts(
+    place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults,
+) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
-            read_leaves(place, section, validation_errors, Place::Guards, |key, leaf, at| {
+            parse_leaves(place, section, validation_errors, Place::Guards, |key, leaf, at| {
                 candidate.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
             let Some(host) = candidate.host(&at, name.trim()) else { continue };
-            read_leaves(place, section, validation_errors, Place::Host, |key, leaf, at| {
+            parse_leaves(place, section, validation_errors, Place::Host, |key, leaf, at| {
                 candidate.set_host(at, &host, leaf, &key.value);
             });
         } else {
@@ -317,7 +319,7 @@
     count
 }
 
-fn read_leaves(
+fn parse_leaves(
     place: &str, section: &Section, validation_errors: &mut Faults, of: Place,
     mut set: impl FnMut(&ini::Key, Leaf, &str),
 ) {
@@ -334,7 +336,7 @@
     }
 }
 
-fn read_weights(
+fn parse_weights(
     place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults,
 ) -> usize {
     let mut count = 0;
