--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -2,6 +2,7 @@
 //! and each session is served by a task of its own. What one party sends costs only that party its session.
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,8 +15,8 @@
 use russh::server::{Auth, ChannelOpenHandle, Handler, Msg, Session as Ssh, VerifiedPublicKey};
 use russh::{Channel, ChannelId, ChannelOpenFailure, MethodKind, MethodSet};
 use slog::{Logger, info, warn};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::{Notify, Semaphore, broadcast};
 use tokio::time::{interval, sleep, timeout};
@@ -66,10 +67,8 @@
     Some(Proof::Ssh(format!("{} {}", words.next()?, words.next()?)))
 }
 
-/// Serves until the listener fails for good.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener, host_key: PrivateKey) {
-    let limits = &shared.limits;
-    let config = Arc::new(russh::server::Config {
+fn ssh_config(host_key: PrivateKey, limits: &Limits) -> russh::server::Config {
+    russh::server::Config {
         methods: MethodSet::from(&[MethodKind::PublicKey][..]),
         auth_rejection_time: Duration::from_millis(300),
         auth_rejection_time_initial: Some(Duration::ZERO),
@@ -80,8 +79,13 @@
         inactivity_timeout: None,
         nodelay: true,
         ..Default::default()
-    });
-    let room = Arc::new(Semaphore::new(limits.connections));
+    }
+}
+
+/// Serves until the listener fails for good.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener, host_key: PrivateKey) {
+    let config = Arc::new(ssh_config(host_key, &shared.limits));
+    let room = Arc::new(Semaphore::new(shared.limits.connections));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -98,34 +102,30 @@
         };
         let (shared, config) = (shared.clone(), config.clone());
         tokio::spawn(async move {
-            let entered = Arc::new(AtomicBool::new(false));
-            let handler = Connection {
-                shared: shared.clone(),
-                entered: entered.clone(),
-                key: None,
-                channels: BTreeMap::new(),
-            };
-            let patience = Duration::from_secs_f64(shared.limits.enter);
-            // The exchange of versions and keys, then proving who one is: one time for all of it.
-            let served = async {
-                let running = timeout(patience, russh::server::run_stream(config, stream, handler)).await;
-                let Ok(Ok(running)) = running else { return };
-                tokio::pin!(running);
-                tokio::select! {
-                    _ = &mut running => return,
-                    _ = sleep(patience) => {}
-                }
-                if entered.load(Relaxed) {
-                    let _ = running.await;
-                }
-            };
-            served.await;
+            serve_connection(shared.clone(), config, stream).await;
             drop(place);
             slog::debug!(shared.log, "a NETCONF connection ended"; "from" => %from);
         });
     }
 }
 
+/// One connection to its end. The exchange of versions and keys, then proving who one is: one time for all of it.
+async fn serve_connection(shared: Arc<Shared>, config: Arc<russh::server::Config>, stream: TcpStream) {
+    let entered = Arc::new(AtomicBool::new(false));
+    let patience = Duration::from_secs_f64(shared.limits.enter);
+    let handler = Connection { shared, entered: entered.clone(), key: None, channels: BTreeMap::new() };
+    let running = timeout(patience, russh::server::run_stream(config, stream, handler)).await;
+    let Ok(Ok(running)) = running else { return };
+    tokio::pin!(running);
+    tokio::select! {
+        _ = &mut running => return,
+        _ = sleep(patience) => {}
+    }
+    if entered.load(Relaxed) {
+        let _ = running.await;
+    }
+}
+
 struct Connection {
     shared: Arc<Shared>,
     entered: Arc<AtomicBool>,
@@ -208,103 +208,140 @@
     (shared.commit_service.ask)(crate::Ask::Ended { session: id });
 }
 
+/// Exchanges messages over a channel until something ends the session; says what.
 async fn exchange_messages(
     shared: &Shared, id: SessionId, key: &Key, channel: Channel<Msg>, killed: &Notify,
 ) -> &'static str {
-    let mut session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
-    let (mut reading, mut writing) = tokio::io::split(channel.into_stream());
-    let mut frames = Frames::new(shared.limits.message);
-    if writing.write_all(&write(Framing::EndMark, &session.hello())).await.is_err()
-        || writing.flush().await.is_err()
-    {
-        return "it went away";
+    let (reading, writing) = tokio::io::split(channel.into_stream());
+    let session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
+    let frames = Frames::new(shared.limits.message);
+    let mut exchange = Exchange { shared, id, key, session, frames, writing, news: None, missed: 0 };
+    match exchange.run(reading, killed).await {
+        Err(why) => why,
     }
-    let mut news: Option<broadcast::Receiver<News>> = None;
-    let mut missed = 0;
-    let mut buffer = vec![0; 16 * 1024];
-    let mut key_check = interval(Duration::from_secs(1));
-    let begun = tokio::time::Instant::now();
-    loop {
-        let told = async {
-            match &mut news {
-                Some(news) => news.recv().await,
-                None => std::future::pending().await,
+}
+
+/// One session and its channel.
+struct Exchange<'a, W> {
+    shared: &'a Shared,
+    id: SessionId,
+    key: &'a Key,
+    session: Session,
+    frames: Frames,
+    writing: W,
+    /// Commits and refusals, once the client has subscribed to them.
+    news: Option<broadcast::Receiver<News>>,
+    /// Notifications that were lost since the last that was sent.
+    missed: u64,
+}
+
+/// That a session is over, and why.
+type Over = &'static str;
+
+const WENT_AWAY: Over = "it went away";
+const KEY_GONE: Over = "its key is no longer in the file of keys";
+
+impl<W: AsyncWrite + Unpin> Exchange<'_, W> {
+    async fn run(
+        &mut self, mut reading: impl AsyncRead + Unpin, killed: &Notify,
+    ) -> Result<Infallible, Over> {
+        self.send(&write(Framing::EndMark, &self.session.hello())).await?;
+        let mut buffer = vec![0; 16 * 1024];
+        let mut key_check = interval(Duration::from_secs(1));
+        let begun = tokio::time::Instant::now();
+        loop {
+            tokio::select! {
+                _ = killed.notified() => return Err("it was killed"),
+                _ = key_check.tick() => self.check_key_and_hello(begun.elapsed())?,
+                told = next_news(&mut self.news) => self.send_news(told).await?,
+                read = reading.read(&mut buffer) => match read {
+                    Ok(0) | Err(_) => return Err(WENT_AWAY),
+                    Ok(count) => self.take_bytes(&buffer[..count]).await?,
+                },
+            }
+        }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> Result<(), Over> {
+        self.writing.write_all(bytes).await.map_err(|_| WENT_AWAY)?;
+        self.writing.flush().await.map_err(|_| WENT_AWAY)
+    }
+
+    /// Keys may go at any time; a hello has to come in its time.
+    fn check_key_and_hello(&self, since_begin: Duration) -> Result<(), Over> {
+        if self.shared.rights(self.key).is_none() {
+            return Err(KEY_GONE);
+        }
+        let waits_for_hello =
+            !self.session.chunked() && self.frames.framing() == Framing::EndMark && !self.session.greeted();
+        if waits_for_hello && since_begin.as_secs_f64() > self.shared.limits.enter {
+            return Err("it did not say hello");
+        }
+        Ok(())
+    }
+
+    /// Sends a notification of what happened; what was lost before it is counted and told with the next.
+    async fn send_news(&mut self, told: Result<News, RecvError>) -> Result<(), Over> {
+        let data = match told {
+            Ok(told) => notification(self.shared, &told, std::mem::take(&mut self.missed)),
+            Err(RecvError::Lagged(count)) => {
+                self.missed += count;
+                return Ok(());
             }
+            Err(RecvError::Closed) => return Err("the router stops"),
         };
-        tokio::select! {
-            _ = killed.notified() => return "it was killed",
-            _ = key_check.tick() => {
-                if shared.rights(key).is_none() {
-                    return "its key is no longer in the file of keys";
-                }
-                if !session.chunked() && frames.framing() == Framing::EndMark && !session.greeted()
-                    && begun.elapsed().as_secs_f64() > shared.limits.enter
-                {
-                    return "it did not say hello";
-                }
+        let Some((at, data)) = data else { return Ok(()) };
+        let text = write(self.frames.framing(), &self.session.notification(at, &data));
+        self.send(&text).await
+    }
+
+    /// Answers all messages that are whole with these bytes.
+    async fn take_bytes(&mut self, bytes: &[u8]) -> Result<(), Over> {
+        self.frames.push(bytes);
+        while let Some(message) = self.frames.message().map_err(|_| "its messages cannot be read")? {
+            self.answer(&message).await?;
+        }
+        Ok(())
+    }
+
+    async fn answer(&mut self, message: &[u8]) -> Result<(), Over> {
+        let rights = self.shared.rights(self.key).ok_or(KEY_GONE)?;
+        let step = self.session.message(message, rights, &self.shared.commit_service);
+        let (reply, over) = match step {
+            Step::Reply(reply) => (reply, None),
+            Step::Close(reply) => (reply, Some("it closed")),
+            Step::Over(why) => return Err(why),
+            Step::Subscribe(reply) => {
+                self.news = Some(self.shared.commit_service.news.subscribe());
+                (reply, None)
             }
-            told = told => {
-                let data = match told {
-                    Ok(told) => notification(shared, &told, std::mem::take(&mut missed)),
-                    Err(RecvError::Lagged(count)) => {
-                        missed += count;
-                        continue;
-                    }
-                    Err(RecvError::Closed) => return "the router stops",
-                };
-                if let Some((at, data)) = data {
-                    let text = write(frames.framing(), &session.notification(at, &data));
-                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
-                        return "it went away";
-                    }
-                }
+            Step::Kill(other, reply) => {
+                let found = self.shared.with_sessions(|sessions| sessions.get(&other).cloned());
+                found.inspect(|killed| killed.notify_one());
+                (reply, None)
             }
-            read = reading.read(&mut buffer) => {
-                match read {
-                    Ok(0) | Err(_) => return "it went away",
-                    Ok(count) => frames.push(&buffer[..count]),
-                }
-                loop {
-                    let message = match frames.message() {
-                        Ok(Some(message)) => message,
-                        Ok(None) => break,
-                        Err(_) => return "its messages cannot be read",
-                    };
-                    let Some(rights) = shared.rights(key) else { return "its key is no longer in the file of keys" };
-                    let step = session.message(&message, rights, &shared.commit_service);
-                    let (reply, over) = match step {
-                        Step::Reply(reply) => (reply, None),
-                        Step::Close(reply) => (reply, Some("it closed")),
-                        Step::Over(why) => return why,
-                        Step::Subscribe(reply) => {
-                            news = Some(shared.commit_service.news.subscribe());
-                            (reply, None)
-                        }
-                        Step::Kill(other, reply) => {
-                            let found = shared.with_sessions(|sessions| sessions.get(&other).cloned());
-                            found.inspect(|killed| killed.notify_one());
-                            (reply, None)
-                        }
-                        Step::Ask(asked) => {
-                            let answer = ask_commit_service(shared, id, &session, &asked).await;
-                            (session.answered(&asked, answer), None)
-                        }
-                    };
-                    let text = if reply.is_empty() { vec![] } else { write(frames.framing(), &reply) };
-                    // From the message after the hello both sides speak in chunks, if both can.
-                    if session.chunked() {
-                        frames.use_chunks();
-                    }
-                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
-                        return "it went away";
-                    }
-                    if let Some(why) = over {
-                        let _ = writing.shutdown().await;
-                        return why;
-                    }
-                }
+            Step::Ask(asked) => {
+                let answer = ask_commit_service(self.shared, self.id, &self.session, &asked).await;
+                (self.session.answered(&asked, answer), None)
             }
+        };
+        let text = if reply.is_empty() { vec![] } else { write(self.frames.framing(), &reply) };
+        // From the message after the hello both sides speak in chunks, if both can.
+        if self.session.chunked() {
+            self.frames.use_chunks();
         }
+        self.send(&text).await?;
+        let Some(why) = over else { return Ok(()) };
+        let _ = self.writing.shutdown().await;
+        Err(why)
+    }
+}
+
+/// The next of what happened; never comes where nobody has subscribed.
+async fn next_news(news: &mut Option<broadcast::Receiver<News>>) -> Result<News, RecvError> {
+    match news {
+        Some(news) => news.recv().await,
+        None => std::future::pending().await,
     }
 }
 
