--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -140,59 +140,8 @@
             continue;
         };
         ini::known_keys(place, section, &["ssh", "certificate", "rights"], validation_errors);
-        let said = |key: &str| section.keys.iter().find(|said| said.name == key);
-        let rights = match said("rights").map(|key| (key, Rights::parse(&key.value))) {
-            Some((_, Ok(rights))) => rights,
-            Some((key, Err(why))) => {
-                let path = format!("{place}:{}: [key {name}] rights", key.line);
-                validation_errors.push(Fault::new(
-                    path,
-                    why,
-                    shown(&key.value),
-                    "read, weights, routes, ring",
-                ));
-                continue;
-            }
-            None => {
-                validation_errors.push(Fault::new(
-                    format!("{at}: [key {name}] rights"),
-                    "is missing",
-                    "nothing",
-                    "read, weights, routes, ring",
-                ));
-                continue;
-            }
-        };
-        let mut proofs = vec![];
-        if let Some(key) = said("ssh") {
-            let words: Vec<_> = key.value.split_whitespace().collect();
-            match words.as_slice() {
-                [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
-                _ => {
-                    let path = format!("{place}:{}: [key {name}] ssh", key.line);
-                    validation_errors.push(Fault::new(
-                        path,
-                        "is no public key",
-                        shown(&key.value),
-                        "a line as in id_ed25519.pub",
-                    ));
-                }
-            }
-        }
-        if let Some(key) = said("certificate") {
-            match parse_hash(&key.value) {
-                Some(hash) => proofs.push(Proof::Certificate(hash)),
-                None => {
-                    let path = format!("{place}:{}: [key {name}] certificate", key.line);
-                    validation_errors.push(Fault::new(
-                        path,
-                        "is no SHA-256",
-                        shown(&key.value),
-                        "64 hexadecimal digits",
-                    ));
-                }
-            }
-        }
+        let Some(rights) = parse_rights(place, section, name, validation_errors) else { continue };
+        let proofs = parse_proofs(place, section, name, validation_errors);
         if proofs.is_empty() && validation_errors.is_empty() {
             validation_errors.push(Fault::new(
                 format!("{at}: [key {name}]"),
@@ -203,12 +152,8 @@
         }
         for proof in proofs {
             if let Some(other) = found.iter().find(|key| key.proof == proof) {
-                validation_errors.push(Fault::new(
-                    &at,
-                    format!("is the key of {} too", other.name),
-                    name,
-                    "a key of its own",
-                ));
+                let what = format!("is the key of {} too", other.name);
+                validation_errors.push(Fault::new(&at, what, name, "a key of its own"));
             }
             found.push(Key { name: name.into(), proof, rights });
         }
@@ -216,6 +161,56 @@
     body.len()
 }
 
+fn key_named<'a>(section: &'a Section, name: &str) -> Option<&'a ini::Key> {
+    section.keys.iter().find(|key| key.name == name)
+}
+
+fn parse_rights(
+    place: &str, section: &Section, name: &str, validation_errors: &mut Faults,
+) -> Option<Rights> {
+    let taken = "read, weights, routes, ring";
+    let Some(key) = key_named(section, "rights") else {
+        let path = format!("{place}:{}: [key {name}] rights", section.line);
+        validation_errors.push(Fault::new(path, "is missing", "nothing", taken));
+        return None;
+    };
+    match Rights::parse(&key.value) {
+        Ok(rights) => Some(rights),
+        Err(why) => {
+            let path = format!("{place}:{}: [key {name}] rights", key.line);
+            validation_errors.push(Fault::new(path, why, shown(&key.value), taken));
+            None
+        }
+    }
+}
+
+/// By what the holder of a key proves who it is: a public key of SSH, the hash of a certificate, or both.
+fn parse_proofs(place: &str, section: &Section, name: &str, validation_errors: &mut Faults) -> Vec<Proof> {
+    let mut proofs = vec![];
+    if let Some(key) = key_named(section, "ssh") {
+        let words: Vec<_> = key.value.split_whitespace().collect();
+        match words.as_slice() {
+            [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
+            _ => {
+                let path = format!("{place}:{}: [key {name}] ssh", key.line);
+                let taken = "a line as in id_ed25519.pub";
+                validation_errors.push(Fault::new(path, "is no public key", shown(&key.value), taken));
+            }
+        }
+    }
+    if let Some(key) = key_named(section, "certificate") {
+        match parse_hash(&key.value) {
+            Some(hash) => proofs.push(Proof::Certificate(hash)),
+            None => {
+                let path = format!("{place}:{}: [key {name}] certificate", key.line);
+                let taken = "64 hexadecimal digits";
+                validation_errors.push(Fault::new(path, "is no SHA-256", shown(&key.value), taken));
+            }
+        }
+    }
+    proofs
+}
+
 fn parse_hash(text: &str) -> Option<[u8; 32]> {
     let digits: Vec<u8> = text.bytes().filter(|byte| *byte != b':').collect();
     let mut hash = [0; 32];
--- a/watch/src/watch.rs
+++ b/watch/src/watch.rs
@@ -78,21 +78,11 @@
             let contents = contents(watched);
             let number = digest(&contents);
             compared = now();
-            let told = match settle.read(compared, number) {
-                Step::Nothing => None,
-                Step::Try => match says(&contents) {
-                    Spoken::Whole(version) => {
-                        settle.dealt_with(compared, number);
-                        Some(Told::Version(version))
-                    }
-                    _ => None,
-                },
-                Step::Offer => Some(match says(&contents) {
-                    Spoken::Whole(version) => Told::Version(version),
-                    Spoken::Apart(faults) => Told::Held(faults),
-                    Spoken::Torn(faults) | Spoken::Wrong(faults) => Told::Refused(faults),
-                }),
-            };
+            let step = settle.read(compared, number);
+            let told = what_to_tell(step, || says(&contents));
+            if step == Step::Try && told.is_some() {
+                settle.dealt_with(compared, number);
+            }
             if told.is_some_and(|told| !tell(told)) {
                 return;
             }
@@ -109,6 +99,22 @@
     }
 }
 
+/// What a step leads to: a try tells only what is whole, an offer whatever there is.
+fn what_to_tell<V>(step: Step, says: impl FnOnce() -> Spoken<V>) -> Option<Told<V>> {
+    match step {
+        Step::Nothing => None,
+        Step::Try => match says() {
+            Spoken::Whole(version) => Some(Told::Version(version)),
+            _ => None,
+        },
+        Step::Offer => Some(match says() {
+            Spoken::Whole(version) => Told::Version(version),
+            Spoken::Apart(faults) => Told::Held(faults),
+            Spoken::Torn(faults) | Spoken::Wrong(faults) => Told::Refused(faults),
+        }),
+    }
+}
+
 /// A channel by which notices and others wake the thread: one that waits says all.
 pub fn wakes() -> (SyncSender<()>, Receiver<()>) {
     sync_channel(1)
