--- a/management/src/gnmi/confirmed_commit.rs
+++ b/management/src/gnmi/confirmed_commit.rs
@@ -7,40 +7,51 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::{of_refused, wrong};
+use super::errors::{invalid_argument, refusal_status};
 use crate::proto::gnmi_ext::Commit as CommitExt;
 use crate::proto::gnmi_ext::commit::Action;
 
 impl Service {
-    /// The session at the desk of who has this key: commits that wait are its.
-    pub(super) async fn session(&self, key: &Key) -> Option<SessionId> {
+    /// The session at the commit service of who has this key: commits that wait are its.
+    pub(super) async fn confirming_session(&self, key: &Key) -> Option<SessionId> {
         if let Some(session) = self.sessions.lock().unwrap_or_else(PoisonError::into_inner).get(&key.name) {
             return Some(*session);
         }
-        let session = self.desk.open().await?;
+        let session = self.commit_service.open().await?;
         let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
         Some(*sessions.entry(key.name.clone()).or_insert(session))
     }
 
     /// A commit-confirmed request that edits nothing: confirm or cancel what waits.
-    pub(super) async fn settle(&self, key: &Key, said: &CommitExt) -> Result<bool, Status> {
+    pub(super) async fn confirm_or_cancel(&self, key: &Key, said: &CommitExt) -> Result<bool, Status> {
         let persist = Some(said.id.clone());
         match &said.action {
             Some(Action::Confirm(_)) => {
-                let session = self.session(key).await;
-                self.desk.confirm(session, persist).await.map_err(|refused| of_refused(&refused))?;
+                let session = self.confirming_session(key).await;
+                self.commit_service
+                    .confirm(session, persist)
+                    .await
+                    .map_err(|refused| refusal_status(&refused))?;
                 Ok(true)
             }
             Some(Action::Cancel(_)) => {
-                let session = self.session(key).await;
-                self.desk.cancel(session, persist).await.map_err(|refused| of_refused(&refused))?;
+                let session = self.confirming_session(key).await;
+                self.commit_service
+                    .cancel(session, persist)
+                    .await
+                    .map_err(|refused| refusal_status(&refused))?;
                 Ok(true)
             }
             Some(Action::SetRollbackDuration(_)) => {
                 Err(Status::unimplemented("commit/set_rollback_duration: is not served here"))
             }
             Some(Action::Commit(_)) => Ok(false),
-            None => Err(wrong("commit", "says neither what to do", "nothing", "commit, confirm or cancel")),
+            None => Err(invalid_argument(
+                "commit",
+                "says neither what to do",
+                "nothing",
+                "commit, confirm or cancel",
+            )),
         }
     }
 }
--- a/management/src/gnmi/edits.rs
+++ b/management/src/gnmi/edits.rs
@@ -9,8 +9,8 @@
 use tonic::Status;
 
 use super::Service;
-use super::errors::{of_edits, wrong};
-use super::paths::{pattern, text};
+use super::errors::{edit_errors_status, invalid_argument};
+use super::paths::{path_text, pattern};
 use crate::proto::gnmi::typed_value::Value;
 use crate::proto::gnmi::{Path, TypedValue};
 
@@ -30,7 +30,7 @@
     pub(super) fn edit(
         &self, prefix: Option<&Path>, path: &Path, value: Option<&TypedValue>, op: Op,
     ) -> Result<Vec<Edit>, Status> {
-        let shown = text(path);
+        let shown = path_text(path);
         let pattern = pattern(prefix, path)?;
         let target = self.edit_target(&pattern, &shown)?;
         let mut edits = vec![];
@@ -42,7 +42,7 @@
         }
         let value = value
             .and_then(|value| value.value.as_ref())
-            .ok_or_else(|| wrong(&shown, "has no value", "nothing", "a value"))?;
+            .ok_or_else(|| invalid_argument(&shown, "has no value", "nothing", "a value"))?;
         edits.extend(self.edits_of_value(&target, &shown, value)?);
         Ok(edits)
     }
@@ -84,7 +84,7 @@
 
     /// Edits that remove what stands at the target, all entries of a list as well.
     fn removals(&self, target: &EditTarget, shown: &str) -> Result<Vec<Edit>, Status> {
-        let there = self.there(target.node, &target.step, target.list);
+        let there = self.entries_to_remove(target.node, &target.step, target.list);
         let removal = |(node, step)| Edit { node, op: Some(Op::Remove), value: None, step, children: vec![] };
         there.into_iter().map(|found| self.place(&target.parent, removal(found), shown)).collect()
     }
@@ -106,7 +106,7 @@
             }
         };
         if !faults.is_empty() {
-            return Err(of_edits(&faults));
+            return Err(edit_errors_status(&faults));
         }
         if node.is_none() {
             return Ok(read);
@@ -121,8 +121,10 @@
     }
 
     /// What a removal at this place has to take away.
-    fn there(&self, node: Option<NodeId>, step: &Step, list: Option<NodeId>) -> Vec<(NodeId, Step)> {
-        let tree = &self.desk.published.load().in_force.tree;
+    fn entries_to_remove(
+        &self, node: Option<NodeId>, step: &Step, list: Option<NodeId>,
+    ) -> Vec<(NodeId, Step)> {
+        let tree = &self.commit_service.published.load().in_force.tree;
         match (node, list) {
             (Some(_), Some(list)) if matches!(self.schema.node_of(list).kind, NodeKind::List { .. }) => {
                 let names: Vec<String> = match self.schema.node_of(list).name.as_str() {
@@ -144,7 +146,7 @@
 }
 
 fn no_instance(shown: &str, why: &str) -> Status {
-    wrong(shown, why, shown, "one instance, with its keys")
+    invalid_argument(shown, why, shown, "one instance, with its keys")
 }
 
 /// The keys that a path has already said need not stand in the value again.
--- a/management/src/gnmi/get.rs
+++ b/management/src/gnmi/get.rs
@@ -8,7 +8,7 @@
 use tonic::{Request, Response, Status};
 
 use super::encoding::{collect, encoding};
-use super::paths::{leads_nowhere, path_of, pattern, text};
+use super::paths::{leads_nowhere, path_of, path_text, pattern, select};
 use super::{Service, nanos};
 use crate::proto::gnmi::{Encoding, GetRequest, GetResponse, Notification, Path, Update, get_request};
 use crate::state;
@@ -20,8 +20,13 @@
         self.may_read(&request)?;
         let asked = request.into_inner();
         let encoding = encoding(asked.encoding)?;
-        let data = state::all(self.schema, &self.bind, &self.desk.view.load(), &self.desk.published.load());
-        let data = self.of_type(data, asked.r#type);
+        let data = state::all(
+            self.schema,
+            &self.bind,
+            &self.commit_service.view.load(),
+            &self.commit_service.published.load(),
+        );
+        let data = self.filter_by_type(data, asked.r#type);
         let timestamp = nanos();
         let mut notification = Vec::new();
         let everything = [Path::default()];
@@ -34,7 +39,7 @@
             if update.is_empty() && wanted.instance(self.schema).is_ok() && !wanted.0.is_empty() {
                 return Err(Status::not_found(format!(
                     "{}: is not there (given: {0}; taken: what is there)",
-                    text(path)
+                    path_text(path)
                 )));
             }
             notification.push(Notification {
@@ -49,7 +54,7 @@
     }
 
     /// What of everything is asked for: what operators set, or the router's own.
-    fn of_type(&self, mut data: Data, of: i32) -> Vec<Data> {
+    fn filter_by_type(&self, mut data: Data, of: i32) -> Vec<Data> {
         use get_request::DataType;
         if let Content::Inner(children) = &mut data.content {
             let config = |child: &Data| self.schema.node_of(child.node).config;
@@ -63,11 +68,7 @@
     }
 
     fn updates(&self, wanted: &Pattern, data: &[Data], of: Encoding) -> Vec<Update> {
-        let found: Vec<(Instance, &Data)> = if wanted.0.is_empty() {
-            data.iter().map(|data| (Instance(vec![data.step(self.schema)]), data)).collect()
-        } else {
-            wanted.select(self.schema, data)
-        };
+        let found = select(self.schema, wanted, data);
         if of == Encoding::Proto {
             let mut leaves = BTreeMap::new();
             found.iter().for_each(|(at, data)| collect(self.schema, of, at, data, &mut leaves));
--- a/management/src/gnmi/mod.rs
+++ b/management/src/gnmi/mod.rs
@@ -9,13 +9,13 @@
 mod encoding;
 mod errors;
 mod get;
+mod path_subscription;
 mod paths;
 mod serve;
 mod set;
 mod snapshot;
 mod stream;
 mod subscribe;
-mod wanted;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, AtomicUsize};
@@ -29,10 +29,10 @@
 use tonic::{Request, Response, Status, Streaming};
 
 pub use self::serve::{Tls, serve};
-use self::snapshot::Whole;
+use self::snapshot::Snapshot;
 use self::subscribe::Responses;
 use crate::Limits;
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::g_nmi_server::GNmi;
 use crate::proto::gnmi::{
     CapabilityRequest, CapabilityResponse, Encoding, GetRequest, GetResponse, ModelData, SetRequest,
@@ -41,16 +41,17 @@
 
 const VERSION: &str = "0.10.0";
 
+/// The gNMI service, shared by all connections.
 pub struct Service {
     log: Logger,
-    desk: Handle,
+    commit_service: Handle,
     limits: Limits,
     schema: &'static Schema,
     bind: Arc<Bind>,
-    whole: watch::Receiver<Arc<Whole>>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
     /// The highest election id of each role: who has it may set.
     masters: Mutex<BTreeMap<String, (u64, u64)>>,
-    /// Sessions at the desk of those whose commits wait to be confirmed, by name.
+    /// Sessions at the commit service of those whose commits wait to be confirmed, by name.
     sessions: Mutex<BTreeMap<String, SessionId>>,
     streams: Arc<AtomicUsize>,
     number: AtomicU32,
--- a/management/src/gnmi/wanted.rs
+++ b/management/src/gnmi/path_subscription.rs
@@ -9,14 +9,14 @@
 use tonic::Status;
 
 use super::encoding::update;
-use super::errors::wrong;
-use super::snapshot::{Leaves, Whole, Wish};
+use super::errors::invalid_argument;
+use super::snapshot::{Leaves, Selection, Snapshot};
 use crate::Limits;
 use crate::proto::gnmi::{Path, SubscriptionMode, Update};
 
 /// One subscription of a stream.
-pub(super) struct Wanted {
-    pub(super) wish: Wish,
+pub(super) struct PathSubscription {
+    pub(super) selection: Selection,
     on_change: bool,
     /// Between samples, and between signs of life; none: never.
     sample: Option<Duration>,
@@ -28,19 +28,19 @@
     pub(super) sent: Arc<Leaves>,
 }
 
-impl Wanted {
+impl PathSubscription {
     pub(super) fn new(
-        wish: Wish, of: &crate::proto::gnmi::Subscription, limits: &Limits,
+        selection: Selection, of: &crate::proto::gnmi::Subscription, limits: &Limits,
     ) -> Result<Self, Status> {
         let mode = SubscriptionMode::try_from(of.mode).map_err(|_| {
-            wrong("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
+            invalid_argument("subscription/mode", "no such mode", &of.mode.to_string(), "ON_CHANGE or SAMPLE")
         })?;
         let on_change = mode != SubscriptionMode::Sample;
         let least = Duration::from_secs_f64(limits.sample);
         let interval = Duration::from_nanos(of.sample_interval);
         if !on_change && of.sample_interval > 0 && interval < least {
             let taken = format!("0, or at least {} ns", least.as_nanos());
-            return Err(wrong(
+            return Err(invalid_argument(
                 "subscription/sample_interval",
                 "is too short",
                 &of.sample_interval.to_string(),
@@ -52,7 +52,16 @@
             (of.heartbeat_interval > 0).then(|| Duration::from_nanos(of.heartbeat_interval).max(least));
         let (now, sent) = (Instant::now(), Arc::default());
         let (due, beat) = (sample.map(|every| now + every), heartbeat.map(|every| now + every));
-        Ok(Wanted { wish, on_change, sample, heartbeat, suppress: of.suppress_redundant, due, beat, sent })
+        Ok(PathSubscription {
+            selection,
+            on_change,
+            sample,
+            heartbeat,
+            suppress: of.suppress_redundant,
+            due,
+            beat,
+            sent,
+        })
     }
 
     /// When the next of its timers runs out.
@@ -79,9 +88,9 @@
     /// The updates and deletions that bring it to a snapshot, which counts as sent from here on. What has changed
     /// carries the count of changes that it stands for.
     pub(super) fn take_updates(
-        &mut self, schema: &Schema, whole: &Whole, due: Due, coalesced: u32,
+        &mut self, schema: &Schema, snapshot: &Snapshot, due: Due, coalesced: u32,
     ) -> (Vec<Update>, Vec<Path>) {
-        let (now, changes) = whole.changes(schema, &self.wish, &self.sent);
+        let (now, changes) = snapshot.changes(schema, &self.selection, &self.sent);
         let mut updates: Vec<_> =
             changes.updates.iter().map(|(at, value)| update(at, value, coalesced)).collect();
         if due == Due::Everything {
@@ -90,7 +99,7 @@
             updates.extend(now.iter().filter(|(at, _)| !told(at)).map(|(at, value)| update(at, value, 0)));
         }
         self.sent = now;
-        (updates, changes.gone.clone())
+        (updates, changes.deleted.clone())
     }
 }
 
--- a/management/src/gnmi/paths.rs
+++ b/management/src/gnmi/paths.rs
@@ -1,32 +1,33 @@
 //! Paths of gNMI to and from the model's patterns and instances.
 
-use kestreltide_model::data::{Instance, Step};
+use kestreltide_model::Schema;
+use kestreltide_model::data::{Data, Instance, Step};
 use kestreltide_model::path::Pattern;
 use tonic::Status;
 
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use crate::proto::gnmi::{Path, PathElem};
 
 /// A path below a prefix; an origin other than the models' own is refused.
 pub(super) fn pattern(prefix: Option<&Path>, path: &Path) -> Result<Pattern, Status> {
-    let shown = text(path);
+    let shown = path_text(path);
     let mut all = Pattern::default();
     for path in prefix.into_iter().chain([path]) {
         if !["", "kestreltide", "openconfig", "rfc7951"].contains(&path.origin.as_str()) {
-            return Err(wrong(&shown, "no such origin", &path.origin, "none, or kestreltide"));
+            return Err(invalid_argument(&shown, "no such origin", &path.origin, "none, or kestreltide"));
         }
         let steps = path.elem.iter().map(|elem| {
             let keys = elem.key.iter().map(|(name, value)| (name.clone(), value.clone())).collect();
             (elem.name.as_str(), keys)
         });
-        let steps =
-            Pattern::steps(steps).map_err(|why| wrong(&shown, &why, &shown, "names with their keys"))?;
+        let steps = Pattern::steps(steps)
+            .map_err(|why| invalid_argument(&shown, &why, &shown, "names with their keys"))?;
         all = steps.below(&all);
     }
     Ok(all)
 }
 
-pub(super) fn text(path: &Path) -> String {
+pub(super) fn path_text(path: &Path) -> String {
     let mut out = String::new();
     for elem in &path.elem {
         out += &format!("/{}", elem.name);
@@ -39,7 +40,19 @@
 
 /// That a path names nothing of the model.
 pub(super) fn leads_nowhere(path: &Path) -> Status {
-    Status::not_found(format!("{}: leads nowhere in the model (given: {0}; taken: a path of it)", text(path)))
+    Status::not_found(format!(
+        "{}: leads nowhere in the model (given: {0}; taken: a path of it)",
+        path_text(path)
+    ))
+}
+
+/// The instances that a pattern selects from data; those at the top for the empty pattern.
+pub(super) fn select<'a>(schema: &Schema, pattern: &Pattern, data: &'a [Data]) -> Vec<(Instance, &'a Data)> {
+    if pattern.0.is_empty() {
+        data.iter().map(|data| (Instance(vec![data.step(schema)]), data)).collect()
+    } else {
+        pattern.select(schema, data)
+    }
 }
 
 pub(super) fn path_of(at: &Instance) -> Path {
--- a/management/src/gnmi/serve.rs
+++ b/management/src/gnmi/serve.rs
@@ -10,15 +10,17 @@
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
 use super::Service;
-use super::connections::placed;
-use super::snapshot::follow;
+use super::connections::accept_connections;
+use super::snapshot::follow_published;
 use crate::Limits;
-use crate::desk::Handle;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::g_nmi_server::GNmiServer;
 
 /// What TLS needs, in PEM.
 pub struct Tls {
+    /// The certificate chain of the server.
     pub certificate: Vec<u8>,
+    /// The private key of the server.
     pub key: Vec<u8>,
     /// Who signs clients' certificates.
     pub clients: Vec<u8>,
@@ -26,21 +28,21 @@
 
 /// Serves until the listener fails for good.
 pub async fn serve(
-    log: Logger, desk: Handle, limits: Limits, listener: TcpListener, tls: Tls,
+    log: Logger, commit_service: Handle, limits: Limits, listener: TcpListener, tls: Tls,
 ) -> Result<(), String> {
     let schema = kestreltide_model::published()?;
     let bind = Arc::new(Bind::new(schema)?);
-    let whole = {
-        let (desk, bind) = (desk.clone(), bind.clone());
-        follow(schema, bind, desk)
+    let snapshot = {
+        let (commit_service, bind) = (commit_service.clone(), bind.clone());
+        follow_published(schema, bind, commit_service)
     };
     let service = Service {
         log: log.clone(),
-        desk,
+        commit_service,
         limits: limits.clone(),
         schema,
         bind,
-        whole,
+        snapshot,
         masters: Mutex::default(),
         sessions: Mutex::default(),
         streams: Arc::default(),
@@ -58,10 +60,14 @@
         .http2_keepalive_timeout(Some(alive * limits.missed as u32))
         .http2_max_pending_accept_reset_streams(Some(limits.streams as usize))
         .tcp_nodelay(true);
-    server.add_service(service).serve_with_incoming(placed(listener, limits.connections)).await.map_err(|e| {
-        warn!(log, "gNMI ended"; "error" => %e);
-        e.to_string()
-    })
+    server
+        .add_service(service)
+        .serve_with_incoming(accept_connections(listener, limits.connections))
+        .await
+        .map_err(|e| {
+            warn!(log, "gNMI ended"; "error" => %e);
+            e.to_string()
+        })
 }
 
 /// TLS that takes only clients with a certificate, and gives up a handshake after its time.
--- a/management/src/gnmi/set.rs
+++ b/management/src/gnmi/set.rs
@@ -8,7 +8,7 @@
 use kestreltide_model::edit::{Op, apply};
 use tonic::{Request, Response, Status};
 
-use super::errors::{of_edits, of_refused, wrong};
+use super::errors::{edit_errors_status, invalid_argument, refusal_status};
 use super::{Service, nanos};
 use crate::proto::gnmi::{SetRequest, SetResponse, Update, UpdateResult, update_result};
 use crate::proto::gnmi_ext::commit::Action;
@@ -16,7 +16,7 @@
 use crate::proto::gnmi_ext::{Commit as CommitExt, Extension, MasterArbitration};
 
 /// Seconds that a commit waits to be confirmed where nothing is said.
-const CONFIRM: f64 = 600.0;
+const DEFAULT_CONFIRM_SECONDS: f64 = 600.0;
 
 impl Service {
     pub(super) async fn apply_set(
@@ -25,28 +25,28 @@
         let (key, rights) = self.key(&request)?;
         let asked = request.into_inner();
         if let Some(said) = extension(&asked.extension, as_arbitration) {
-            self.arbitrate(said)?;
+            self.check_master(said)?;
         }
         let confirm = match extension(&asked.extension, as_commit) {
-            Some(said) if self.settle(&key, said).await? => return settled(&asked),
+            Some(said) if self.confirm_or_cancel(&key, said).await? => return settled(&asked),
             Some(said) => Some(confirm_of(said)?),
             None => None,
         };
-        let published = self.desk.published.load_full();
+        let published = self.commit_service.published.load_full();
         let mut candidate = Candidate::of(&published.in_force);
         let response = self.edit_candidate(&mut candidate, &asked)?;
         let author = self.next_author(&key);
         if let Err(fault) = rights.check(&published.in_force.tree.differences(&candidate.tree)) {
-            (self.desk.ask)(crate::Ask::Denied { author, fault: fault.clone() });
+            (self.commit_service.ask)(crate::Ask::Denied { author, fault: fault.clone() });
             return Err(Status::permission_denied(fault.to_string()));
         }
-        let session = if confirm.is_some() { self.session(&key).await } else { None };
-        match self.desk.commit(session, candidate, author, confirm, None).await {
+        let session = if confirm.is_some() { self.confirming_session(&key).await } else { None };
+        match self.commit_service.commit(session, candidate, author, confirm, None).await {
             Ok(Commit::Taken(_) | Commit::Nothing) => {
                 let prefix = asked.prefix.clone();
                 Ok(Response::new(SetResponse { prefix, response, timestamp: nanos(), extension: vec![] }))
             }
-            Err(refused) => Err(of_refused(&refused)),
+            Err(refused) => Err(refusal_status(&refused)),
         }
     }
 
@@ -67,7 +67,7 @@
         for ((path, value), op, told) in deletes.chain(replaces).chain(updates) {
             let edits = self.edit(prefix, &path, value.as_ref(), op)?;
             apply(self.schema, &self.bind, &mut candidate.tree, &edits, Op::Merge)
-                .map_err(|faults| of_edits(&faults))?;
+                .map_err(|faults| edit_errors_status(&faults))?;
             response.push(UpdateResult { path: Some(path), op: told.into() });
         }
         Ok(response)
@@ -84,7 +84,7 @@
 fn settled(asked: &SetRequest) -> Result<Response<SetResponse>, Status> {
     let empty = asked.delete.is_empty() && asked.replace.is_empty() && asked.update.is_empty();
     if !empty {
-        return Err(wrong("commit", "confirms or cancels, and edits too", "edits", "one of both"));
+        return Err(invalid_argument("commit", "confirms or cancels, and edits too", "edits", "one of both"));
     }
     Ok(Response::new(SetResponse {
         prefix: asked.prefix.clone(),
@@ -99,9 +99,10 @@
         Some(Action::Commit(request)) => request.rollback_duration.as_ref(),
         _ => None,
     };
-    let within = said_time.map_or(CONFIRM, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
+    let within =
+        said_time.map_or(DEFAULT_CONFIRM_SECONDS, |time| time.seconds as f64 + f64::from(time.nanos) / 1e9);
     if !(0.1..=86_400.0).contains(&within) || said.id.is_empty() {
-        return Err(wrong(
+        return Err(invalid_argument(
             "commit",
             "has no id, or a time out of range",
             &within.to_string(),
--- a/management/src/gnmi/stream.rs
+++ b/management/src/gnmi/stream.rs
@@ -12,42 +12,42 @@
 use tonic::{Status, Streaming};
 
 use super::encoding::update;
-use super::errors::wrong;
+use super::errors::invalid_argument;
 use super::nanos;
-use super::snapshot::Whole;
-use super::wanted::Wanted;
-use crate::desk::Handle;
+use super::path_subscription::PathSubscription;
+use super::snapshot::Snapshot;
+use crate::commit_service::Handle;
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscribe_response::Response as Told;
 use crate::proto::gnmi::subscription_list::Mode;
 use crate::proto::gnmi::{Notification, Path, SubscribeRequest, SubscribeResponse, Update};
 
 /// What a stream holds of the service.
-pub(super) struct Reader {
+pub(super) struct StreamContext {
     pub(super) schema: &'static Schema,
-    pub(super) whole: watch::Receiver<Arc<Whole>>,
-    pub(super) desk: Handle,
+    pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
+    pub(super) commit_service: Handle,
     pub(super) log: Logger,
 }
 
-pub(super) struct Subscription {
-    pub(super) service: Arc<Reader>,
+pub(super) struct SubscribeStream {
+    pub(super) context: Arc<StreamContext>,
     pub(super) key: Key,
-    pub(super) wanted: Vec<Wanted>,
+    pub(super) subscriptions: Vec<PathSubscription>,
     pub(super) updates_only: bool,
     pub(super) sender: mpsc::Sender<Result<SubscribeResponse, Status>>,
     pub(super) prefix: Option<Path>,
 }
 
-impl Subscription {
+impl SubscribeStream {
     pub(super) async fn run(mut self, mode: Mode, asks: Streaming<SubscribeRequest>) {
-        info!(self.service.log, "a gNMI stream began"; "key" => &self.key.name, "mode" => ?mode);
+        info!(self.context.log, "a gNMI stream began"; "key" => &self.key.name, "mode" => ?mode);
         let why = match mode {
-            Mode::Once => self.once().await,
-            Mode::Poll => self.polled(asks).await,
-            Mode::Stream => self.streamed(asks).await,
+            Mode::Once => self.serve_once().await,
+            Mode::Poll => self.serve_polls(asks).await,
+            Mode::Stream => self.serve_changes(asks).await,
         };
-        info!(self.service.log, "a gNMI stream ended"; "key" => &self.key.name, "why" => why);
+        info!(self.context.log, "a gNMI stream ended"; "key" => &self.key.name, "why" => why);
     }
 
     async fn send(&self, response: Told) -> bool {
@@ -55,44 +55,48 @@
     }
 
     /// Everything that is wanted, then that it was everything.
-    async fn all(&mut self, silent: bool) -> bool {
-        let whole = self.service.whole.borrow().clone();
-        for place in 0..self.wanted.len() {
-            let now = whole.leaves(self.service.schema, &self.wanted[place].wish);
+    async fn send_all(&mut self, silent: bool) -> bool {
+        let snapshot = self.context.snapshot.borrow().clone();
+        for place in 0..self.subscriptions.len() {
+            let now = snapshot.leaves(self.context.schema, &self.subscriptions[place].selection);
             let update: Vec<_> = now.iter().map(|(at, value)| update(at, value, 0)).collect();
-            self.wanted[place].sent = now;
-            if !silent && !update.is_empty() && !self.tell(update, vec![]).await {
+            self.subscriptions[place].sent = now;
+            if !silent && !update.is_empty() && !self.send_notification(update, vec![]).await {
                 return false;
             }
         }
         self.send(Told::SyncResponse(true)).await
     }
 
-    async fn tell(&self, update: Vec<Update>, delete: Vec<Path>) -> bool {
+    async fn send_notification(&self, update: Vec<Update>, delete: Vec<Path>) -> bool {
         let prefix = self.prefix.clone();
         self.send(Told::Update(Notification { timestamp: nanos(), prefix, update, delete, atomic: false }))
             .await
     }
 
-    async fn once(&mut self) -> &'static str {
-        if self.all(self.updates_only).await { "all was sent" } else { "it went away" }
+    async fn serve_once(&mut self) -> &'static str {
+        if self.send_all(self.updates_only).await { "all was sent" } else { "it went away" }
     }
 
-    async fn polled(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
-        if !self.all(self.updates_only).await {
+    async fn serve_polls(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
+        if !self.send_all(self.updates_only).await {
             return "it went away";
         }
         while let Some(Ok(ask)) = asks.next().await {
             match ask.request {
-                Some(Asked::Poll(_)) if !self.known() => return "its key is no longer in the file of keys",
+                Some(Asked::Poll(_)) if !self.may_still_read() => {
+                    return "its key is no longer in the file of keys";
+                }
                 Some(Asked::Poll(_)) => {
-                    if !self.all(false).await {
+                    if !self.send_all(false).await {
                         return "it went away";
                     }
                 }
                 _ => {
-                    let _ =
-                        self.sender.send(Err(wrong("subscribe", "is no poll", "another", "a poll"))).await;
+                    let _ = self
+                        .sender
+                        .send(Err(invalid_argument("subscribe", "is no poll", "another", "a poll")))
+                        .await;
                     return "it sent something else than a poll";
                 }
             }
@@ -100,36 +104,36 @@
         "it asked no more"
     }
 
-    fn known(&self) -> bool {
-        self.service
-            .desk
+    fn may_still_read(&self) -> bool {
+        self.context
+            .commit_service
             .keys
             .load()
             .rights(&self.key.name, &self.key.proof)
             .is_some_and(|rights| rights.read)
     }
 
-    async fn streamed(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
-        let mut changes = self.service.whole.clone();
+    async fn serve_changes(&mut self, mut asks: Streaming<SubscribeRequest>) -> &'static str {
+        let mut changes = self.context.snapshot.clone();
         let mut seen = changes.borrow_and_update().number;
-        if !self.all(self.updates_only).await {
+        if !self.send_all(self.updates_only).await {
             return "it went away";
         }
         loop {
             if let Err(why) = self.wait(&mut changes, &mut asks).await {
                 return why;
             }
-            if !self.known() {
+            if !self.may_still_read() {
                 let _ = self
                     .sender
                     .send(Err(Status::unauthenticated("certificate: is no longer in the file of keys")))
                     .await;
                 return "its key is no longer in the file of keys";
             }
-            let whole = changes.borrow_and_update().clone();
-            let progress = Progress::between(seen, whole.number);
-            seen = whole.number;
-            if !self.send_due(&whole, progress).await {
+            let snapshot = changes.borrow_and_update().clone();
+            let progress = Progress::between(seen, snapshot.number);
+            seen = snapshot.number;
+            if !self.send_due(&snapshot, progress).await {
                 return "it went away";
             }
         }
@@ -138,9 +142,9 @@
     /// Waits for a change, for a timer of a subscription or for the next look at the keys; an error says what ends
     /// the stream.
     async fn wait(
-        &self, changes: &mut watch::Receiver<Arc<Whole>>, asks: &mut Streaming<SubscribeRequest>,
+        &self, changes: &mut watch::Receiver<Arc<Snapshot>>, asks: &mut Streaming<SubscribeRequest>,
     ) -> Result<(), &'static str> {
-        let next = self.wanted.iter().filter_map(Wanted::next_timer).min();
+        let next = self.subscriptions.iter().filter_map(PathSubscription::next_timer).min();
         // Keys may go at any time, also while nothing changes.
         let look = Instant::now() + Duration::from_secs(1);
         tokio::select! {
@@ -150,7 +154,8 @@
                 None => Err("it asked no more"),
                 Some(Err(_)) => Err("it went away"),
                 Some(Ok(_)) => {
-                    let error = wrong("subscribe", "a stream takes no more requests", "another", "none");
+                    let what = "a stream takes no more requests";
+                    let error = invalid_argument("subscribe", what, "another", "none");
                     let _ = self.sender.send(Err(error)).await;
                     Err("it sent something else")
                 }
@@ -160,13 +165,15 @@
     }
 
     /// Sends what each subscription is due; false where nobody takes it any more.
-    async fn send_due(&mut self, whole: &Whole, progress: Progress) -> bool {
+    async fn send_due(&mut self, snapshot: &Snapshot, progress: Progress) -> bool {
         let now = Instant::now();
-        for place in 0..self.wanted.len() {
-            let wanted = &mut self.wanted[place];
-            let Some(due) = wanted.due_at(now, progress.changed) else { continue };
-            let (updates, gone) = wanted.take_updates(self.service.schema, whole, due, progress.coalesced);
-            if (!updates.is_empty() || !gone.is_empty()) && !self.tell(updates, gone).await {
+        for place in 0..self.subscriptions.len() {
+            let subscription = &mut self.subscriptions[place];
+            let Some(due) = subscription.due_at(now, progress.changed) else { continue };
+            let (updates, deleted) =
+                subscription.take_updates(self.context.schema, snapshot, due, progress.coalesced);
+            if (!updates.is_empty() || !deleted.is_empty()) && !self.send_notification(updates, deleted).await
+            {
                 return false;
             }
         }
--- a/management/src/gnmi/subscribe.rs
+++ b/management/src/gnmi/subscribe.rs
@@ -11,10 +11,10 @@
 
 use super::Service;
 use super::encoding::encoding;
-use super::errors::wrong;
+use super::errors::invalid_argument;
+use super::path_subscription::PathSubscription;
 use super::paths::{leads_nowhere, pattern};
-use super::stream::{Reader, Subscription};
-use super::wanted::Wanted;
+use super::stream::{StreamContext, SubscribeStream};
 use crate::proto::gnmi::subscribe_request::Request as Asked;
 use crate::proto::gnmi::subscription_list::Mode;
 use crate::proto::gnmi::{Encoding, Path, SubscribeRequest, SubscribeResponse, SubscriptionList};
@@ -22,7 +22,7 @@
 pub(super) type Responses = Pin<Box<dyn Stream<Item = Result<SubscribeResponse, Status>> + Send>>;
 
 /// Subscriptions of one stream.
-const MOST: usize = 64;
+const MAX_SUBSCRIPTIONS: usize = 64;
 
 impl Service {
     pub(super) async fn start_subscription(
@@ -32,7 +32,7 @@
         let mut asks = request.into_inner();
         let Some(Ok(SubscribeRequest { request: Some(Asked::Subscribe(list)), .. })) = asks.next().await
         else {
-            return Err(wrong(
+            return Err(invalid_argument(
                 "subscribe",
                 "the first message is none",
                 "another",
@@ -43,15 +43,15 @@
             return Err(Status::resource_exhausted("subscribe: no room for one more stream"));
         }
         let mode = Mode::try_from(list.mode).map_err(|_| {
-            wrong("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
+            invalid_argument("subscribe/mode", "no such mode", &list.mode.to_string(), "STREAM, ONCE or POLL")
         })?;
         let encoding = encoding(list.encoding)?;
-        let wanted = self.wanted(&list, encoding)?;
+        let subscriptions = self.path_subscriptions(&list, encoding)?;
         let (sender, receiver) = mpsc::channel(4);
-        let stream = Subscription {
-            service: self.clone_for_stream(),
+        let stream = SubscribeStream {
+            context: self.stream_context(),
             key,
-            wanted,
+            subscriptions,
             updates_only: list.updates_only,
             sender,
             prefix: list.prefix.as_ref().and_then(target_only),
@@ -66,32 +66,34 @@
     }
 
     /// The subscriptions of a list, each with a path that the model knows.
-    fn wanted(&self, list: &SubscriptionList, encoding: Encoding) -> Result<Vec<Wanted>, Status> {
-        let mut wanted = Vec::new();
+    fn path_subscriptions(
+        &self, list: &SubscriptionList, encoding: Encoding,
+    ) -> Result<Vec<PathSubscription>, Status> {
+        let mut subscriptions = Vec::new();
         for one in &list.subscription {
             let path = one.path.clone().unwrap_or_default();
             let pattern = pattern(list.prefix.as_ref(), &path)?;
             if !pattern.known(self.schema) {
                 return Err(leads_nowhere(&path));
             }
-            wanted.push(Wanted::new((pattern, encoding.into()), one, &self.limits)?);
+            subscriptions.push(PathSubscription::new((pattern, encoding.into()), one, &self.limits)?);
         }
-        if wanted.is_empty() || wanted.len() > MOST {
-            return Err(wrong(
+        if subscriptions.is_empty() || subscriptions.len() > MAX_SUBSCRIPTIONS {
+            return Err(invalid_argument(
                 "subscribe",
                 "has no subscription, or too many",
-                &wanted.len().to_string(),
-                &format!("1 to {MOST}"),
+                &subscriptions.len().to_string(),
+                &format!("1 to {MAX_SUBSCRIPTIONS}"),
             ));
         }
-        Ok(wanted)
+        Ok(subscriptions)
     }
 
-    fn clone_for_stream(&self) -> Arc<Reader> {
-        Arc::new(Reader {
+    fn stream_context(&self) -> Arc<StreamContext> {
+        Arc::new(StreamContext {
             schema: self.schema,
-            whole: self.whole.clone(),
-            desk: self.desk.clone(),
+            snapshot: self.snapshot.clone(),
+            commit_service: self.commit_service.clone(),
             log: self.log.clone(),
         })
     }
--- a/management/src/lib.rs
+++ b/management/src/lib.rs
@@ -1,9 +1,10 @@
 //! Management fronts: NETCONF over SSH and gNMI over TLS, by the published models. Nothing here writes to the
-//! router: every edit is a candidate that the desk checks and commits, and what is read is the published whole.
+//! router: every edit is a candidate that the commit service checks and commits, and what is read is what it has
+//! published.
 //!
 //! Both fronts run in a thread of their own, with a runtime of their own.
 
-pub mod desk;
+pub mod commit_service;
 pub mod gnmi;
 pub mod netconf;
 pub mod state;
@@ -19,7 +20,7 @@
     }
 }
 
-pub use desk::{Ask, Handle, News};
+pub use commit_service::{Ask, Handle, News};
 pub use russh::keys;
 
 /// What sessions may hold. Sizes in bytes, times in seconds.
@@ -27,13 +28,15 @@
 pub struct Limits {
     /// Of one message, and of one gNMI request.
     pub message: usize,
-    /// Connections of one front, and sessions of them that have come in.
+    /// Open connections of one front.
     pub connections: usize,
+    /// Sessions and streams of one front whose client has proved who it is.
     pub sessions: usize,
     /// To prove who one is, and to say hello.
     pub enter: f64,
-    /// Between signs of life of a quiet connection, and how many may be missed.
+    /// Between keepalive messages on a quiet connection.
     pub alive: f64,
+    /// Keepalive messages in a row that may stay without an answer.
     pub missed: usize,
     /// Notifications that wait for one session.
     pub news: usize,
--- a/management/src/netconf/server.rs
+++ b/management/src/netconf/server.rs
@@ -2,6 +2,7 @@
 //! and each session is served by a task of its own. What one party sends costs only that party its session.
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,41 +15,48 @@
 use russh::server::{Auth, ChannelOpenHandle, Handler, Msg, Session as Ssh, VerifiedPublicKey};
 use russh::{Channel, ChannelId, ChannelOpenFailure, MethodKind, MethodSet};
 use slog::{Logger, info, warn};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::{Notify, Semaphore, broadcast};
 use tokio::time::{interval, sleep, timeout};
 
 use super::framing::{Frames, Framing, write};
 use super::session::{Asked, Session, Step};
-use crate::desk::{Handle, News};
+use crate::commit_service::{Handle, News};
 use crate::{Limits, state};
 
 /// All that sessions share.
 pub struct Shared {
+    /// The log of the front.
     pub log: Logger,
-    pub desk: Handle,
+    /// The way to the commit service.
+    pub commit_service: Handle,
+    /// What sessions may hold.
     pub limits: Limits,
+    /// The published model.
     pub schema: &'static Schema,
+    /// The binding of the model to the datastore.
     pub bind: Arc<Bind>,
     /// Sessions that are served, and how each is told to end.
     sessions: Mutex<BTreeMap<SessionId, Arc<Notify>>>,
 }
 
 impl Shared {
-    pub fn new(log: Logger, desk: Handle, limits: Limits) -> Result<Self, String> {
+    /// Reads the published model; an error says what is wrong with it.
+    pub fn new(log: Logger, commit_service: Handle, limits: Limits) -> Result<Self, String> {
         let schema = kestreltide_model::published()?;
         let bind = Arc::new(Bind::new(schema)?);
-        Ok(Shared { log, desk, limits, schema, bind, sessions: Mutex::default() })
+        Ok(Shared { log, commit_service, limits, schema, bind, sessions: Mutex::default() })
     }
 
     fn with_sessions<T>(&self, with: impl FnOnce(&mut BTreeMap<SessionId, Arc<Notify>>) -> T) -> T {
         with(&mut self.sessions.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// The rights of a key as the file of keys has them now; none where it is no longer there.
     pub fn rights(&self, key: &Key) -> Option<Rights> {
-        self.desk.keys.load().rights(&key.name, &key.proof)
+        self.commit_service.keys.load().rights(&key.name, &key.proof)
     }
 }
 
@@ -59,10 +67,8 @@
     Some(Proof::Ssh(format!("{} {}", words.next()?, words.next()?)))
 }
 
-/// Serves until the listener fails for good.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener, host_key: PrivateKey) {
-    let limits = &shared.limits;
-    let config = Arc::new(russh::server::Config {
+fn ssh_config(host_key: PrivateKey, limits: &Limits) -> russh::server::Config {
+    russh::server::Config {
         methods: MethodSet::from(&[MethodKind::PublicKey][..]),
         auth_rejection_time: Duration::from_millis(300),
         auth_rejection_time_initial: Some(Duration::ZERO),
@@ -73,8 +79,13 @@
         inactivity_timeout: None,
         nodelay: true,
         ..Default::default()
-    });
-    let room = Arc::new(Semaphore::new(limits.connections));
+    }
+}
+
+/// Serves until the listener fails for good.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener, host_key: PrivateKey) {
+    let config = Arc::new(ssh_config(host_key, &shared.limits));
+    let room = Arc::new(Semaphore::new(shared.limits.connections));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -91,34 +102,30 @@
         };
         let (shared, config) = (shared.clone(), config.clone());
         tokio::spawn(async move {
-            let entered = Arc::new(AtomicBool::new(false));
-            let handler = Connection {
-                shared: shared.clone(),
-                entered: entered.clone(),
-                key: None,
-                channels: BTreeMap::new(),
-            };
-            let patience = Duration::from_secs_f64(shared.limits.enter);
-            // The exchange of versions and keys, then proving who one is: one time for all of it.
-            let served = async {
-                let running = timeout(patience, russh::server::run_stream(config, stream, handler)).await;
-                let Ok(Ok(running)) = running else { return };
-                tokio::pin!(running);
-                tokio::select! {
-                    _ = &mut running => return,
-                    _ = sleep(patience) => {}
-                }
-                if entered.load(Relaxed) {
-                    let _ = running.await;
-                }
-            };
-            served.await;
+            serve_connection(shared.clone(), config, stream).await;
             drop(place);
             slog::debug!(shared.log, "a NETCONF connection ended"; "from" => %from);
         });
     }
 }
 
+/// One connection to its end. The exchange of versions and keys, then proving who one is: one time for all of it.
+async fn serve_connection(shared: Arc<Shared>, config: Arc<russh::server::Config>, stream: TcpStream) {
+    let entered = Arc::new(AtomicBool::new(false));
+    let patience = Duration::from_secs_f64(shared.limits.enter);
+    let handler = Connection { shared, entered: entered.clone(), key: None, channels: BTreeMap::new() };
+    let running = timeout(patience, russh::server::run_stream(config, stream, handler)).await;
+    let Ok(Ok(running)) = running else { return };
+    tokio::pin!(running);
+    tokio::select! {
+        _ = &mut running => return,
+        _ = sleep(patience) => {}
+    }
+    if entered.load(Relaxed) {
+        let _ = running.await;
+    }
+}
+
 struct Connection {
     shared: Arc<Shared>,
     entered: Arc<AtomicBool>,
@@ -131,8 +138,8 @@
     type Error = russh::Error;
 
     async fn auth_publickey(&mut self, user: &str, key: VerifiedPublicKey<'_>) -> Result<Auth, Self::Error> {
-        let known =
-            proof(key.public_key).and_then(|proof| self.shared.desk.keys.load().find(&proof).cloned());
+        let known = proof(key.public_key)
+            .and_then(|proof| self.shared.commit_service.keys.load().find(&proof).cloned());
         Ok(match known.filter(|key| key.name == user) {
             Some(key) => {
                 self.entered.store(true, Relaxed);
@@ -169,7 +176,7 @@
         // One session a connection: with the one the other ends.
         let (shared, ssh) = (self.shared.clone(), session.handle());
         tokio::spawn(async move {
-            session_over(shared, key, channel).await;
+            serve_session(shared, key, channel).await;
             let _ = ssh
                 .disconnect(russh::Disconnect::ByApplication, "the session is over".into(), "en".into())
                 .await;
@@ -179,8 +186,8 @@
 }
 
 /// One session from its hello to its end, whatever ends it.
-async fn session_over(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
-    let Some(id) = shared.desk.open().await else { return };
+async fn serve_session(shared: Arc<Shared>, key: Key, channel: Channel<Msg>) {
+    let Some(id) = shared.commit_service.open().await else { return };
     let killed = Arc::new(Notify::new());
     let room = shared.with_sessions(|sessions| {
         let room = sessions.len() < shared.limits.sessions;
@@ -191,132 +198,172 @@
     });
     if room {
         info!(shared.log, "a NETCONF session began"; "session" => id.0, "key" => &key.name);
-        let why = talk(&shared, id, &key, channel, &killed).await;
+        let why = exchange_messages(&shared, id, &key, channel, &killed).await;
         info!(shared.log, "a NETCONF session ended"; "session" => id.0, "key" => &key.name, "why" => why);
     } else {
         warn!(shared.log, "no room for one more NETCONF session"; "key" => &key.name);
     }
     shared.with_sessions(|sessions| sessions.remove(&id));
     // Its locks are let go, and what only it could confirm is undone.
-    (shared.desk.ask)(crate::Ask::Ended { session: id });
+    (shared.commit_service.ask)(crate::Ask::Ended { session: id });
 }
 
-async fn talk(
+/// Exchanges messages over a channel until something ends the session; says what.
+async fn exchange_messages(
     shared: &Shared, id: SessionId, key: &Key, channel: Channel<Msg>, killed: &Notify,
 ) -> &'static str {
-    let mut session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
-    let (mut reading, mut writing) = tokio::io::split(channel.into_stream());
-    let mut frames = Frames::new(shared.limits.message);
-    if writing.write_all(&write(Framing::EndMark, &session.hello())).await.is_err()
-        || writing.flush().await.is_err()
-    {
-        return "it went away";
+    let (reading, writing) = tokio::io::split(channel.into_stream());
+    let session = Session::new(id, &key.name, shared.schema, shared.bind.clone());
+    let frames = Frames::new(shared.limits.message);
+    let mut exchange = Exchange { shared, id, key, session, frames, writing, news: None, missed: 0 };
+    match exchange.run(reading, killed).await {
+        Err(why) => why,
     }
-    let mut news: Option<broadcast::Receiver<News>> = None;
-    let mut missed = 0;
-    let mut buffer = vec![0; 16 * 1024];
-    let mut look = interval(Duration::from_secs(1));
-    let begun = tokio::time::Instant::now();
-    loop {
-        let told = async {
-            match &mut news {
-                Some(news) => news.recv().await,
-                None => std::future::pending().await,
+}
+
+/// One session and its channel.
+struct Exchange<'a, W> {
+    shared: &'a Shared,
+    id: SessionId,
+    key: &'a Key,
+    session: Session,
+    frames: Frames,
+    writing: W,
+    /// Commits and refusals, once the client has subscribed to them.
+    news: Option<broadcast::Receiver<News>>,
+    /// Notifications that were lost since the last that was sent.
+    missed: u64,
+}
+
+/// That a session is over, and why.
+type Over = &'static str;
+
+const WENT_AWAY: Over = "it went away";
+const KEY_GONE: Over = "its key is no longer in the file of keys";
+
+impl<W: AsyncWrite + Unpin> Exchange<'_, W> {
+    async fn run(
+        &mut self, mut reading: impl AsyncRead + Unpin, killed: &Notify,
+    ) -> Result<Infallible, Over> {
+        self.send(&write(Framing::EndMark, &self.session.hello())).await?;
+        let mut buffer = vec![0; 16 * 1024];
+        let mut key_check = interval(Duration::from_secs(1));
+        let begun = tokio::time::Instant::now();
+        loop {
+            tokio::select! {
+                _ = killed.notified() => return Err("it was killed"),
+                _ = key_check.tick() => self.check_key_and_hello(begun.elapsed())?,
+                told = next_news(&mut self.news) => self.send_news(told).await?,
+                read = reading.read(&mut buffer) => match read {
+                    Ok(0) | Err(_) => return Err(WENT_AWAY),
+                    Ok(count) => self.take_bytes(&buffer[..count]).await?,
+                },
             }
+        }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> Result<(), Over> {
+        self.writing.write_all(bytes).await.map_err(|_| WENT_AWAY)?;
+        self.writing.flush().await.map_err(|_| WENT_AWAY)
+    }
+
+    /// Keys may go at any time; a hello has to come in its time.
+    fn check_key_and_hello(&self, since_begin: Duration) -> Result<(), Over> {
+        if self.shared.rights(self.key).is_none() {
+            return Err(KEY_GONE);
+        }
+        let waits_for_hello =
+            !self.session.chunked() && self.frames.framing() == Framing::EndMark && !self.session.greeted();
+        if waits_for_hello && since_begin.as_secs_f64() > self.shared.limits.enter {
+            return Err("it did not say hello");
+        }
+        Ok(())
+    }
+
+    /// Sends a notification of what happened; what was lost before it is counted and told with the next.
+    async fn send_news(&mut self, told: Result<News, RecvError>) -> Result<(), Over> {
+        let data = match told {
+            Ok(told) => notification(self.shared, &told, std::mem::take(&mut self.missed)),
+            Err(RecvError::Lagged(count)) => {
+                self.missed += count;
+                return Ok(());
+            }
+            Err(RecvError::Closed) => return Err("the router stops"),
         };
-        tokio::select! {
-            _ = killed.notified() => return "it was killed",
-            _ = look.tick() => {
-                if shared.rights(key).is_none() {
-                    return "its key is no longer in the file of keys";
-                }
-                if !session.chunked() && frames.framing() == Framing::EndMark && !session.greeted()
-                    && begun.elapsed().as_secs_f64() > shared.limits.enter
-                {
-                    return "it did not say hello";
-                }
+        let Some((at, data)) = data else { return Ok(()) };
+        let text = write(self.frames.framing(), &self.session.notification(at, &data));
+        self.send(&text).await
+    }
+
+    /// Answers all messages that are whole with these bytes.
+    async fn take_bytes(&mut self, bytes: &[u8]) -> Result<(), Over> {
+        self.frames.push(bytes);
+        while let Some(message) = self.frames.message().map_err(|_| "its messages cannot be read")? {
+            self.answer(&message).await?;
+        }
+        Ok(())
+    }
+
+    async fn answer(&mut self, message: &[u8]) -> Result<(), Over> {
+        let rights = self.shared.rights(self.key).ok_or(KEY_GONE)?;
+        let step = self.session.message(message, rights, &self.shared.commit_service);
+        let (reply, over) = match step {
+            Step::Reply(reply) => (reply, None),
+            Step::Close(reply) => (reply, Some("it closed")),
+            Step::Over(why) => return Err(why),
+            Step::Subscribe(reply) => {
+                self.news = Some(self.shared.commit_service.news.subscribe());
+                (reply, None)
             }
-            told = told => {
-                let data = match told {
-                    Ok(told) => notice(shared, &told, std::mem::take(&mut missed)),
-                    Err(RecvError::Lagged(count)) => {
-                        missed += count;
-                        continue;
-                    }
-                    Err(RecvError::Closed) => return "the router stops",
-                };
-                if let Some((at, data)) = data {
-                    let text = write(frames.framing(), &session.notification(at, &data));
-                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
-                        return "it went away";
-                    }
-                }
+            Step::Kill(other, reply) => {
+                let found = self.shared.with_sessions(|sessions| sessions.get(&other).cloned());
+                found.inspect(|killed| killed.notify_one());
+                (reply, None)
             }
-            read = reading.read(&mut buffer) => {
-                match read {
-                    Ok(0) | Err(_) => return "it went away",
-                    Ok(count) => frames.push(&buffer[..count]),
-                }
-                loop {
-                    let message = match frames.message() {
-                        Ok(Some(message)) => message,
-                        Ok(None) => break,
-                        Err(_) => return "its messages cannot be read",
-                    };
-                    let Some(rights) = shared.rights(key) else { return "its key is no longer in the file of keys" };
-                    let step = session.message(&message, rights, &shared.desk);
-                    let (reply, over) = match step {
-                        Step::Reply(reply) => (reply, None),
-                        Step::Close(reply) => (reply, Some("it closed")),
-                        Step::Over(why) => return why,
-                        Step::Subscribe(reply) => {
-                            news = Some(shared.desk.news.subscribe());
-                            (reply, None)
-                        }
-                        Step::Kill(other, reply) => {
-                            let found = shared.with_sessions(|sessions| sessions.get(&other).cloned());
-                            found.inspect(|killed| killed.notify_one());
-                            (reply, None)
-                        }
-                        Step::Ask(asked) => {
-                            let answer = ask(shared, id, &session, &asked).await;
-                            (session.answered(&asked, answer), None)
-                        }
-                    };
-                    let text = if reply.is_empty() { vec![] } else { write(frames.framing(), &reply) };
-                    // From the message after the hello both sides speak in chunks, if both can.
-                    if session.chunked() {
-                        frames.use_chunks();
-                    }
-                    if writing.write_all(&text).await.is_err() || writing.flush().await.is_err() {
-                        return "it went away";
-                    }
-                    if let Some(why) = over {
-                        let _ = writing.shutdown().await;
-                        return why;
-                    }
-                }
+            Step::Ask(asked) => {
+                let answer = ask_commit_service(self.shared, self.id, &self.session, &asked).await;
+                (self.session.answered(&asked, answer), None)
             }
+        };
+        let text = if reply.is_empty() { vec![] } else { write(self.frames.framing(), &reply) };
+        // From the message after the hello both sides speak in chunks, if both can.
+        if self.session.chunked() {
+            self.frames.use_chunks();
         }
+        self.send(&text).await?;
+        let Some(why) = over else { return Ok(()) };
+        let _ = self.writing.shutdown().await;
+        Err(why)
     }
 }
 
-async fn ask(shared: &Shared, id: SessionId, session: &Session, asked: &Asked) -> Result<(), Refused> {
-    let desk = &shared.desk;
+/// The next of what happened; never comes where nobody has subscribed.
+async fn next_news(news: &mut Option<broadcast::Receiver<News>>) -> Result<News, RecvError> {
+    match news {
+        Some(news) => news.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn ask_commit_service(
+    shared: &Shared, id: SessionId, session: &Session, asked: &Asked,
+) -> Result<(), Refused> {
+    let commit_service = &shared.commit_service;
     match asked.clone() {
-        Asked::Lock(target) => desk.lock(id, target).await,
-        Asked::Unlock(target) => desk.unlock(id, target).await,
-        Asked::Validate(candidate) => desk.validate(candidate).await,
-        Asked::Commit { candidate, confirm, persist_id } => {
-            desk.commit(Some(id), candidate, session.asked_by(), confirm, persist_id).await.map(|_| ())
-        }
-        Asked::Confirm { persist_id } => desk.confirm(Some(id), persist_id).await,
-        Asked::Cancel { persist_id } => desk.cancel(Some(id), persist_id).await,
+        Asked::Lock(target) => commit_service.lock(id, target).await,
+        Asked::Unlock(target) => commit_service.unlock(id, target).await,
+        Asked::Validate(candidate) => commit_service.validate(candidate).await,
+        Asked::Commit { candidate, confirm, persist_id } => commit_service
+            .commit(Some(id), candidate, session.asked_by(), confirm, persist_id)
+            .await
+            .map(|_| ()),
+        Asked::Confirm { persist_id } => commit_service.confirm(Some(id), persist_id).await,
+        Asked::Cancel { persist_id } => commit_service.cancel(Some(id), persist_id).await,
     }
 }
 
 /// What happened, as a notification and when; none where the model has no such.
-fn notice(shared: &Shared, told: &News, missed: u64) -> Option<(f64, kestreltide_model::Data)> {
+fn notification(shared: &Shared, told: &News, missed: u64) -> Option<(f64, kestreltide_model::Data)> {
     let node = |name: &str| -> Option<NodeId> { shared.schema.notifications.get(name).copied() };
     Some(match told {
         News::Committed(record) => {
--- a/management/src/netconf/session/mod.rs
+++ b/management/src/netconf/session/mod.rs
@@ -1,5 +1,5 @@
-//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the desk
-//! and come back with its answer.
+//! One NETCONF session: what each message leads to. Free of I/O: a message gives a step, some of which ask the
+//! commit service and come back with its answer.
 //!
 //! Each session has a candidate of its own, made from the revision that was in force when it began; who commits
 //! second is told which leaf both changed (draft-ietf-netconf-privcand has the same idea). Edits are all or
@@ -24,25 +24,35 @@
 
 pub use self::capabilities::BASE;
 use self::capabilities::CAPABILITIES;
-use self::rpc_error::{RpcError, of_refused};
-use crate::desk::Handle;
+use self::rpc_error::{RpcError, refusal_errors};
+use crate::commit_service::Handle;
 
-/// What the desk is asked for a message.
+/// What the commit service is asked for a message.
 #[derive(Clone, Debug)]
 pub enum Asked {
+    /// Lock a datastore.
     Lock(Target),
+    /// Release the lock of a datastore.
     Unlock(Target),
+    /// Check a candidate without committing it.
     Validate(Candidate),
     /// Of the session's own candidate, or of one edit of what runs.
     Commit {
+        /// What to commit.
         candidate: Candidate,
+        /// Within which time it has to be confirmed; none: it stays.
         confirm: Option<Confirm>,
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
+    /// Confirm the commit that waits.
     Confirm {
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
+    /// Roll back the commit that waits.
     Cancel {
+        /// The id of the commit that waits, where whoever began it gave one.
         persist_id: Option<String>,
     },
 }
@@ -50,6 +60,7 @@
 /// What to do after a message.
 #[derive(Debug)]
 pub enum Step {
+    /// Send the reply; an empty one is not sent.
     Reply(String),
     /// Ask, and give the answer to [`Session::answered`].
     Ask(Asked),
@@ -63,7 +74,9 @@
     Over(&'static str),
 }
 
+/// The state of one session.
 pub struct Session {
+    /// The id that hello gave the session.
     pub id: SessionId,
     name: String,
     schema: &'static Schema,
@@ -77,6 +90,7 @@
 }
 
 impl Session {
+    /// A session before the hello of its client; `name` is that of the key of the client.
     pub fn new(id: SessionId, name: &str, schema: &'static Schema, bind: std::sync::Arc<Bind>) -> Self {
         let (greeted, chunks, subscribed, attributes) = (false, false, false, String::new());
         Session {
@@ -92,6 +106,7 @@
         }
     }
 
+    /// Whether the client has said hello.
     pub fn greeted(&self) -> bool {
         self.greeted
     }
@@ -110,7 +125,7 @@
     }
 
     /// What a message leads to.
-    pub fn message(&mut self, bytes: &[u8], rights: Rights, desk: &Handle) -> Step {
+    pub fn message(&mut self, bytes: &[u8], rights: Rights, commit_service: &Handle) -> Step {
         let Ok(text) = std::str::from_utf8(bytes) else { return self.malformed("is not UTF-8") };
         let element = match xml::read(text, &XmlLimits::default()) {
             Ok(element) => element,
@@ -132,13 +147,13 @@
                 "missing-attribute",
                 "rpc: has no message-id (given: nothing; taken: message-id)",
             );
-            let info = vec![("bad-attribute", "message-id".into()), ("bad-element", "rpc".into())];
-            return Step::Reply(self.errors(&[RpcError { info, ..error }]));
+            return Step::Reply(self.errors(&[error.with_bad_attribute("message-id", "rpc")]));
         }
         let [operation] = element.children.as_slice() else {
             return Step::Reply(self.errors(&[RpcError::missing("operation")]));
         };
-        self.operation(operation, rights, desk).unwrap_or_else(|errors| Step::Reply(self.errors(&errors)))
+        self.operation(operation, rights, commit_service)
+            .unwrap_or_else(|errors| Step::Reply(self.errors(&errors)))
     }
 
     /// The first message of the client.
@@ -169,7 +184,7 @@
         Step::Reply(out + "</rpc-reply>")
     }
 
-    /// The desk's answer to what was asked.
+    /// The commit service's answer to what was asked.
     pub fn answered(&mut self, asked: &Asked, answer: Result<(), Refused>) -> String {
         match answer {
             Ok(()) => {
@@ -178,11 +193,11 @@
                 }
                 self.ok()
             }
-            Err(refused) => self.errors(&of_refused(&refused)),
+            Err(refused) => self.errors(&refusal_errors(&refused)),
         }
     }
 
-    /// Who asks, for the desk's records.
+    /// Who asks, for the commit service's records.
     pub fn asked_by(&self) -> Author {
         self.author()
     }
--- a/management/src/netconf/session/rpc_error.rs
+++ b/management/src/netconf/session/rpc_error.rs
@@ -25,21 +25,24 @@
     }
 
     pub(super) fn missing(element: &str) -> Self {
-        let error = Self::new(
-            "protocol",
-            "missing-element",
-            format!("{element}: is missing (given: nothing; taken: {element})"),
-        );
-        RpcError { info: vec![("bad-element", element.into())], ..error }
+        let message = format!("{element}: is missing (given: nothing; taken: {element})");
+        Self::bad_element("missing-element", element, message)
     }
 
     pub(super) fn unknown(element: &str) -> Self {
-        let error = Self::new(
-            "protocol",
-            "unknown-element",
-            format!("{element}: is not known here (given: {element}; taken: what RFC 6241 has)"),
-        );
-        RpcError { info: vec![("bad-element", element.into())], ..error }
+        let message = format!("{element}: is not known here (given: {element}; taken: what RFC 6241 has)");
+        Self::bad_element("unknown-element", element, message)
+    }
+
+    fn bad_element(tag: &str, element: &str, message: String) -> Self {
+        let info = vec![("bad-element", element.into())];
+        RpcError { info, ..Self::new("protocol", tag, message) }
+    }
+
+    /// That an attribute is not as it has to be, on which element.
+    pub(super) fn with_bad_attribute(self, attribute: &str, element: &str) -> Self {
+        let info = vec![("bad-attribute", attribute.into()), ("bad-element", element.into())];
+        RpcError { info, ..self }
     }
 
     pub(super) fn invalid(path: &str, what: &str, given: &str, taken: &str) -> Self {
@@ -95,13 +98,13 @@
     out
 }
 
-pub(super) fn of_fault(fault: &Fault) -> RpcError {
+pub(super) fn validation_error(fault: &Fault) -> RpcError {
     let tag = if fault.what.contains("is missing") { "data-missing" } else { "operation-failed" };
     let path = fault.path.parse().ok().map(|path| xpath(&path));
     RpcError { path, ..RpcError::new("application", tag, fault.to_string()) }
 }
 
-pub(super) fn of_edit(fault: &EditFault) -> RpcError {
+pub(super) fn edit_error(fault: &EditFault) -> RpcError {
     let info = match fault.tag {
         Tag::UnknownElement | Tag::MissingElement => vec![("bad-element", fault.about.clone())],
         Tag::UnknownNamespace => {
@@ -116,10 +119,10 @@
     RpcError { path, info, ..RpcError::new("application", &fault.tag.to_string(), fault.fault.to_string()) }
 }
 
-pub(super) fn of_refused(refused: &Refused) -> Vec<RpcError> {
+pub(super) fn refusal_errors(refused: &Refused) -> Vec<RpcError> {
     match refused {
         Refused::Faults(faults) => {
-            let mut errors: Vec<_> = faults.first.iter().map(of_fault).collect();
+            let mut errors: Vec<_> = faults.first.iter().map(validation_error).collect();
             if faults.more > 0 {
                 errors.push(RpcError::new(
                     "application",
--- a/watch/src/form.rs
+++ b/watch/src/form.rs
@@ -30,13 +30,16 @@
 /// What all files together say.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Version {
+    /// The generation that all files name.
     pub generation: String,
+    /// The hosts and guards that they set.
     pub tree: Tree,
 }
 
 /// Why there is no version.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Spoken<V> {
+    /// The files are whole, belong together and pass all checks.
     Whole(V),
     /// Each file is whole, but they do not belong together: one may still be written.
     Apart(Faults),
@@ -52,34 +55,37 @@
 
 /// What these files say together; `place` is how each is called in what is shown.
 pub fn version(files: &[(Kind, &str, &Content)]) -> Spoken<Version> {
-    let (mut draft, mut torn, mut wrong) = (Draft::default(), Faults::default(), Faults::default());
+    let (mut candidate, mut incomplete, mut validation_errors) =
+        (Draft::default(), Faults::default(), Faults::default());
     let mut generations: Vec<(&str, String)> = vec![];
     for (kind, place, content) in files {
         let text = match text_of(place, content) {
             Ok(text) => text,
             Err(why) => {
                 if why.0 {
-                    torn.push(why.1)
+                    incomplete.push(why.1)
                 } else {
-                    wrong.push(why.1)
+                    validation_errors.push(why.1)
                 }
                 continue;
             }
         };
-        match one(*kind, place, text, &mut draft, &mut wrong) {
+        match parse_file(*kind, place, text, &mut candidate, &mut validation_errors) {
             Ok(Ends { generation }) => generations.extend(generation.map(|generation| (*place, generation))),
-            Err(fault) => torn.push(fault),
+            Err(fault) => incomplete.push(fault),
         }
     }
-    if !torn.is_empty() {
-        return Spoken::Torn(torn);
+    if !incomplete.is_empty() {
+        return Spoken::Torn(incomplete);
     }
-    let tree = draft.finish();
-    if let Err(faults) = &tree {
-        wrong.extend(faults.first.iter().cloned());
-        wrong.more += faults.more;
+    let tree = candidate.finish();
+    if let Err(found) = &tree {
+        validation_errors.extend(found.first.iter().cloned());
+        validation_errors.more += found.more;
     }
-    let Some((first, generation)) = generations.first().cloned() else { return Spoken::Wrong(wrong) };
+    let Some((first, generation)) = generations.first().cloned() else {
+        return Spoken::Wrong(validation_errors);
+    };
     if let Some((place, other)) = generations.iter().find(|(_, other)| *other != generation) {
         let what = format!("is of another generation than {first}, which names {}", shown(&generation));
         return Spoken::Apart(
@@ -88,8 +94,8 @@
         );
     }
     match tree {
-        Ok(tree) if wrong.is_empty() => Spoken::Whole(Version { generation, tree }),
-        _ => Spoken::Wrong(wrong),
+        Ok(tree) if validation_errors.is_empty() => Spoken::Whole(Version { generation, tree }),
+        _ => Spoken::Wrong(validation_errors),
     }
 }
 
@@ -112,73 +118,32 @@
         Err(why) if why.0 => return Spoken::Torn(why.1.into()),
         Err(why) => return Spoken::Wrong(why.1.into()),
     };
-    let (mut found, mut wrong) = (vec![], Faults::default());
-    let read = framed(Kind::Keys, place, text, &mut wrong, |body, wrong| {
-        key_sections(place, body, &mut found, wrong)
+    let (mut found, mut validation_errors) = (vec![], Faults::default());
+    let read = parse_framed(Kind::Keys, place, text, &mut validation_errors, |body, validation_errors| {
+        parse_keys(place, body, &mut found, validation_errors)
     });
     match read {
         Err(fault) => Spoken::Torn(fault.into()),
-        Ok(_) if !wrong.is_empty() => Spoken::Wrong(wrong),
+        Ok(_) if !validation_errors.is_empty() => Spoken::Wrong(validation_errors),
         Ok(Ends { generation }) => {
             Spoken::Whole(Keys { generation: generation.unwrap_or_default(), keys: found })
         }
     }
 }
 
-fn key_sections(place: &str, body: &[Section], found: &mut Vec<Key>, wrong: &mut Faults) -> usize {
+fn parse_keys(place: &str, body: &[Section], found: &mut Vec<Key>, validation_errors: &mut Faults) -> usize {
     for section in body {
         let at = format!("{place}:{}", section.line);
         let Some(name) = section.name.strip_prefix("key ").map(str::trim).filter(|name| !name.is_empty())
         else {
-            wrong.push(unknown(&at, "section", &section.name, ["key NAME", END]));
+            validation_errors.push(unknown(&at, "section", &section.name, ["key NAME", END]));
             continue;
         };
-        ini::known_keys(place, section, &["ssh", "certificate", "rights"], wrong);
-        let said = |key: &str| section.keys.iter().find(|said| said.name == key);
-        let rights = match said("rights").map(|key| (key, Rights::parse(&key.value))) {
-            Some((_, Ok(rights))) => rights,
-            Some((key, Err(why))) => {
-                let path = format!("{place}:{}: [key {name}] rights", key.line);
-                wrong.push(Fault::new(path, why, shown(&key.value), "read, weights, routes, ring"));
-                continue;
-            }
-            None => {
-                wrong.push(Fault::new(
-                    format!("{at}: [key {name}] rights"),
-                    "is missing",
-                    "nothing",
-                    "read, weights, routes, ring",
-                ));
-                continue;
-            }
-        };
-        let mut proofs = vec![];
-        if let Some(key) = said("ssh") {
-            let words: Vec<_> = key.value.split_whitespace().collect();
-            match words.as_slice() {
-                [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
-                _ => {
-                    let path = format!("{place}:{}: [key {name}] ssh", key.line);
-                    wrong.push(Fault::new(
-                        path,
-                        "is no public key",
-                        shown(&key.value),
-                        "a line as in id_ed25519.pub",
-                    ));
-                }
-            }
-        }
-        if let Some(key) = said("certificate") {
-            match hash(&key.value) {
-                Some(hash) => proofs.push(Proof::Certificate(hash)),
-                None => {
-                    let path = format!("{place}:{}: [key {name}] certificate", key.line);
-                    wrong.push(Fault::new(path, "is no SHA-256", shown(&key.value), "64 hexadecimal digits"));
-                }
-            }
-        }
-        if proofs.is_empty() && wrong.is_empty() {
-            wrong.push(Fault::new(
+        ini::known_keys(place, section, &["ssh", "certificate", "rights"], validation_errors);
+        let Some(rights) = parse_rights(place, section, name, validation_errors) else { continue };
+        let proofs = parse_proofs(place, section, name, validation_errors);
+        if proofs.is_empty() && validation_errors.is_empty() {
+            validation_errors.push(Fault::new(
                 format!("{at}: [key {name}]"),
                 "has neither of both",
                 "nothing",
@@ -187,12 +152,8 @@
         }
         for proof in proofs {
             if let Some(other) = found.iter().find(|key| key.proof == proof) {
-                wrong.push(Fault::new(
-                    &at,
-                    format!("is the key of {} too", other.name),
-                    name,
-                    "a key of its own",
-                ));
+                let what = format!("is the key of {} too", other.name);
+                validation_errors.push(Fault::new(&at, what, name, "a key of its own"));
             }
             found.push(Key { name: name.into(), proof, rights });
         }
@@ -200,7 +161,57 @@
     body.len()
 }
 
-fn hash(text: &str) -> Option<[u8; 32]> {
+fn key_named<'a>(section: &'a Section, name: &str) -> Option<&'a ini::Key> {
+    section.keys.iter().find(|key| key.name == name)
+}
+
+fn parse_rights(
+    place: &str, section: &Section, name: &str, validation_errors: &mut Faults,
+) -> Option<Rights> {
+    let taken = "read, weights, routes, ring";
+    let Some(key) = key_named(section, "rights") else {
+        let path = format!("{place}:{}: [key {name}] rights", section.line);
+        validation_errors.push(Fault::new(path, "is missing", "nothing", taken));
+        return None;
+    };
+    match Rights::parse(&key.value) {
+        Ok(rights) => Some(rights),
+        Err(why) => {
+            let path = format!("{place}:{}: [key {name}] rights", key.line);
+            validation_errors.push(Fault::new(path, why, shown(&key.value), taken));
+            None
+        }
+    }
+}
+
+/// By what the holder of a key proves who it is: a public key of SSH, the hash of a certificate, or both.
+fn parse_proofs(place: &str, section: &Section, name: &str, validation_errors: &mut Faults) -> Vec<Proof> {
+    let mut proofs = vec![];
+    if let Some(key) = key_named(section, "ssh") {
+        let words: Vec<_> = key.value.split_whitespace().collect();
+        match words.as_slice() {
+            [kind, text, ..] if text.len() > 16 => proofs.push(Proof::Ssh(format!("{kind} {text}"))),
+            _ => {
+                let path = format!("{place}:{}: [key {name}] ssh", key.line);
+                let taken = "a line as in id_ed25519.pub";
+                validation_errors.push(Fault::new(path, "is no public key", shown(&key.value), taken));
+            }
+        }
+    }
+    if let Some(key) = key_named(section, "certificate") {
+        match parse_hash(&key.value) {
+            Some(hash) => proofs.push(Proof::Certificate(hash)),
+            None => {
+                let path = format!("{place}:{}: [key {name}] certificate", key.line);
+                let taken = "64 hexadecimal digits";
+                validation_errors.push(Fault::new(path, "is no SHA-256", shown(&key.value), taken));
+            }
+        }
+    }
+    proofs
+}
+
+fn parse_hash(text: &str) -> Option<[u8; 32]> {
     let digits: Vec<u8> = text.bytes().filter(|byte| *byte != b':').collect();
     let mut hash = [0; 32];
     if digits.len() != 64 {
@@ -212,17 +223,19 @@
     Some(hash)
 }
 
-/// Reads one file into the draft. An error means that it is not whole, whatever else is wrong with it.
-fn one(kind: Kind, place: &str, text: &str, draft: &mut Draft, wrong: &mut Faults) -> Result<Ends, Fault> {
-    framed(kind, place, text, wrong, |body, wrong| match kind {
-        Kind::Weights => weights(place, body, draft, wrong),
-        Kind::Hosts | Kind::Keys => hosts(place, body, draft, wrong),
+/// Reads one file into the candidate. An error means that it is not whole, whatever else is wrong with it.
+fn parse_file(
+    kind: Kind, place: &str, text: &str, candidate: &mut Draft, validation_errors: &mut Faults,
+) -> Result<Ends, Fault> {
+    parse_framed(kind, place, text, validation_errors, |body, validation_errors| match kind {
+        Kind::Weights => parse_weights(place, body, candidate, validation_errors),
+        Kind::Hosts | Kind::Keys => parse_hosts(place, body, candidate, validation_errors),
     })
 }
 
 /// The head and the end that every file has; what stands between is read by its kind, and counted.
-fn framed(
-    kind: Kind, place: &str, text: &str, wrong: &mut Faults,
+fn parse_framed(
+    kind: Kind, place: &str, text: &str, validation_errors: &mut Faults,
     between: impl FnOnce(&[Section], &mut Faults) -> usize,
 ) -> Result<Ends, Fault> {
     if text.trim().is_empty() {
@@ -245,7 +258,7 @@
             ));
         }
     };
-    let generation = generation(place, head, wrong);
+    let generation = parse_generation(place, head, validation_errors);
     let Some((end, body)) = rest.split_last().filter(|(end, _)| end.name == END) else {
         if let Some(end) = rest.iter().find(|section| section.name == END) {
             let at = format!("{place}:{}", end.line);
@@ -253,22 +266,22 @@
         }
         return Err(Fault::new(place, "has no [end]", "nothing", "[end] with the count and the generation"));
     };
-    let count = between(body, wrong);
-    ended(kind, place, end, count, generation.as_deref(), wrong)?;
+    let count = between(body, validation_errors);
+    check_end(kind, place, end, count, generation.as_deref(), validation_errors)?;
     Ok(Ends { generation })
 }
 
-fn generation(place: &str, head: &Section, wrong: &mut Faults) -> Option<String> {
-    ini::known_keys(place, head, &["generation"], wrong);
+fn parse_generation(place: &str, head: &Section, validation_errors: &mut Faults) -> Option<String> {
+    ini::known_keys(place, head, &["generation"], validation_errors);
     let Some(key) = head.keys.iter().find(|key| key.name == "generation") else {
-        wrong.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
+        validation_errors.push(Fault::new(place, "names no generation", "nothing", "generation = NAME"));
         return None;
     };
     let plain =
         !key.value.is_empty() && key.value.len() <= GENERATION_MOST && !key.value.contains(char::is_control);
     if !plain {
         let taken = format!("1 to {GENERATION_MOST} characters");
-        wrong.push(Fault::new(
+        validation_errors.push(Fault::new(
             format!("{place}:{}: generation", key.line),
             "is no name",
             shown(&key.value),
@@ -278,29 +291,32 @@
     Some(key.value.clone())
 }
 
-fn hosts(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+fn parse_hosts(
+    place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults,
+) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
         if section.name == "guards" {
-            leaves(place, section, wrong, Place::Guards, |key, leaf, at| {
-                draft.set(at, Path::Guards(leaf), &key.value);
+            parse_leaves(place, section, validation_errors, Place::Guards, |key, leaf, at| {
+                candidate.set(at, Path::Guards(leaf), &key.value);
             });
         } else if let Some(name) = section.name.strip_prefix("host ") {
             count += 1;
-            let Some(host) = draft.host(&at, name.trim()) else { continue };
-            leaves(place, section, wrong, Place::Host, |key, leaf, at| {
-                draft.set_host(at, &host, leaf, &key.value);
+            let Some(host) = candidate.host(&at, name.trim()) else { continue };
+            parse_leaves(place, section, validation_errors, Place::Host, |key, leaf, at| {
+                candidate.set_host(at, &host, leaf, &key.value);
             });
         } else {
-            wrong.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
+            validation_errors.push(unknown(&at, "section", &section.name, ["host NAME", "guards", END]));
         }
     }
     count
 }
 
-fn leaves(
-    place: &str, section: &Section, wrong: &mut Faults, of: Place, mut set: impl FnMut(&ini::Key, Leaf, &str),
+fn parse_leaves(
+    place: &str, section: &Section, validation_errors: &mut Faults, of: Place,
+    mut set: impl FnMut(&ini::Key, Leaf, &str),
 ) {
     for key in &section.keys {
         let at = format!("{place}:{}", key.line);
@@ -309,13 +325,15 @@
             None => {
                 let known: Vec<_> = Leaf::all_of(of).map(Leaf::name).collect();
                 let path = format!("{at}: [{}] {}", section.name, shown(&key.name));
-                wrong.push(unknown(&path, "key", &key.name, known));
+                validation_errors.push(unknown(&path, "key", &key.name, known));
             }
         }
     }
 }
 
-fn weights(place: &str, body: &[Section], draft: &mut Draft, wrong: &mut Faults) -> usize {
+fn parse_weights(
+    place: &str, body: &[Section], candidate: &mut Draft, validation_errors: &mut Faults,
+) -> usize {
     let mut count = 0;
     for section in body {
         let at = format!("{place}:{}", section.line);
@@ -323,7 +341,7 @@
             "weights" => Leaf::Weight,
             "states" => Leaf::State,
             other => {
-                wrong.push(unknown(&at, "section", other, ["weights", "states", END]));
+                validation_errors.push(unknown(&at, "section", other, ["weights", "states", END]));
                 continue;
             }
         };
@@ -331,10 +349,15 @@
             count += 1;
             let at = format!("{place}:{}", key.line);
             match key.name.parse::<HostName>() {
-                Ok(host) => draft.set_host(&at, &host, leaf, &key.value),
+                Ok(host) => candidate.set_host(&at, &host, leaf, &key.value),
                 Err(why) => {
                     let what = format!("the host's name {why}");
-                    wrong.push(Fault::new(at, what, shown(&key.name), "letters, digits and . _ : -"));
+                    validation_errors.push(Fault::new(
+                        at,
+                        what,
+                        shown(&key.name),
+                        "letters, digits and . _ : -",
+                    ));
                 }
             }
         }
@@ -343,15 +366,16 @@
 }
 
 /// The end says again what the head said, and how much stands between.
-fn ended(
-    kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>, wrong: &mut Faults,
+fn check_end(
+    kind: Kind, place: &str, end: &Section, count: usize, generation: Option<&str>,
+    validation_errors: &mut Faults,
 ) -> Result<(), Fault> {
     let counted = match kind {
         Kind::Hosts => "hosts",
         Kind::Weights => "entries",
         Kind::Keys => "keys",
     };
-    ini::known_keys(place, end, &[counted, "generation"], wrong);
+    ini::known_keys(place, end, &[counted, "generation"], validation_errors);
     let key = |name: &str, taken: &dyn std::fmt::Display| {
         let path = format!("{place}:{}: [end] {name}", end.line);
         let found = end.keys.iter().find(|key| key.name == name);
--- a/watch/src/ini.rs
+++ b/watch/src/ini.rs
@@ -5,18 +5,25 @@
 use kestreltide_datastore::draft::shown;
 use kestreltide_datastore::{Fault, Faults};
 
+/// One key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Key {
+    /// The line in the text, from 1; 0 where it was not found again.
     pub line: usize,
+    /// The name without white space around it.
     pub name: String,
+    /// The value without white space around it.
     pub value: String,
 }
 
 /// A section, the one without a name first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Section {
+    /// The line of its head in the text, from 1; 0 where it was not found again.
     pub line: usize,
+    /// What stands in brackets; empty for the keys before the first section.
     pub name: String,
+    /// Its keys in the order of the text.
     pub keys: Vec<Key>,
 }
 
@@ -104,13 +111,13 @@
 }
 
 /// Pushes a fault for each key that stands twice, or is not among these.
-pub fn known_keys(place: &str, section: &Section, known: &[&str], faults: &mut Faults) {
+pub fn known_keys(place: &str, section: &Section, known: &[&str], validation_errors: &mut Faults) {
     for (number, key) in section.keys.iter().enumerate() {
         let path = format!("{place}:{}: [{}] {}", key.line, section.name, shown(&key.name));
         if !known.contains(&key.name.as_str()) {
-            faults.push(unknown(&path, "key", &key.name, known.iter().copied()));
+            validation_errors.push(unknown(&path, "key", &key.name, known.iter().copied()));
         } else if section.keys[..number].iter().any(|before| before.name == key.name) {
-            faults.push(Fault::new(path, "stands twice", shown(&key.value), "each key once"));
+            validation_errors.push(Fault::new(path, "stands twice", shown(&key.value), "each key once"));
         }
     }
 }
