--- /dev/null
+++ b/measure/src/capacity/fleet_run/hollow.rs
@@ -0,0 +1,256 @@
+//! A hollow router without input or output: the real decision module, with requests and their outcomes drawn from
+//! the state of the hollow hosts.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use kestreltide::choice::Router;
+use kestreltide::interface::*;
+use kestreltide_router::transport::Alarms;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::host_table::{Drawn, HostTable, Outcome, Whose};
+use super::layout::Layout;
+use super::partition::Partition;
+
+/// Timers that a router may hold, as the real one.
+const TIMERS: usize = 64 * 1024;
+/// Seconds between a router and a host, both ways, on loopback.
+const ON_THE_WAY: f64 = 0.0003;
+/// Seconds after which a connection without use is not used again, as at a real router.
+const KEPT_UNUSED: f64 = 24.0;
+/// The share of requests with side effects.
+pub const WITH_SIDE_EFFECTS: f64 = 0.1;
+/// The longest message between routers.
+const DATAGRAM: usize = 256;
+
+pub enum Input {
+    Datagram { from: u32, payload: Vec<u8> },
+    List { scope: ListScope, entries: Arc<[HostEntry]> },
+    ListFailed,
+    Stage(StageNews),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    Datagram { to: u32, payload: Vec<u8> },
+    Vote { build: BuildId, stage: u32, sense: Sense },
+    Follow(bool),
+}
+
+/// What does not change while a fleet runs.
+pub struct Surroundings {
+    pub layout: Layout,
+    pub table: Arc<HostTable>,
+    pub hosts: HashMap<HostId, u32>,
+    pub time_limit: f64,
+}
+
+/// What a router meets at a moment.
+#[derive(Clone, Copy)]
+pub struct Moment {
+    pub now: f64,
+    pub partition: Partition,
+    /// Requests a second.
+    pub rate: f64,
+}
+
+struct Attempt {
+    request: InvId,
+    number: DispatchNo,
+    host: HostId,
+    drawn: Drawn,
+    begun: f64,
+    time_out: f64,
+    unused: f64,
+}
+
+enum Due {
+    Decisions(AlarmKey),
+    Arrival,
+    AttemptOver(Attempt),
+}
+
+/// Counts of drawn requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DrawnRequests {
+    pub asked: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+pub struct HollowRouter {
+    me: u32,
+    surroundings: Arc<Surroundings>,
+    decisions: Router,
+    chance: ChaCha8Rng,
+    timers: Alarms<Due>,
+    events: VecDeque<Event>,
+    effects: Vec<Effect>,
+    /// Requests without a final answer, and how many attempts each has had.
+    open: HashMap<InvId, u32>,
+    last_request: u64,
+    /// When the last attempt at a host ended: its connection is without use since then.
+    unused: HashMap<HostId, f64>,
+    pub requests: DrawnRequests,
+}
+
+impl HollowRouter {
+    pub fn start(surroundings: Arc<Surroundings>, terms: ServiceTerms, seed: u64, now: f64) -> Self {
+        let me = terms.me.0;
+        let mut timers = Alarms::new(TIMERS);
+        timers.set(now, Due::Arrival);
+        HollowRouter {
+            me,
+            surroundings,
+            decisions: Router::start(terms, seed, now),
+            chance: ChaCha8Rng::seed_from_u64(!seed),
+            timers,
+            events: VecDeque::new(),
+            effects: vec![],
+            open: HashMap::new(),
+            last_request: 0,
+            unused: HashMap::new(),
+            requests: DrawnRequests::default(),
+        }
+    }
+
+    /// When it has to be woken.
+    pub fn next(&self) -> Option<f64> {
+        self.timers.next()
+    }
+
+    pub fn input(&mut self, moment: Moment, input: Input, out: &mut Vec<Output>) {
+        self.events.push_back(match input {
+            Input::Datagram { from, payload } => Event::Told { from: RouterId(from), payload },
+            Input::List { scope, entries } => Event::Hosts { scope, entries },
+            Input::ListFailed => Event::ListFailed,
+            Input::Stage(news) => Event::Stage(news),
+        });
+        self.settle(moment, out);
+    }
+
+    /// Does all that is due.
+    pub fn wake(&mut self, moment: Moment, out: &mut Vec<Output>) {
+        while let Some(due) = self.timers.due(moment.now) {
+            match due {
+                Due::Decisions(key) => self.events.push_back(Event::Alarm { key }),
+                Due::Arrival => self.arrive(moment),
+                Due::AttemptOver(attempt) => self.attempt_over(moment, attempt),
+            }
+            self.settle(moment, out);
+        }
+    }
+
+    fn settle(&mut self, moment: Moment, out: &mut Vec<Output>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut effects = std::mem::take(&mut self.effects);
+            self.decisions.handle(moment.now, event, &mut effects);
+            effects.drain(..).for_each(|effect| self.carry_out(moment, effect, out));
+            self.effects = effects;
+        }
+    }
+
+    fn arrive(&mut self, moment: Moment) {
+        let pause = -(1.0 - self.chance.random::<f64>()).ln() / moment.rate.max(1e-3);
+        self.timers.set(moment.now + pause, Due::Arrival);
+        self.last_request += 1;
+        let id = InvId(self.last_request.to_string().into());
+        let once = self.chance.random::<f64>() < WITH_SIDE_EFFECTS;
+        self.requests.asked += 1;
+        self.open.insert(id.clone(), 0);
+        self.events.push_back(Event::Arrived(Invocation {
+            id,
+            operation: OperationId(usize::from(once)),
+            key: Some(KeyId(format!("k{}", self.last_request).into())),
+            time_left: self.surroundings.time_limit,
+            work: None,
+            again: false,
+            pool: None,
+        }));
+    }
+
+    fn carry_out(&mut self, moment: Moment, effect: Effect, out: &mut Vec<Output>) {
+        match effect {
+            Effect::Dispatch { inv, host, time_out, on } => self.attempt(moment, inv, host, time_out, on),
+            Effect::Throttle { inv, .. } => {
+                self.requests.refused += 1;
+                self.open.remove(&inv);
+            }
+            Effect::Terminate { inv } => {
+                self.requests.failed += 1;
+                self.open.remove(&inv);
+            }
+            Effect::SetAlarm { at, key } => {
+                self.timers.set(at, Due::Decisions(key));
+            }
+            Effect::CloseIdle { host } => drop(self.unused.remove(&host)),
+            Effect::Tell { to: Some(to), payload } if payload.len() <= DATAGRAM => {
+                out.push(Output::Datagram { to: to.0, payload });
+            }
+            Effect::Vote { build, stage, sense } => out.push(Output::Vote { build, stage, sense }),
+            Effect::Follow { on } => out.push(Output::Follow(on)),
+            Effect::Tell { .. }
+            | Effect::Recall { .. }
+            | Effect::Probe { .. }
+            | Effect::FetchList
+            | Effect::Note { .. } => {}
+        }
+    }
+
+    fn attempt(&mut self, moment: Moment, request: InvId, host: HostId, time_out: f64, on: ConnectionTerms) {
+        let Some(attempts) = self.open.get_mut(&request) else { return };
+        let number = DispatchNo(*attempts);
+        *attempts += 1;
+        let now = moment.now;
+        let kept = on.unused_most.min(KEPT_UNUSED);
+        let unused = self.unused.get(&host).map(|since| now - since).filter(|unused| *unused <= kept);
+        let unused = unused.unwrap_or(0.0);
+        let Surroundings { layout, table, hosts, .. } = &*self.surroundings;
+        let Some(place) = hosts.get(&host).copied() else { return };
+        let reaches = moment.partition.reaches(layout.router_place(self.me), layout.host_place(place));
+        let drawn = table.begin(place, now, Whose::Hollow, reaches, &mut self.chance);
+        let over = match drawn.outcome {
+            Outcome::Silent => time_out,
+            Outcome::Reset => ON_THE_WAY,
+            Outcome::Served | Outcome::Error => (drawn.after + ON_THE_WAY).min(time_out),
+        };
+        let attempt = Attempt { request, number, host, drawn, begun: now, time_out, unused };
+        self.timers.set(now + over, Due::AttemptOver(attempt));
+    }
+
+    fn attempt_over(&mut self, moment: Moment, attempt: Attempt) {
+        let now = moment.now;
+        let timed_out = now >= attempt.begun + attempt.time_out;
+        let Some(place) = self.surroundings.hosts.get(&attempt.host) else { return };
+        let outcome = self.surroundings.table.end(*place, &attempt.drawn);
+        if outcome == Outcome::Silent && !timed_out {
+            self.timers.set(attempt.begun + attempt.time_out, Due::AttemptOver(attempt));
+            return;
+        }
+        let verdict = match outcome {
+            _ if timed_out => Verdict::TimedOut,
+            Outcome::Served => Verdict::Succeeded,
+            Outcome::Error => Verdict::Error,
+            Outcome::Reset => Verdict::Reset,
+            Outcome::Silent => Verdict::TimedOut,
+        };
+        let Attempt { request: inv, number: dispatch, host, begun, unused, .. } = attempt;
+        let served = verdict == Verdict::Succeeded;
+        if served {
+            self.requests.served += u64::from(self.open.remove(&inv).is_some());
+        }
+        if matches!(verdict, Verdict::Succeeded | Verdict::Error) {
+            self.unused.insert(host, now);
+        }
+        let over = !self.open.contains_key(&inv);
+        let (took, load) = (now - begun, LoadReport::default());
+        let unused = Some(unused);
+        self.events.push_back(Event::Ended { inv, dispatch, host, verdict, over, took, load, unused });
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/measure/src/capacity/fleet_run/net/discovery/tests.rs
@@ -0,0 +1,22 @@
+use std::net::SocketAddr;
+
+use kestreltide_router::protocol::discovery::write_get;
+
+use super::*;
+
+fn asked(watch: Option<(u64, u64)>) -> Vec<u8> {
+    let mut bytes = vec![];
+    write_get(&mut bytes, SocketAddr::from(([127, 0, 0, 1], 1)), watch);
+    bytes
+}
+
+#[test]
+fn what_routers_write_is_read() {
+    let whole = asked(None);
+    assert_eq!(question(&whole), Some(Question { watch: None, bytes: whole.len() }));
+    let mut watch = asked(Some((41, 5_000)));
+    let bytes = watch.len();
+    watch.extend(asked(None));
+    assert_eq!(question(&watch), Some(Question { watch: Some((41, Duration::from_secs(5))), bytes }));
+    assert_eq!(question(&whole[..whole.len() - 1]), None);
+}
--- /dev/null
+++ b/measure/src/capacity/fleet_run/plan/tests.rs
@@ -0,0 +1,14 @@
+use kestreltide_terms::{Fields, Names, decode};
+
+use super::*;
+
+#[test]
+fn every_router_can_read_its_settings() {
+    for plan in [Plan::full(), Plan::small(), Plan::held_against(true)] {
+        let settings = plan.settings(plan.layout.routers - 1);
+        let (terms, _) = decode(&Fields::from_json("settings", &settings), &mut Names::Named).unwrap();
+        assert_eq!(terms.routers, plan.layout.routers);
+        assert_eq!(terms.votes_on * 2, plan.layout.routers);
+        assert_eq!(terms.cold_time, COLD_TIME);
+    }
+}
