--- a/measure/src/capacity/fleet_run/fleet.rs
+++ b/measure/src/capacity/fleet_run/fleet.rs
@@ -17,6 +17,7 @@
 use super::net::{discovery, hosts, listen_on_loopback, platform, relay};
 use super::partition::Partition;
 use super::plan::Plan;
+use super::processes::{self, CoreTime};
 use super::rollout::Progress;
 use super::routers::{Cost, Routers};
 use super::rules::Seen;
@@ -30,6 +31,8 @@
     pub real: ByCause,
     pub hollow: ByCause,
     pub costs: Vec<Cost>,
+    /// Of this process, which holds all hollow parts.
+    pub hollow_parts: CoreTime,
     pub seen: Seen,
     pub handshakes: u64,
     pub lists_away: u64,
@@ -176,6 +179,7 @@
             real: counters.sum(plan.layout.real_routers()),
             hollow: counters.sum(plan.layout.hollow_routers()),
             costs: self.routers.costs(),
+            hollow_parts: processes::core_time("self"),
             seen: self.shared.rules.lock().expect("no panic before").seen,
             handshakes: counters.handshakes.load(Relaxed),
             lists_away: counters.lists_away.load(Relaxed),
--- a/measure/src/capacity/fleet_run/partition.rs
+++ b/measure/src/capacity/fleet_run/partition.rs
@@ -21,3 +21,6 @@
         !self.regions_apart || router.region == CONTROL_REGION
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/measure/src/capacity/fleet_run/routers.rs
+++ b/measure/src/capacity/fleet_run/routers.rs
@@ -18,6 +18,7 @@
 use super::changes::Way;
 use super::net::shared::Shared;
 use super::net::{clients, hollow_router};
+use super::processes::CoreTime;
 use super::real_router::{RealRouter, Said};
 
 /// Seconds after SIGTERM in which clients still come, and after which a process is ended.
@@ -49,7 +50,7 @@
 pub struct Cost {
     pub router: u32,
     pub starts: u32,
-    pub processor_seconds: f64,
+    pub core_time: CoreTime,
     pub resident_kib: u64,
 }
 
@@ -225,7 +226,7 @@
                 Said::InForce { revision } => {
                     let generation = real.generations.range(..=revision).next_back();
                     if let Some((_, generation)) = generation {
-                        changes.has(Way::Files, router, *generation);
+                        changes.has(Way::Files, router, *generation, now);
                     }
                 }
             }
@@ -266,7 +267,7 @@
             Some(Cost {
                 router: *router,
                 starts: real.starts,
-                processor_seconds: process.processor_seconds(),
+                core_time: process.core_time(),
                 resident_kib: process.resident_kib(),
             })
         };
--- a/measure/src/capacity/fleet_run/scenario.rs
+++ b/measure/src/capacity/fleet_run/scenario.rs
@@ -72,6 +72,7 @@
         let begun = self.fleet.shared.now();
         self.fleet.run_until(most, |fleet| fleet.progress() != Progress::Testing).await;
         let seconds = self.fleet.shared.now() - begun;
+        self.say_votes();
         match (self.fleet.progress(), good) {
             (Progress::Live, true) | (Progress::Recalling | Progress::Recalled, false) => Ok(seconds),
             (Progress::Testing, _) => Err("undecided"),
@@ -80,6 +81,16 @@
         }
     }
 
+    /// Says how near a vote without an end has come.
+    fn say_votes(&self) {
+        let rollout = self.fleet.shared.rollout.lock().expect("no panic before");
+        let (standing, [on, back]) = (rollout.standing(), rollout.most);
+        if standing.progress == Progress::Testing {
+            let needed = self.fleet.shared.plan.votes_needed();
+            eprintln!("{standing:?}: at most {on} votes on and {back} back at once, {needed} are needed");
+        }
+    }
+
     /// All machines of some places vanish at once, and come back.
     async fn outage(&mut self, name: &'static str, of: impl Fn(Place) -> bool) {
         let (layout, lengths) = (self.fleet.shared.plan.layout, self.fleet.shared.plan.lengths);
@@ -120,15 +131,17 @@
     run.fleet.run_for(lengths.rest).await;
     run.end_phase("at rest");
     let then = run.before.costs.clone();
-    run.fleet.begin_day(&day);
+    // Trials run in true time, so they stand outside the compressed day: in it hosts start so often that the
+    // seconds without a start, which a stage has to have, would hardly come.
     run.fleet.set_rates(plan.peak_rate, plan.drawn_rate);
-    run.fleet.run_for(lengths.peak).await;
-    run.end_phase("peak");
     run.trial("good trial", true, lengths.trial).await;
     run.trial("bad trial", false, lengths.trial).await;
+    run.split().await;
+    run.fleet.begin_day(&day);
+    run.fleet.run_for(lengths.peak).await;
+    run.end_phase("peak");
     run.outage("rack", |place| place.rack == FAILING_RACK).await;
     run.outage("zone", |place| place.zone == FAILING_ZONE).await;
-    run.split().await;
     if !run.fleet.day_is_over() {
         run.fleet.run_until(lengths.day, Fleet::day_is_over).await;
         run.end_phase("rest of day");
@@ -154,3 +167,6 @@
     run.fleet.run_until(super::plan::IN_FORCE_WITHIN + 1.0, settled).await;
     Ok(Done { fleet: run.fleet, rows: run.rows, day, memory, started, restarted })
 }
+
+#[cfg(test)]
+mod tests;
--- a/measure/src/capacity/fleet_run/verdict.rs
+++ b/measure/src/capacity/fleet_run/verdict.rs
@@ -2,7 +2,7 @@
 
 use super::comparison::Compared;
 use super::layout::Layout;
-use super::measures::{Row, control_bytes};
+use super::measures::{Row, control_bytes, gossip};
 use super::plan::{IN_FORCE_WITHIN, Plan};
 use super::scenario::Done;
 use crate::report::Report;
@@ -60,6 +60,8 @@
     report.most("in_force_s", "longest until in force at the last, s", worst_in_force(done), IN_FORCE_WITHIN);
     let changes = done.fleet.shared.changes.lock().expect("no panic before");
     report.never("missed", "routers that missed a change", changes.missed.len() as u64);
+    let first = format!("{:.1}", changes.first_list);
+    report.tell("first_list_s", "longest from a router's start to its first list, s", first);
     changes.missed.iter().take(NAMED).for_each(|missed| println!("    {missed:?}"));
 }
 
@@ -104,6 +106,8 @@
 
 fn comparison(report: &mut Report, compared: &[Compared]) {
     let off: Vec<_> = compared.iter().filter(|of| !of.is_alike()).map(|of| of.what).collect();
+    let ratios = compared.iter().map(|of| (of.ratio() - 1.0).abs()).fold(0.0, f64::max);
+    report.tell("hollow_farthest", "hollow over real figures, farthest from 1 by", format!("{ratios:.3}"));
     report.never("hollow_off", "hollow figures over a tenth from real ones", off.len() as u64);
     off.iter().for_each(|what| println!("    {what}"));
 }
@@ -117,6 +121,10 @@
     starts(report, done);
     memory(report, done);
     comparison(report, compared);
+    if let Some(rest) = row(done, "at rest") {
+        let ratio = gossip(&rest.hollow).messages / gossip(&rest.real).messages;
+        report.tell("mesh_gossip", "gossip of hollow over real ones, at rest", format!("{ratio:.3}"));
+    }
     if let Some(peak) = row(done, "peak") {
         report.tell(
             "peak_core_percent",
