--- a/terms/src/fields.rs
+++ b/terms/src/fields.rs
@@ -9,6 +9,8 @@
 use serde_json::Value;
 
 const MICROS: f64 = 1e6;
+/// Bytes of a path. Every key that is known is far shorter; each value below a long one would repeat it whole.
+const PATH: usize = 256;
 
 /// Whole microseconds as seconds.
 pub fn seconds(micros: u64) -> f64 {
@@ -34,7 +36,8 @@
     }
 
     /// Paths of nested objects are joined by dots, lists of plain values by commas; lists of objects hold
-    /// their length under `.count` and their items under `.0`, `.1` and onward.
+    /// their length under `.count` and their items under `.0`, `.1` and onward. What stands below a path of over
+    /// 256 bytes is passed over, as all keys that nobody knows.
     pub fn from_json(name: &'a str, value: &Value) -> Self {
         let mut fields = Fields::new(name);
         fields.flatten(String::new(), value);
@@ -44,6 +47,7 @@
     fn flatten(&mut self, path: String, value: &Value) {
         let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
         match value {
+            _ if path.len() > PATH => {}
             Value::Null => {}
             Value::Object(map) => map.iter().for_each(|(key, value)| self.flatten(below(key), value)),
             Value::Array(items) if items.iter().any(Value::is_object) => {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -126,21 +126,21 @@
 const SOME: RangeInclusive<f64> = 1e-9..=1e9;
 const ROUTERS: u32 = 1_000_000;
 const MANY: usize = 1_000_000_000;
-/// Operations or tenants.
-const NAMED: usize = 4096;
+const OPERATIONS: usize = 4096;
+const TENANTS: usize = 64 * 1024;
 
 /// The names of a list of objects, none of them twice.
 fn names(fields: &Fields, list: &str, count: usize) -> Result<Vec<String>, String> {
-    let mut found: Vec<String> = Vec::new();
+    let (mut names, mut places) = (Vec::new(), BTreeMap::new());
     for number in 0..count {
         let key = format!("{list}.{number}.name");
         let name = fields.text(&key)?;
-        if let Some(first) = found.iter().position(|other| other == name) {
+        if let Some(first) = places.insert(name, number) {
             return Err(fields.wrong(&key, format_args!("stands at {list}.{first}.name already")));
         }
-        found.push(name.into());
+        names.push(name.into());
     }
-    Ok(found)
+    Ok(names)
 }
 
 fn operation_terms(fields: &Fields, number: usize) -> Result<OperationTerms, String> {
@@ -176,7 +176,7 @@
 /// Tenants have no part in what a router does; a list of them that cannot be one is refused all the same.
 fn check_tenants(fields: &Fields) -> Result<(), String> {
     let count = if fields.maybe("accounts.count").is_some() {
-        fields.count("accounts.count", 0..=NAMED)?
+        fields.count("accounts.count", 0..=TENANTS)?
     } else {
         0
     };
@@ -195,7 +195,7 @@
 /// The settings object as the terms of the decisions and the figures of the transport. What is missing, no such
 /// value or beyond all sense is refused by its path; keys that are not known are passed over.
 pub fn decode(fields: &Fields, zones: &mut Names) -> Result<(ServiceTerms, TransportTerms), String> {
-    let count: usize = fields.count("request_classes.count", 1..=NAMED)?;
+    let count: usize = fields.count("request_classes.count", 1..=OPERATIONS)?;
     let by_name = names(fields, "request_classes", count)?;
     let by_name = by_name.into_iter().zip((0..).map(OperationId)).collect();
     let operations =
--- a/terms/tests/settings.rs
+++ b/terms/tests/settings.rs
@@ -106,3 +106,52 @@
     let why = refusal(&settings).expect("it is refused");
     assert!(why.starts_with(&format!("settings.{named}: stands at {list}.0.name already")), "{why}");
 }
+
+fn with_tenants(count: usize) -> Value {
+    let mut settings = settings();
+    settings["accounts"] = (0..count).map(|n| json!({"name": format!("tenant-{n}")})).collect();
+    settings
+}
+
+/// Nanoseconds that this thread has run on a core, whatever else the machine does. The kernel counts them up when
+/// the thread goes to sleep.
+fn run_time() -> u64 {
+    std::thread::sleep(std::time::Duration::from_micros(50));
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").expect("the kernel counts");
+    told.split(' ').next().and_then(|text| text.parse().ok()).expect("a number")
+}
+
+/// Sixteen times the tenants are to cost some sixteen times as much, not two hundred and fifty-six.
+#[test]
+fn names_are_told_apart_without_comparing_each_with_each() {
+    let cost = |count: usize| {
+        let settings = with_tenants(count);
+        let once = || {
+            let began = run_time();
+            assert_eq!(refusal(&settings), None);
+            run_time() - began
+        };
+        (0..3).map(|_| once()).min().expect("three")
+    };
+    let (few, many) = (cost(2_000), cost(32_000));
+    assert!(many < 64 * few, "{few} ns, {many} ns");
+}
+
+#[rstest]
+#[case::most(65_536, None)]
+#[case::one_more(65_537, Some("settings.accounts.count: is not within 0 and 65536 (65537 was given)"))]
+fn as_many_tenants_as_are_taken_and_one_more(#[case] count: usize, #[case] why: Option<&str>) {
+    assert_eq!(refusal(&with_tenants(count)).as_deref(), why);
+}
+
+/// Each value below a long path would repeat it whole: a text of some megabytes would take all memory.
+#[test]
+fn what_stands_below_a_long_path_is_passed_over() {
+    let mut settings = settings();
+    let long = "k".repeat(257);
+    settings[&long] = json!({"a": 1, "b": [{"c": 2}]});
+    let fields = Fields::from_json("settings", &settings);
+    assert_eq!(fields.maybe(&format!("{long}.a")), None);
+    assert_eq!(fields.maybe(&format!("{long}.b.0.c")), None);
+    assert_eq!(refusal(&settings), None);
+}
