--- a/router/src/fronts/management.rs
+++ b/router/src/fronts/management.rs
@@ -105,8 +105,10 @@
             let tell = |told: Told<Keys>| {
                 match told {
                     Told::Version(keys) => {
-                        info!(of_keys, "keys are taken"; "generation" => &keys.generation, "keys" => keys.keys.len());
+                        // In this order: who reads the line finds them in force.
+                        let (generation, count) = (keys.generation.clone(), keys.keys.len());
                         found.store(Arc::new(keys));
+                        info!(of_keys, "keys are taken"; "generation" => generation, "keys" => count);
                     }
                     Told::Refused(faults) | Told::Held(faults) => {
                         let why = faults.first.first().map(ToString::to_string).unwrap_or_default();
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -3,6 +3,8 @@
 use kestreltide::interface::ServiceTerms;
 use kestreltide_terms::TransportTerms;
 
+use crate::protocol::discovery::AnswerLimits;
+
 const KIB: usize = 1024;
 const MIB: usize = 1024 * KIB;
 /// Descriptors for all that is neither a client's connection nor one to a host.
@@ -39,9 +41,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     pub resp: RespLimits,
+    /// Of a line of the platform.
     pub line: usize,
-    pub list_answer: usize,
-    pub headers: usize,
+    /// Of an answer of discovery.
+    pub answer: AnswerLimits,
     pub datagram: usize,
     /// Datagrams taken at one wake.
     pub datagrams: usize,
@@ -70,6 +73,8 @@
     pub votes: usize,
     pub probes: usize,
     pub log_lines: usize,
+    /// Of a line of the log that is written in one piece.
+    pub log_line: usize,
     /// Lines a second about what others do wrong.
     pub complaints: u64,
     pub connect_time: f64,
@@ -138,6 +143,8 @@
 impl Limits {
     /// Of the configuration file, which all others are derived from.
     pub const FILE: usize = 4 * MIB;
+    /// Of the name of a host, a zone or a kind that discovery tells.
+    pub const NAME: usize = 256;
 
     pub fn new(sockets: usize, memory_mb: usize, terms: &ServiceTerms, transport: &TransportTerms) -> Self {
         let value = 64 * KIB;
@@ -154,8 +161,7 @@
         Limits {
             resp: RespLimits { value, words: 8, line: KIB, digits: 12, message, id: 256 },
             line: 8 * KIB,
-            list_answer: 4 * MIB,
-            headers: 32,
+            answer: AnswerLimits { body: 4 * MIB, head: 16 * KIB, frame: 256 * KIB, headers: 32 },
             datagram: 256,
             datagrams: 1024,
             read_step: 64 * KIB,
@@ -176,6 +182,7 @@
             votes: 16,
             probes: 64,
             log_lines: 1024,
+            log_line: 8 * KIB,
             complaints: 10,
             connect_time: transport.connect_time,
             speak: 2.0,
--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -11,6 +11,7 @@
 use serde_json::value::RawValue;
 
 use crate::limits::Limits;
+use crate::protocol::Malformed;
 use crate::protocol::discovery::{self, List};
 use crate::protocol::platform::StateForm;
 
@@ -102,7 +103,7 @@
     let mut names = Names::Named;
     let (terms, transport) = decode(&Fields::from_json("settings", &file.settings.0), &mut names)?;
     let known = file.known.map(|known| discovery::list(known.get().as_bytes())).transpose();
-    let known = known.map_err(|e| format!("known: {e}"))?;
+    let known = known.map_err(|e| format!("known: {}", Malformed::from(e)))?;
     if file.limits.sockets == 0 || file.limits.memory_mb == 0 {
         return Err("limits: sockets and memory_mb must be more than 0".into());
     }
--- a/router/src/protocol/discovery.rs
+++ b/router/src/protocol/discovery.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use super::{Malformed, Read};
+use crate::limits::Limits;
 
 #[derive(Debug, Deserialize)]
 pub struct List<'a> {
@@ -70,8 +71,66 @@
     }
 }
 
-pub fn list(body: &[u8]) -> Result<List<'_>, Malformed> {
-    serde_json::from_slice(body).map_err(|e| Malformed::new(e.to_string()))
+/// Why a list is none, and where in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListError {
+    /// Empty where the whole is no list.
+    pub path: String,
+    pub why: String,
+}
+
+impl From<ListError> for Malformed {
+    fn from(error: ListError) -> Self {
+        Malformed(if error.path.is_empty() { error.why } else { format!("{}: {}", error.path, error.why) })
+    }
+}
+
+pub fn list(body: &[u8]) -> Result<List<'_>, ListError> {
+    let list: List = serde_json::from_slice(body).map_err(|error| located(body, &error))?;
+    list.targets.iter().enumerate().try_for_each(|(place, target)| names_short(place, target))?;
+    Ok(list)
+}
+
+/// Read once more, as keeping the path would cost each list that is well.
+fn located(body: &[u8], error: &serde_json::Error) -> ListError {
+    let reader = &mut serde_json::Deserializer::from_slice(body);
+    let again: Result<List, _> = serde_path_to_error::deserialize(reader);
+    let path = again.err().map(|error| error.path().to_string()).filter(|path| path != ".");
+    ListError { path: path.unwrap_or_default(), why: error.to_string() }
+}
+
+fn names_short(place: usize, target: &Target) -> Result<(), ListError> {
+    let names = [("uid", &target.uid), ("az", &target.az), ("model", &target.model)];
+    let Some((field, name)) = names.iter().find(|(_, name)| name.len() > Limits::NAME) else { return Ok(()) };
+    Err(ListError {
+        path: format!("targets[{place}].{field}"),
+        why: format!("is too long ({} bytes; {} at most)", name.len(), Limits::NAME),
+    })
+}
+
+/// What an answer may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Bytes of the body, of the head, and of the sizes of chunks beside the body.
+    pub body: usize,
+    pub head: usize,
+    pub frame: usize,
+    pub headers: usize,
+}
+
+impl AnswerLimits {
+    /// Bytes that a whole answer may have on its way.
+    pub fn whole(&self) -> usize {
+        self.body + self.frame
+    }
+}
+
+/// An answer in chunks as far as it has come: each chunk is read once, however many pieces the answer comes in.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    /// Bytes behind the head that have been read.
+    used: usize,
+    body: Vec<u8>,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -81,18 +140,17 @@
     pub stays_open: bool,
 }
 
-/// An answer of at most this size with at most so many headers. An answer that says neither its length nor
-/// comes in chunks cannot be told from a cut one and is malformed.
-pub fn response(bytes: &[u8], most: usize, headers: usize) -> Read<Response<'_>> {
-    let mut room = vec![httparse::EMPTY_HEADER; headers];
+/// An answer within these limits; `come` is what has been read of it before, a new one for each answer. An
+/// answer that says neither its length nor comes in chunks cannot be told from a cut one and is malformed.
+pub fn response<'a>(bytes: &'a [u8], limits: &AnswerLimits, come: &mut Chunks) -> Read<Response<'a>> {
+    let mut room = vec![httparse::EMPTY_HEADER; limits.headers];
     let mut head = httparse::Response::new(&mut room);
-    let start = match head.parse(bytes).map_err(|e| Malformed::new(e.to_string()))? {
-        httparse::Status::Complete(start) => start,
-        httparse::Status::Partial if bytes.len() >= most => {
-            return Err(Malformed::new("the head is too long"));
-        }
-        httparse::Status::Partial => return Ok(None),
-    };
+    let status = head.parse(bytes).map_err(|e| Malformed::new(e.to_string()))?;
+    let length = if let httparse::Status::Complete(start) = status { start } else { bytes.len() };
+    if length > limits.head {
+        return Err(too_long("head", length, limits.head));
+    }
+    let httparse::Status::Complete(start) = status else { return Ok(None) };
     let value = |name: &str| {
         let header = head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
         header.map(|header| std::str::from_utf8(header.value).unwrap_or_default().trim())
@@ -100,38 +158,51 @@
     let stays_open = !value("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
     let status = head.code.unwrap_or_default();
     let found = if value("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked")) {
-        chunks(&bytes[start..], most)?.map(|(body, used)| (Cow::Owned(body), used))
+        come.read(&bytes[start..], limits)?.map(|(body, used)| (Cow::Owned(body), used))
     } else {
         let length = value("content-length").and_then(|value| value.parse::<usize>().ok());
         let length = length.ok_or_else(|| Malformed::new("no length"))?;
-        if length > most {
-            return Err(Malformed::new("the answer is too long"));
+        if length > limits.body {
+            return Err(too_long("content-length", length, limits.body));
         }
         bytes.get(start..start + length).map(|body| (Cow::Borrowed(body), length))
     };
     Ok(found.map(|(body, used)| (Response { status, body, stays_open }, start + used)))
 }
 
-fn chunks(bytes: &[u8], most: usize) -> Read<Vec<u8>> {
-    let (mut body, mut used) = (Vec::new(), 0);
-    loop {
-        let size = httparse::parse_chunk_size(&bytes[used..]);
-        let (head, size) = match size.map_err(|_| Malformed::new("a chunk's size is no number"))? {
-            httparse::Status::Complete((head, size)) => (head, size as usize),
-            httparse::Status::Partial => return Ok(None),
-        };
-        if size.saturating_add(body.len()) > most {
-            return Err(Malformed::new("the answer is too long"));
-        }
-        used += head;
-        let Some(chunk) = bytes.get(used..used + size + 2) else { return Ok(None) };
-        if !chunk.ends_with(b"\r\n") {
-            return Err(Malformed::new("a chunk does not end where it says"));
-        }
-        body.extend_from_slice(&chunk[..size]);
-        used += size + 2;
-        if size == 0 {
-            return Ok(Some((body, used)));
+fn too_long(what: &str, bytes: usize, most: usize) -> Malformed {
+    Malformed::new(format!("{what}: the answer is too long ({bytes} bytes; {most} at most)"))
+}
+
+impl Chunks {
+    /// The whole body and how many bytes it took, once its last chunk has come.
+    fn read(&mut self, bytes: &[u8], limits: &AnswerLimits) -> Read<Vec<u8>> {
+        loop {
+            let left = bytes.get(self.used..).unwrap_or_default();
+            let size = httparse::parse_chunk_size(left);
+            let (head, size) = match size.map_err(|_| Malformed::new("a chunk's size is no number"))? {
+                httparse::Status::Complete((head, size)) => (head, size as usize),
+                httparse::Status::Partial if left.len() > limits.head => {
+                    return Err(too_long("a chunk's size", left.len(), limits.head));
+                }
+                httparse::Status::Partial => return Ok(None),
+            };
+            let length = size.saturating_add(self.body.len());
+            if length > limits.body {
+                return Err(too_long("chunks", length, limits.body));
+            }
+            let Some(chunk) = left.get(head..head + size + 2) else { return Ok(None) };
+            if !chunk.ends_with(b"\r\n") {
+                return Err(Malformed::new("a chunk does not end where it says"));
+            }
+            self.body.extend_from_slice(&chunk[..size]);
+            self.used += head + size + 2;
+            if size == 0 {
+                return Ok(Some((std::mem::take(&mut self.body), self.used)));
+            }
+            if self.used > limits.whole() {
+                return Err(too_long("chunks with their sizes", self.used, limits.whole()));
+            }
         }
     }
 }
--- a/router/src/protocol/platform.rs
+++ b/router/src/protocol/platform.rs
@@ -103,7 +103,8 @@
 pub fn read(bytes: &[u8], most: usize) -> Read<Told<'_>> {
     let Some(end) = bytes.iter().take(most).position(|byte| *byte == b'\n') else {
         let long = bytes.len() >= most;
-        return if long { Err(Malformed::new("a line is too long")) } else { Ok(None) };
+        let why = || Malformed::new(format!("a line is too long ({most} bytes at most)"));
+        return if long { Err(why()) } else { Ok(None) };
     };
     let text = std::str::from_utf8(&bytes[..end]).map_err(|_| Malformed::new("a line is not UTF-8"))?;
     Ok(Some((told(text.trim_end())?, end + 1)))
--- a/router/src/routing/discovery.rs
+++ b/router/src/routing/discovery.rs
@@ -6,10 +6,11 @@
 use kestreltide::interface::*;
 use slog::{info, warn};
 
+use super::send::Link;
 use super::{Due, NEWS, Routing};
 use crate::limits::Limits;
 use crate::protocol::Malformed;
-use crate::protocol::discovery::{self, List};
+use crate::protocol::discovery::{self, Chunks, List, Target};
 use crate::transport::{Fill, SocketId, Stream};
 
 const MILLIS: f64 = 1e3;
@@ -32,6 +33,8 @@
     since: f64,
     /// Of an answer that has begun and is not whole: how much has come, and when the last of it.
     begun: Option<(usize, f64)>,
+    /// The same, where it comes in chunks: what has been read of it.
+    chunks: Chunks,
 }
 
 pub(super) struct Discovery {
@@ -147,7 +150,8 @@
         match Stream::connect(&mut self.net, self.discovery.at, NEWS) {
             Ok(stream) => {
                 let (id, now) = (stream.id, self.clock.now());
-                let call = Call { stream, asked, number: 0, taken: 0, since: now, begun: None };
+                let chunks = Chunks::default();
+                let call = Call { stream, asked, number: 0, taken: 0, since: now, begun: None, chunks };
                 self.discovery.calls.insert(id, call);
                 self.ask(id, asked);
             }
@@ -165,7 +169,7 @@
         self.discovery.number += 1;
         self.tally.lists += 1;
         (call.asked, call.number, call.begun) = (asked, self.discovery.number, None);
-        call.taken = self.discovery.taken;
+        (call.taken, call.chunks) = (self.discovery.taken, Chunks::default());
         let watch = rev.filter(|_| asked == Asked::Changes).map(|rev| (rev, (hold * MILLIS) as u64));
         discovery::write_get(call.stream.output(), at, watch);
         let in_turn = self.discovery.on_demand && hold <= 0.0 || asked == Asked::Once;
@@ -179,7 +183,7 @@
     }
 
     pub(super) fn discovery_ready(&mut self, id: SocketId) {
-        let limits = &self.limits;
+        let (most, step) = (self.limits.answer.whole(), self.limits.read_step);
         let Some(call) = self.discovery.calls.get_mut(&id) else { return };
         let flushed = call.stream.is_up().and_then(|up| if up { call.stream.flush() } else { Ok(false) });
         match flushed {
@@ -188,12 +192,12 @@
             Err(e) => return self.call_broke(id, &e.to_string()),
         }
         let mut filled = Fill::More;
-        while filled == Fill::More && call.stream.input().len() < limits.list_answer {
-            filled = call.stream.fill(limits.list_answer, limits.read_step);
+        while filled == Fill::More && call.stream.input().len() < most {
+            filled = call.stream.fill(most, step);
         }
         // Out of the map meanwhile: the list is read from the buffer.
         let Some(mut call) = self.discovery.calls.remove(&id) else { return };
-        let answer = self.take_response(&call);
+        let answer = self.take_response(&mut call);
         let ended = filled == Fill::Ended;
         match answer {
             Ok(None) if !ended => self.call_goes_on(id, call),
@@ -222,10 +226,13 @@
         }
     }
 
-    fn take_response(&mut self, call: &Call) -> Result<Option<(usize, bool)>, Malformed> {
-        let (bytes, most) = (call.stream.input(), self.limits.list_answer);
-        let Some((response, used)) = discovery::response(bytes, most, self.limits.headers)? else {
-            return Ok(None);
+    fn take_response(&mut self, call: &mut Call) -> Result<Option<(usize, bool)>, Malformed> {
+        let (bytes, limits) = (call.stream.input(), self.limits.answer);
+        let Some((response, used)) = discovery::response(bytes, &limits, &mut call.chunks)? else {
+            let room = bytes.len() < limits.whole();
+            // Nothing more of it would ever be read.
+            let long = || Malformed::new(format!("the answer is too long (over {} bytes)", limits.whole()));
+            return if room { Ok(None) } else { Err(long()) };
         };
         if response.status != 200 {
             return Err(Malformed::new(format!("status {}", response.status)));
@@ -263,18 +270,37 @@
     fn take_list(&mut self, list: &List, scope: ListScope) {
         self.discovery.told = true;
         self.finish_staging();
-        let mut entries = Vec::with_capacity(list.targets.len());
-        for target in &list.targets {
-            let Some(noted) = self.hosts.note(target) else {
-                warn!(self.log, "more hosts are listed than can be kept"; "uid" => target.uid.as_ref());
-                continue;
+        let whole = scope != ListScope::Changes;
+        let mut targets: Vec<_> = list.targets.iter().collect();
+        if whole {
+            self.tell_doubled(list);
+        }
+        if self.hosts.len() + targets.len() > self.limits.hosts {
+            self.make_room(&mut targets, whole);
+        }
+        let mut entries = Vec::with_capacity(targets.len());
+        let mut left_out = vec![];
+        for target in targets {
+            let goes = target.state() == HostState::Gone;
+            let (entry, drop_idle) = match self.hosts.note(target) {
+                Some(noted) => (noted.entry, noted.drop_idle),
+                // It takes no room, and whoever still sends to it has to hear of it.
+                None if goes => (target.listed().entry(), true),
+                None => {
+                    left_out.push(target.uid.as_ref());
+                    continue;
+                }
             };
-            if noted.drop_idle {
-                self.close_idle(noted.entry.host);
+            if drop_idle {
+                self.close_idle(entry.host);
             }
-            entries.push(noted.entry);
+            entries.push(entry);
+        }
+        if let Some(first) = left_out.first() {
+            warn!(self.log, "more hosts are listed than can be kept"; "uid" => *first,
+                "left_out" => left_out.len(), "most" => self.limits.hosts);
         }
-        if scope != ListScope::Changes {
+        if whole {
             for host in self.hosts.only(&entries) {
                 self.close_idle(host);
             }
@@ -289,6 +315,37 @@
         self.view_changed();
     }
 
+    /// A whole list names each host once; changes may tell that one went and came again.
+    fn tell_doubled(&self, list: &List) {
+        let mut hosts: Vec<_> = list.targets.iter().map(|target| HostId::named(&target.uid)).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        if hosts.len() < list.targets.len() {
+            warn!(self.log, "hosts stand twice in a list, the last entry counts"; "rev" => list.rev,
+                "entries" => list.targets.len(), "hosts" => hosts.len());
+        }
+    }
+
+    /// Who has left makes room for who comes, and is taken after them: both would else be kept together until the
+    /// next sweep, and at the limit who comes be left out.
+    fn make_room(&mut self, targets: &mut [&Target], whole: bool) {
+        let host = |target: &&Target| HostId::named(&target.uid);
+        let last: BTreeMap<_, _> = targets.iter().map(|target| (host(target), target.state())).collect();
+        let goes = |target: &&Target| last.get(&host(target)) == Some(&HostState::Gone);
+        targets.sort_by_key(goes);
+        for target in targets.iter().filter(|target| goes(target)) {
+            self.hosts.note(target);
+        }
+        if whole {
+            let listed: Vec<_> = targets.iter().map(|target| target.listed().entry()).collect();
+            for host in self.hosts.only(&listed) {
+                self.close_idle(host);
+            }
+        }
+        let using = self.links.values().map(Link::host).collect();
+        self.hosts.forget_gone(&using);
+    }
+
     pub(super) fn close_idle(&mut self, host: HostId) {
         for id in self.pools.take_all(host) {
             self.close_link(id);
--- /dev/null
+++ b/router/tests/full_size.rs
@@ -0,0 +1,279 @@
+//! Bad input at the full size: lists and messages at their limits and just over them are taken or refused by name, the
+//! last good one is kept, and no client notices.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+
+use kestreltide_router::protocol::discovery::{AnswerLimits, Chunks, response};
+use kestreltide_standins::*;
+use rstest::rstest;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
+const READ: &str = "c=read,d=5000";
+/// Hosts that a router keeps, and bytes of a list's answer.
+const HOSTS: usize = 16_384;
+const ANSWER: usize = 4 << 20;
+
+fn well() -> SocketAddr {
+    fake_host(|words| value(&format!("of {}", words[2])))
+}
+
+/// A list of hosts that are all at one address, by their numbers.
+fn hosts(
+    rev: u32, all: bool, at: SocketAddr, numbers: impl Iterator<Item = (usize, &'static str)>,
+) -> String {
+    let named: Vec<_> = numbers.map(|(number, state)| (format!("host-{number:06}"), state)).collect();
+    let told: Vec<_> = named.iter().map(|(name, state)| (name.as_str(), at, *state)).collect();
+    list(rev, all, &told)
+}
+
+fn ready(numbers: impl Iterator<Item = usize>) -> impl Iterator<Item = (usize, &'static str)> {
+    numbers.map(|number| (number, "Ready"))
+}
+
+/// Puts blanks behind a text until it has this length.
+fn padded(mut text: String, length: usize) -> String {
+    text.extend(std::iter::repeat_n(' ', length - text.len()));
+    text
+}
+
+/// A router that is told what is sent here, and has been told of so many hosts.
+fn router_with(at: SocketAddr, count: usize) -> (Program, Sender<String>) {
+    let (lists, answers) = channel();
+    let program = Program::start(BINARY, &config(fake_discovery(answers), &list(1, true, &[])));
+    lists.send(hosts(2, true, at, ready(0..count))).expect("discovery runs");
+    program.logged("ready");
+    (program, lists)
+}
+
+fn served(program: &Program) {
+    assert_eq!(program.client().ask(&["Q.ASK", "k", "id", READ]), "of id");
+}
+
+#[test]
+fn as_many_hosts_as_are_kept_are_taken_and_one_more_is_left_out_and_told() {
+    let at = well();
+    let (program, lists) = router_with(at, HOSTS);
+    lists.send(hosts(3, true, at, ready(0..HOSTS + 1))).expect("discovery runs");
+    let told = program.logged("more hosts are listed than can be kept");
+    assert!(told.contains("left_out: 1,") && told.contains("most: 16384"), "{told}");
+    assert!(program.logged("rev: 3").contains("entries: 16384, running: 16384"));
+    served(&program);
+}
+
+/// Who has left and who comes are never kept together, so that at the limit nobody is left out.
+#[test]
+fn hosts_that_replace_others_at_the_limit_are_taken() {
+    let at = well();
+    let (program, lists) = router_with(at, HOSTS);
+    let whole = hosts(3, true, at, ready(HOSTS..2 * HOSTS));
+    let one_for_one = hosts(4, false, at, [(2 * HOSTS, "Ready"), (HOSTS, "Gone")].into_iter());
+    for (rev, list, entries) in [(3, whole, "entries: 16384, running: 16384"), (4, one_for_one, "entries: 2")]
+    {
+        lists.send(list).expect("discovery runs");
+        let line = program.logged("host");
+        assert!(line.contains(&format!("rev: {rev}")) && line.contains(entries), "{line}");
+    }
+    served(&program);
+}
+
+#[rstest]
+#[case::at_the_limit(ANSWER, None)]
+#[case::one_byte_over(ANSWER + 1, Some("content-length: the answer is too long (4194305 bytes; 4194304 at most)"))]
+fn a_list_answer_at_its_limit_is_taken_and_one_byte_more_is_refused(
+    #[case] length: usize, #[case] refused: Option<&str>,
+) {
+    let at = well();
+    let (program, lists) = router_with(at, 1);
+    lists.send(padded(hosts(3, true, at, ready(0..HOSTS)), length)).expect("discovery runs");
+    match refused {
+        None => drop(program.logged("rev: 3")),
+        Some(why) => {
+            let line = program.logged("discovery does not answer");
+            assert!(line.contains(why), "{line}");
+        }
+    }
+    served(&program);
+}
+
+/// A discovery that writes the bytes it is told, and ends the connection where it is told to.
+fn torn_discovery(answers: Receiver<(String, bool)>) -> SocketAddr {
+    let answers = std::sync::Mutex::new(answers);
+    party(move |stream: TcpStream| {
+        let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
+        while lines.by_ref().map_while(Result::ok).any(|line| line.is_empty()) {
+            let Ok((text, goes_on)) = answers.lock().expect("no panic before").recv() else { return };
+            let _ = (&stream).write_all(text.as_bytes());
+            if !goes_on {
+                return drop(stream.shutdown(std::net::Shutdown::Both));
+            }
+        }
+    })
+}
+
+fn plain(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn chunked(body: &str, size: usize) -> String {
+    let mut text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+    for chunk in body.as_bytes().chunks(size) {
+        let chunk = str::from_utf8(chunk).expect("plain text");
+        let _ = write!(text, "{:x}\r\n{chunk}\r\n", chunk.len());
+    }
+    text + "0\r\n\r\n"
+}
+
+/// Lists that are cut, stale, doubled, out of order or endless cost a client nothing, and the last good one counts.
+#[test]
+fn bad_lists_at_the_full_size_cost_no_request() {
+    let at = well();
+    let (lists, answers) = channel();
+    let text = config(torn_discovery(answers), &list(1, true, &[]));
+    let program = Program::start(BINARY, &text);
+    lists.send((plain(&hosts(10, true, at, ready(0..HOSTS))), true)).expect("discovery runs");
+    program.logged("rev: 10");
+    let (stop, mut client) = (Arc::new(AtomicBool::new(false)), program.client());
+    let stopped = stop.clone();
+    let asking = thread::spawn(move || {
+        let mut count = 0;
+        while !stopped.load(Relaxed) || count < 10 {
+            let id = format!("id{count}");
+            assert_eq!(client.ask(&["Q.ASK", "k", &id, READ]), format!("of {id}"));
+            count += 1;
+        }
+    });
+    let whole = |rev| hosts(rev, true, at, ready(0..HOSTS));
+    let (first, second) = (ready(0..HOSTS / 2), ready(0..HOSTS / 2));
+    let doubled = hosts(13, true, at, first.chain(second));
+    let cut = whole(11)[..1 << 20].to_owned();
+    let endless = chunked(&padded(whole(17), ANSWER), 1 << 16).replace("0\r\n\r\n", "10000\r\n");
+    let steps = [
+        // Cut by a connection that ends, and in itself.
+        ((plain(&whole(11))[..1 << 20].to_owned(), false), "the connection ended"),
+        ((plain(&cut), true), "EOF while parsing"),
+        // Stale: changes of a version before the known one.
+        ((plain(&hosts(9, false, at, ready(0..HOSTS))), true), "changes of version 9 after a later one"),
+        ((plain(&whole(12)), true), "rev: 12"),
+        ((plain(&doubled), true), "hosts stand twice in a list"),
+        ((plain(&hosts(14, true, at, ready((0..HOSTS).rev()))), true), "rev: 14"),
+        ((plain(&whole(14).replace("127.0.0.1", "nowhere")), true), "targets[0].endpoint: "),
+        ((chunked(&whole(15), 1400), true), "rev: 15"),
+        ((endless, true), "chunks: the answer is too long (4259840 bytes; 4194304 at most)"),
+        ((plain(&whole(18)), true), "rev: 18"),
+    ];
+    for (answer, told) in steps {
+        lists.send(answer).expect("discovery runs");
+        program.logged(told);
+    }
+    stop.store(true, Relaxed);
+    asking.join().expect("every request was answered");
+}
+
+/// An answer in chunks is walked once, however many pieces it comes in: what has been read is not looked at again.
+#[test]
+fn the_chunks_of_an_answer_are_read_once() {
+    let body = "x".repeat(100_000);
+    let mut bytes = chunked(&body, 1000).into_bytes();
+    let head = 4 + bytes.windows(4).position(|four| four == b"\r\n\r\n").expect("a head");
+    let limits = AnswerLimits { body: 100_000, head: 1000, frame: 10_000, headers: 8 };
+    let mut come = Chunks::default();
+    for length in (0..bytes.len()).step_by(777) {
+        assert_eq!(response(&bytes[..length], &limits, &mut come), Ok(None));
+        let end = length.saturating_sub(2000).max(head);
+        bytes[head..end].fill(b'!');
+    }
+    let whole = response(&bytes, &limits, &mut come).expect("well formed").expect("whole");
+    assert_eq!(whole.0.body, body.as_bytes());
+    assert_eq!(whole.1, bytes.len());
+}
+
+#[rstest]
+#[case::endless_head("HTTP/1.1 200 OK\r\nx: ", "head: the answer is too long")]
+#[case::endless_size("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "a chunk's size: ")]
+fn what_never_ends_is_refused_at_its_limit(#[case] begins: &str, #[case] why: &str) {
+    let limits = AnswerLimits { body: 100_000, head: 1000, frame: 10_000, headers: 8 };
+    let text = begins.to_owned() + &"y".repeat(1100);
+    let error = response(text.as_bytes(), &limits, &mut Chunks::default()).expect_err("refused");
+    assert!(error.0.starts_with(why), "{error}");
+}
+
+/// Of a peer, too: what is too long, cut, of no message or doubled is dropped, and no request notices.
+#[test]
+fn datagrams_beyond_their_limit_cost_no_request() {
+    let free = || UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let (listen, peer) = (free().local_addr().expect("an address"), free());
+    let with = format!(
+        "\"peer_listen\":\"{listen}\",\"peers\":[\"{listen}\",\"{}\"],\"settings\"",
+        peer.local_addr().expect("an address")
+    );
+    let (_lists, answers) = channel();
+    let text = config(fake_discovery(answers), &list(1, true, &[("a", well(), "Ready")]));
+    let text = text.replace("\"settings\"", &with).replace("\"peers\":false", "\"peers\":true");
+    let program = Program::start(BINARY, &text.replace("\"group_size\":1", "\"group_size\":2"));
+    for payload in [&[][..], &[1], &[7; 5], &[255; 256], &[255; 256]] {
+        peer.send_to(payload, listen).expect("it is sent");
+    }
+    peer.send_to(&[7; 257], listen).expect("it is sent");
+    let line = program.logged("a datagram is from no peer or too long");
+    assert!(line.contains(&peer.local_addr().expect("an address").to_string()), "{line}");
+    served(&program);
+}
+
+#[test]
+fn a_platform_line_at_its_limit_is_taken_and_one_byte_more_is_refused() {
+    let progress = |length: usize| {
+        let params = r#"{"image":7,"ring":0,"progress":"live","ceiling":1.0,"lag_ms":0}"#;
+        let line = format!(r#"{{"jsonrpc":"2.0","method":"progress","params":{params}}}"#);
+        padded(line, length - 1) + "\n"
+    };
+    let (lines, said) = channel::<String>();
+    let said = std::sync::Mutex::new(said);
+    let at = party(move |stream| {
+        while let Ok(line) = said.lock().expect("no panic before").recv() {
+            if (&stream).write_all(line.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    let with = format!("\"platform\":{{\"address\":\"{at}\"}},\"settings\"");
+    let (_lists, answers) = channel();
+    let text = config(fake_discovery(answers), &list(1, true, &[("a", well(), "Ready")]));
+    let program = Program::start(BINARY, &text.replace("\"settings\"", &with));
+    lines.send(progress(8192)).expect("the platform runs");
+    program.logged("platform, ");
+    lines.send(progress(8193)).expect("the platform runs");
+    let line = program.logged("the platform's connection is lost");
+    assert!(line.contains("a line is too long (8192 bytes at most)"), "{line}");
+    served(&program);
+}
+
+/// Each line of the log is one write: a reader that falls behind holds up the log's thread once a line, not at each
+/// of its pieces.
+#[test]
+fn a_line_of_the_log_is_written_in_one_piece() {
+    let (ours, theirs) = UnixDatagram::pair().expect("a pair");
+    ours.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let text = config(nobody(), &list(1, true, &[]));
+    let mut command = Program::command(BINARY, "serve", &text);
+    command.stderr(Stdio::from(OwnedFd::from(theirs)));
+    let mut child = command.spawn().expect("it runs");
+    let mut piece = [0; 8192];
+    let lines: Vec<_> = (0..3)
+        .map(|_| {
+            let length = ours.recv(&mut piece).expect("a line");
+            String::from_utf8_lossy(&piece[..length]).into_owned()
+        })
+        .collect();
+    child.kill().and_then(|()| child.wait()).expect("an end");
+    assert!(lines.iter().all(|line| line.ends_with('\n') && line.matches('\n').count() == 1), "{lines:?}");
+    assert!(lines[0].contains("starting") && lines[1].contains("listening"), "{lines:?}");
+}
--- a/router/tests/stories.rs
+++ b/router/tests/stories.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use kestreltide_router::limits::RespLimits;
+use kestreltide_router::protocol::discovery::AnswerLimits;
 use kestreltide_router::protocol::{client, discovery, host, platform};
 use kestreltide_standins::*;
 use rstest::rstest;
@@ -673,9 +674,12 @@
     whole(&command, &|bytes| client::read(bytes, &limits).expect("well formed").map(|read| read.1));
     whole(answer, &|bytes| host::answer(bytes, &limits).expect("well formed").map(|read| read.1));
     whole(&state, &|bytes| platform::read(bytes, 1000).expect("well formed").map(|read| read.1));
+    let answer = AnswerLimits { body: 1000, head: 1000, frame: 1000, headers: 8 };
     for response in [chunked.as_slice(), plain] {
+        // The same bytes are read again and again here, so that each time is the first.
         let read = |bytes: &[u8]| {
-            let read = discovery::response(bytes, 1000, 8).expect("well formed");
+            let read =
+                discovery::response(bytes, &answer, &mut discovery::Chunks::default()).expect("well formed");
             read.map(|(response, used)| {
                 assert_eq!(&*response.body, b"abcde");
                 used
