--- a/datastore/src/check.rs
+++ b/datastore/src/check.rs
@@ -8,13 +8,39 @@
 use kestreltide::interface::*;
 use kestreltide::narrow::{self, Weighed};
 
-use crate::fault::{Fault, Faults, Rule};
+use crate::fault::{Fault, Faults, KEPT, Rule};
 use crate::merge::{Listed, merge};
 use crate::snapshot::routes;
 use crate::tree::{AdminState, Difference, HostName, Leaf, Path, RouteSet, Tree, Value};
 
-/// Hosts that a router keeps at most.
-pub const HOSTS_MOST: usize = 16 * 1024;
+/// What a router keeps at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Most {
+    pub hosts: usize,
+    pub routes: usize,
+    /// Names of operations, zones, kinds and hosts in all routes together.
+    pub route_names: usize,
+    pub memory: MemoryTerms,
+}
+
+/// The memory that there is for all of these, and what each of them takes of it, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryTerms {
+    pub most: usize,
+    /// A host that counts, whoever lists it, and what operators say of one beside that.
+    pub host: usize,
+    pub host_set: usize,
+    pub route: usize,
+    pub route_name: usize,
+}
+
+impl Default for Most {
+    fn default() -> Self {
+        let memory = MemoryTerms { most: usize::MAX, ..MemoryTerms::default() };
+        Most { hosts: 16 * 1024, routes: 16 * 1024, route_names: 64 * 1024, memory }
+    }
+}
+
 /// Seconds that a start may lie ahead: clocks of machines differ a little.
 const CLOCK_SPAN: f64 = 1.0;
 /// Seconds after which a candidate that waits for news is looked at again.
@@ -31,11 +57,13 @@
     pub cold_share: f64,
     pub cold_time: f64,
     pub fall_multiple: f64,
+    pub most: Most,
 }
 
 impl RuleTerms {
-    pub fn new(terms: &ServiceTerms, operations: Vec<String>) -> Self {
+    pub fn new(terms: &ServiceTerms, operations: Vec<String>, most: Most) -> Self {
         RuleTerms {
+            most,
             operations,
             routers: terms.routers.max(1),
             cold_share: terms.cold_share,
@@ -154,7 +182,7 @@
 /// Every check, in the order in which their faults are shown.
 const CHECKS: [Check; 13] = [
     entries_whole,
-    hosts_kept,
+    room_kept,
     addresses_apart,
     starts_behind,
     drained_stay_out,
@@ -203,16 +231,37 @@
     }
 }
 
-fn hosts_kept(context: &Context, faults: &mut Faults) {
-    let hosts = context.is.len();
-    if hosts > HOSTS_MOST {
-        faults.push(Fault::new(
-            "hosts",
-            "are more than a router keeps",
-            hosts,
-            format!("{HOSTS_MOST} at most"),
-        ));
+/// What a tree has more of than a router keeps, where so many hosts are listed by it and by discovery together.
+pub fn beyond(tree: &Tree, listed: usize, most: &Most) -> Faults {
+    let names = |route: &RouteSet| {
+        let sets = [&route.operations, &route.zones, &route.kinds, &route.hosts];
+        sets.into_iter().flatten().map(BTreeSet::len).sum::<usize>()
+    };
+    let (hosts, routes) = (listed.max(tree.hosts.len()), tree.routes.len());
+    let names = tree.routes.values().map(names).sum();
+    let counts = [
+        ("hosts", "are more than a router keeps", hosts, most.hosts),
+        ("routes", "are more than a router keeps", routes, most.routes),
+        ("routes", "name more than a router keeps", names, most.route_names),
+    ];
+    let mut faults = Faults::default();
+    for (path, what, found, most) in counts.into_iter().filter(|(.., found, most)| found > most) {
+        faults.push(Fault::new(path, what, found, format!("{most} at most")));
+    }
+    let memory = &most.memory;
+    let of_hosts = hosts * memory.host + tree.hosts.len() * memory.host_set;
+    let of_routes = routes * memory.route + names * memory.route_name;
+    if of_hosts + of_routes > memory.most {
+        let path = if of_hosts >= of_routes { "hosts" } else { "routes" };
+        let given = format!("{} bytes for {hosts} hosts and {routes} routes", of_hosts + of_routes);
+        let taken = format!("{} bytes at most", memory.most);
+        faults.push(Fault::new(path, "take more memory than the router has for them", given, taken));
     }
+    faults
+}
+
+fn room_kept(context: &Context, faults: &mut Faults) {
+    faults.extend(beyond(context.new, context.is.len(), &context.terms.most).first);
 }
 
 /// One host an address, one number a name: else an answer, or what is known of it, would be another's.
@@ -410,7 +459,8 @@
 /// Which of two routes an invocation takes is never left to chance.
 fn routes_apart(context: &Context, faults: &mut Faults) {
     let all = routes(context.new);
-    for (one, other) in kestreltide_routes::unordered(&all) {
+    // More than are shown need not be found.
+    for (one, other) in kestreltide_routes::unordered(&all, KEPT) {
         let what = format!("overlaps with route {} and nothing says which goes first", other.name);
         let given = one.precedence.map_or("no precedence".into(), |given| given.to_string());
         let path = format!("routes/{}/precedence", one.name);
--- a/datastore/src/lib.rs
+++ b/datastore/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod view;
 
 pub use access::{Key, Keys, Proof, Rights};
-pub use check::{Facts, RuleTerms};
+pub use check::{Facts, MemoryTerms, Most, RuleTerms, beyond};
 pub use draft::Draft;
 pub use fault::{Fault, Faults, Rule};
 pub use merge::Listed;
--- a/datastore/tests/commits.rs
+++ b/datastore/tests/commits.rs
@@ -13,7 +13,14 @@
 
 fn rules() -> RuleTerms {
     let operations = vec!["read".into(), "set".into()];
-    RuleTerms { operations, routers: 4, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 }
+    RuleTerms {
+        operations,
+        routers: 4,
+        cold_share: 0.4,
+        cold_time: 4.0,
+        fall_multiple: 3.0,
+        most: Most::default(),
+    }
 }
 
 fn facts(at: f64) -> Facts {
@@ -340,6 +347,39 @@
     try_edits(&mut store, &[("hosts/d1/weight", "2")], &facts).expect("discovery lists it");
 }
 
+/// So much memory, where a host takes 100 + 150 bytes and a name in a route one byte.
+fn bearing(most: usize) -> Most {
+    let memory = MemoryTerms { most, host: 100, host_set: 150, route: 0, route_name: 1 };
+    Most { memory, ..Most::default() }
+}
+
+/// What a router keeps, and one more of each.
+#[rstest]
+#[case::all(Most { hosts: 4, routes: 2, route_names: 3, ..Most::default() }, None)]
+#[case::hosts(Most { hosts: 3, ..Most::default() }, Some("hosts: are more than a router keeps (given: 4; taken: 3 at most)"))]
+#[case::routes(Most { routes: 1, ..Most::default() }, Some("routes: are more than a router keeps (given: 2; taken: 1 at most)"))]
+#[case::memory_of_hosts(
+    bearing(1000),
+    Some(
+        "hosts: take more memory than the router has for them (given: 1003 bytes for 4 hosts and 2 routes; taken: 1000 bytes at most)"
+    )
+)]
+#[case::memory_of_routes(Most { memory: MemoryTerms { route: 500, ..bearing(1000).memory }, ..Most::default() }, Some("routes: take more memory than the router has for them (given: 2003 bytes for 4 hosts and 2 routes; taken: 1000 bytes at most)"))]
+#[case::memory_enough(bearing(1003), None)]
+#[case::names(Most { route_names: 2, ..Most::default() }, Some("routes: name more than a router keeps (given: 3; taken: 2 at most)"))]
+fn what_is_more_than_a_router_keeps_is_refused_by_its_name(#[case] most: Most, #[case] why: Option<&str>) {
+    let mut store = Datastore::new(RuleTerms { most, ..rules() }, History::default());
+    let mut candidate = Candidate::of(store.in_force());
+    (0..4).for_each(|number| host(&mut candidate.tree, &format!("h{number}"), 7000 + number, "north", 41));
+    let routes = [("routes/r/operation", "read"), ("routes/s/operation", "set"), ("routes/s/zone", "north")];
+    edit(&mut candidate.tree, &routes);
+    let result = store.commit(&candidate, author("first"), &facts(0.0));
+    match why {
+        None => drop(result.expect("well")),
+        Some(why) => assert_eq!(refused(result)[0].to_string(), why),
+    }
+}
+
 #[rstest]
 #[case("hosts/h/weight", "NaN", "is no finite number")]
 #[case("hosts/h/weight", "inf", "is no finite number")]
--- a/datastore/tests/desk.rs
+++ b/datastore/tests/desk.rs
@@ -18,8 +18,14 @@
 
 /// A desk with one revision of four hosts, and two sessions at it.
 fn desk() -> (Desk, SessionId, SessionId) {
-    let rules =
-        RuleTerms { operations: vec![], routers: 1, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 };
+    let rules = RuleTerms {
+        operations: vec![],
+        routers: 1,
+        cold_share: 0.4,
+        cold_time: 4.0,
+        fall_multiple: 3.0,
+        most: Most::default(),
+    };
     let mut desk = Desk::new(Datastore::new(rules, History::default()), None);
     let mut candidate = Candidate::of(desk.store.in_force());
     for number in 0..4 {
@@ -135,8 +141,14 @@
     desk.commit(Some(one), &candidate, author("ana"), confirm(600.0, Some("x")), None, &facts(0.0))
         .expect("well");
     let text = serde_json::to_string(&desk.pending()).expect("a form");
-    let rules =
-        RuleTerms { operations: vec![], routers: 1, cold_share: 0.4, cold_time: 4.0, fall_multiple: 3.0 };
+    let rules = RuleTerms {
+        operations: vec![],
+        routers: 1,
+        cold_share: 0.4,
+        cold_time: 4.0,
+        fall_multiple: 3.0,
+        most: Most::default(),
+    };
     let store = Datastore::remembering(rules, History::default(), desk.store.memory());
     let mut again = Desk::new(store, serde_json::from_str(&text).expect("it reads back"));
     assert_eq!(weight(&again), Some("2".into()));
--- a/management/tests/netconf.rs
+++ b/management/tests/netconf.rs
@@ -32,6 +32,7 @@
             cold_share: 0.4,
             cold_time: 4.0,
             fall_multiple: 3.0,
+            most: Most::default(),
         };
         let mut desk = Desk::new(Datastore::new(rules, History::default()), None);
         let mut candidate = Candidate::of(desk.store.in_force());
--- a/router/src/fronts/open.rs
+++ b/router/src/fronts/open.rs
@@ -70,15 +70,15 @@
     pub fn fronts(
         &self, net: &mut Net, operators: &OperatorTerms, listed: Option<Vec<Listed>>, news: Option<StageNews>,
     ) -> Result<Option<Joined>, String> {
-        let OperatorTerms { folder, history, watching, management } = operators.clone();
-        if watching.is_none() && management.is_none() {
+        if !operators.any() {
             return Ok(None);
         }
+        let OperatorTerms { folder, history, watching, management } = operators.clone();
         let failed = |e: std::io::Error| format!("a thread cannot be started: {e}");
         let (log, clock) = (self.log.clone(), self.clock);
         let opened = management.as_ref().map(|terms| Opened::open(&log, terms)).transpose()?;
         let (open, of_loop) = FrontBox::open(net, self.limits.posted).map_err(failed)?;
-        let rules = RuleTerms::new(self.terms, self.operations.clone());
+        let rules = RuleTerms::new(self.terms, self.operations.clone(), self.limits.operators);
         let terms = KeeperTerms { router: self.router.into(), rules, history, folder };
         let mut keeper = Keeper::start(log.clone(), clock, terms)?;
         let heard = listed.is_some() || operators.alone();
--- a/router/src/fronts/terms.rs
+++ b/router/src/fronts/terms.rs
@@ -50,6 +50,11 @@
 }
 
 impl OperatorTerms {
+    /// Whether there is a thread beside the loop.
+    pub fn any(&self) -> bool {
+        self.watching.is_some() || self.management.is_some()
+    }
+
     /// Whether operators' files alone list the hosts.
     pub fn alone(&self) -> bool {
         self.watching.as_ref().is_some_and(|watching| !watching.discovery)
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -1,6 +1,7 @@
 //! Every limit of the router: sizes, counts and times, filled once at start and handed down.
 
 use kestreltide::interface::ServiceTerms;
+use kestreltide_datastore::{MemoryTerms, Most};
 use kestreltide_terms::TransportTerms;
 
 use crate::protocol::discovery::AnswerLimits;
@@ -11,6 +12,22 @@
 const OWN_DESCRIPTORS: usize = 32;
 /// Of the memory, for what connections may hold; the rest is the program's own.
 const HELD_PART: f64 = 0.5;
+/// The least memory that is reckoned with.
+const MEMORY_LEAST: usize = 16;
+/// Of the program's own part, what it takes with nothing listed: most of it pages of the program's file.
+const PROGRAM: usize = 7 * MIB;
+// What each of these takes at most, measured (`docs/design/start.md`). A listed host at a list that replaces all: the
+// list on its way, as read, as it counts and as the decisions keep it, before and after.
+const HOST: usize = 3 * KIB / 2;
+/// What operators say of a host, in the tree, in a candidate and in the revision before.
+const HOST_SET: usize = 3 * KIB;
+/// A route of operators, and each name of an operation, a zone, a kind or a host in it.
+const ROUTE: usize = 3 * KIB;
+const ROUTE_NAME: usize = 256;
+/// A peer: its address in three places, and what it told last of the builds.
+const PEER: usize = 640;
+/// Hosts that are kept however large the memory is.
+const HOSTS: usize = 16 * KIB;
 /// One in so many of the clients' connections is spare.
 const SPARE_PART: usize = 4;
 
@@ -68,7 +85,10 @@
     /// Bytes of commands that are kept, and of answers that clients have not read yet.
     pub held: usize,
     pub unread: usize,
+    /// Hosts that discovery lists.
     pub hosts: usize,
+    /// What operators set.
+    pub operators: Most,
     pub alarms: usize,
     pub votes: usize,
     pub probes: usize,
@@ -140,16 +160,85 @@
     pub front_stall: f64,
 }
 
+/// What of the memory is left for the configuration and the lists, in bytes, while a configuration is read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Room {
+    memory_mb: usize,
+    left: usize,
+}
+
+impl Room {
+    pub fn new(memory_mb: usize) -> Self {
+        let memory = memory_mb.saturating_mul(MIB).max(MEMORY_LEAST * MIB);
+        Room { memory_mb, left: memory.saturating_sub(held(memory_mb)) - PROGRAM }
+    }
+
+    /// Where it is not left, the error tells how much is.
+    pub fn take(&mut self, bytes: usize) -> Result<(), RoomError> {
+        let left = self.left.checked_sub(bytes);
+        self.left = left.ok_or(RoomError { most: self.left, memory_mb: self.memory_mb })?;
+        Ok(())
+    }
+
+    /// For so many routers beside this one.
+    pub fn take_peers(&mut self, peers: usize) -> Result<(), RoomError> {
+        self.take_each(peers, PEER)
+    }
+
+    /// Whether so many hosts can be listed; their room is not taken, as lists change.
+    pub fn bears_hosts(&self, hosts: usize) -> Result<(), RoomError> {
+        self.clone().take_each(hosts, HOST)
+    }
+
+    /// How many hosts are kept.
+    pub fn hosts(&self) -> usize {
+        (self.left / HOST).min(HOSTS)
+    }
+
+    /// What operators may set.
+    pub fn operators(&self) -> Most {
+        let memory = MemoryTerms {
+            most: self.left,
+            host: HOST,
+            host_set: HOST_SET,
+            route: ROUTE,
+            route_name: ROUTE_NAME,
+        };
+        Most { memory, ..Most::default() }
+    }
+
+    fn take_each(&mut self, count: usize, each: usize) -> Result<(), RoomError> {
+        let most = RoomError { most: self.left / each, memory_mb: self.memory_mb };
+        self.take(count.saturating_mul(each)).map_err(|_| most)
+    }
+}
+
+/// More is listed than memory bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoomError {
+    /// What could be taken, in bytes or entries as it was asked for.
+    pub most: usize,
+    pub memory_mb: usize,
+}
+
+/// Of the memory, what connections may hold, in bytes.
+fn held(memory_mb: usize) -> usize {
+    ((memory_mb.max(MEMORY_LEAST) as f64 * HELD_PART) as usize).saturating_mul(MIB)
+}
+
 impl Limits {
     /// Of the configuration file, which all others are derived from.
     pub const FILE: usize = 4 * MIB;
     /// Of the name of a host, a zone or a kind that discovery tells.
     pub const NAME: usize = 256;
 
-    pub fn new(sockets: usize, memory_mb: usize, terms: &ServiceTerms, transport: &TransportTerms) -> Self {
+    /// The room is what the configuration leaves.
+    pub fn new(
+        sockets: usize, memory_mb: usize, room: &Room, terms: &ServiceTerms, transport: &TransportTerms,
+    ) -> Self {
         let value = 64 * KIB;
         let message = value + 4 * KIB;
-        let held = (memory_mb.max(16) as f64 * HELD_PART) as usize * MIB;
+        let held = held(memory_mb);
         let open = sockets.saturating_sub(OWN_DESCRIPTORS).max(4);
         let host_links = open / 2;
         // Each connection may be in the middle of one whole message.
@@ -177,7 +266,8 @@
             invocations: transport.most_open.min(busy).min(host_links),
             held: held / 4,
             unread: held / 4,
-            hosts: 16 * KIB,
+            hosts: room.hosts(),
+            operators: room.operators(),
             alarms: 64 * KIB,
             votes: 16,
             probes: 64,
--- a/router/src/program/commands.rs
+++ b/router/src/program/commands.rs
@@ -5,10 +5,11 @@
 
 use argh::FromArgs;
 use kestreltide_datastore::{Author, Candidate, Datastore, Source};
-use kestreltide_datastore::{Facts, Faults, History, RevisionRecord, RuleTerms};
+use kestreltide_datastore::{Facts, Faults, History, Most, RevisionRecord, RuleTerms, beyond};
 use kestreltide_watch::form::Spoken;
 use kestreltide_watch::watch::{look, spoken};
 
+use super::config::{self, When};
 use super::operator;
 use crate::fronts::{Held, load};
 
@@ -18,6 +19,9 @@
 pub(super) struct CheckOperator {
     #[argh(positional)]
     file: PathBuf,
+    /// the configuration of a router that it is for: what its terms and memory bear is checked too
+    #[argh(option, short = 'c')]
+    config: Option<String>,
 }
 
 /// print what an operator file leads to, with defaults
@@ -82,15 +86,9 @@
                     return Err(faults.to_string());
                 }
             };
+            let rules = self.rules()?;
+            beyond(&version.tree, 0, &rules.most).into_result().map_err(|faults| faults.to_string())?;
             if !watching.discovery {
-                // As a router that starts with it would check it; its terms are in its configuration.
-                let rules = RuleTerms {
-                    operations: vec![],
-                    routers: 1,
-                    cold_share: 1.0,
-                    cold_time: 0.0,
-                    fall_multiple: f64::MAX,
-                };
                 let mut store = Datastore::new(rules, History::default());
                 let mut candidate = Candidate::of(store.in_force());
                 candidate.tree = version.tree;
@@ -104,6 +102,26 @@
     }
 }
 
+impl CheckOperator {
+    /// As a router that starts with it would check it; without its configuration, as the most lenient one.
+    fn rules(&self) -> Result<RuleTerms, String> {
+        let Some(config) = &self.config else {
+            return Ok(RuleTerms {
+                operations: vec![],
+                routers: 1,
+                cold_share: 1.0,
+                cold_time: 0.0,
+                fall_multiple: f64::MAX,
+                most: Most::default(),
+            });
+        };
+        let text = config::load(Some(config.clone()))?;
+        let told = config::read(&text, When::Start)?;
+        let operations = told.transport.operations.keys().cloned().collect();
+        Ok(RuleTerms::new(&told.terms, operations, told.room.operators()))
+    }
+}
+
 impl ShowOperator {
     pub(super) fn run(&self) -> Result<(), String> {
         operator::show(self.file.as_deref()).map(|text| print!("{text}"))
--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -8,10 +8,12 @@
 use kestreltide::interface::ServiceTerms;
 use kestreltide_terms::{Fields, Names, TransportTerms, decode};
 use serde::Deserialize;
+use serde::de::DeserializeSeed;
+use serde_json::Value;
 use serde_json::value::RawValue;
+use serde_path_to_error::Track;
 
-use crate::limits::Limits;
-use crate::protocol::Malformed;
+use crate::limits::{Limits, Room, RoomError};
 use crate::protocol::discovery::{self, List};
 use crate::protocol::platform::StateForm;
 
@@ -25,13 +27,19 @@
     seed: String,
     limits: Sizes,
     peer_listen: Option<SocketAddr>,
-    #[serde(default)]
-    peers: Vec<SocketAddr>,
+    // Each of these is read once it is known how much memory there is for it.
+    #[serde(borrow, default = "no_peers")]
+    peers: &'a RawValue,
     peers_all: Option<SocketAddr>,
     platform: Option<Platform>,
     #[serde(borrow)]
     known: Option<&'a RawValue>,
-    settings: Unique,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+fn no_peers() -> &'static RawValue {
+    serde_json::from_str("[]").unwrap_or(RawValue::NULL)
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -60,6 +68,8 @@
     pub known: Option<List<'a>>,
     pub terms: ServiceTerms,
     pub transport: TransportTerms,
+    /// What memory is left for the hosts that are listed.
+    pub room: Room,
 }
 
 pub fn load(path: Option<String>) -> Result<String, String> {
@@ -68,8 +78,12 @@
     let unread = |why: String| format!("{path} cannot be read: {why}");
     let file = OnDisk::open(&path).map_err(|e| unread(e.to_string()))?;
     // Neither a pipe without end nor a file beyond all sense may hold up a router that serves.
-    if !file.metadata().is_ok_and(|what| what.is_file() && what.len() <= Limits::FILE as u64) {
-        return Err(unread("it is no file, or far too long".into()));
+    let found = file.metadata().map_err(|e| unread(e.to_string()))?;
+    if !found.is_file() {
+        return Err(unread("it is no file".into()));
+    }
+    if found.len() > Limits::FILE as u64 {
+        return Err(unread(format!("it is too long ({} bytes; {} at most)", found.len(), Limits::FILE)));
     }
     let mut text = String::new();
     file.take(Limits::FILE as u64).read_to_string(&mut text).map_err(|e| unread(e.to_string()))?;
@@ -80,8 +94,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum When {
     Start,
-    /// While running: the environment tells only where discovery was at start.
-    Again,
+    /// While running, with this memory: the environment tells only where discovery was at start.
+    Again {
+        memory_mb: usize,
+    },
 }
 
 /// The environment goes before the file where both say something.
@@ -100,32 +116,88 @@
     })?;
     let seed = file.seed.trim_start_matches("0x");
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed: {seed} is no hexadecimal number"))?;
-    let mut names = Names::Named;
-    let (terms, transport) = decode(&Fields::from_json("settings", &file.settings.0), &mut names)?;
-    let known = file.known.map(|known| discovery::list(known.get().as_bytes())).transpose();
-    let known = known.map_err(|e| format!("known: {}", Malformed::from(e)))?;
     if file.limits.sockets == 0 || file.limits.memory_mb == 0 {
         return Err("limits: sockets and memory_mb must be more than 0".into());
     }
+    let memory_mb = match when {
+        When::Start => file.limits.memory_mb,
+        When::Again { memory_mb } => memory_mb.min(file.limits.memory_mb),
+    };
+    let mut room = Room::new(memory_mb);
+    room.take(text.len()).map_err(|error| borne("the configuration", text.len(), "bytes", &error))?;
+    let peers = peers(file.peers, &mut room)?;
+    let settings = settings(file.settings, &mut room)?;
+    let (terms, transport) = decode(&Fields::from_json("settings", &settings), &mut Names::Named)?;
+    let known = file.known.map(|known| known_hosts(known, &room)).transpose()?;
     Ok(Told {
         name: env::var("PROXY_NAME").unwrap_or(file.name),
         listen: address("PROXY_LISTEN", file.listen)?,
         discovery: match when {
             When::Start => address("PROXY_DISCOVERY", file.discovery)?,
-            When::Again => file.discovery,
+            When::Again { .. } => file.discovery,
         },
         seed,
         limits: file.limits,
         peer_listen: file.peer_listen,
-        peers: file.peers,
+        peers,
         peers_all: file.peers_all,
         platform: file.platform,
         known,
         terms,
         transport,
+        room,
     })
 }
 
+/// The error of a field that lists more than memory bears.
+fn borne(field: &str, count: usize, what: &str, error: &RoomError) -> String {
+    let RoomError { most, memory_mb } = error;
+    format!(
+        "{field}: more than memory bears ({count} {what}; {most} at most where limits.memory_mb is {memory_mb})"
+    )
+}
+
+fn peers(raw: &RawValue, room: &mut Room) -> Result<Vec<SocketAddr>, String> {
+    let text = raw.get();
+    // No address holds a comma: they are counted before room is made for them.
+    let count = if text.contains('"') { text.matches(',').count() + 1 } else { 0 };
+    room.take_peers(count).map_err(|error| borne("peers", count, "addresses", &error))?;
+    let reader = &mut serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(reader)
+        .map_err(|error| at("peers", &error.path().to_string(), error.inner()))
+}
+
+fn settings(raw: &RawValue, room: &mut Room) -> Result<Value, String> {
+    let (reader, mut track) = (&mut serde_json::Deserializer::from_str(raw.get()), Track::new());
+    let read = Unique { room }.deserialize(serde_path_to_error::Deserializer::new(reader, &mut track));
+    read.map_err(|error| at("settings", &track.path().to_string(), &error))
+}
+
+fn known_hosts<'a>(raw: &'a RawValue, room: &Room) -> Result<List<'a>, String> {
+    let list = discovery::list(raw.get().as_bytes()).map_err(|error| {
+        let dot = if error.path.is_empty() { "" } else { "." };
+        format!("known{dot}{}: {}", error.path, unplaced(&error.why))
+    })?;
+    let (field, count) = ("known.targets", list.targets.len());
+    room.bears_hosts(count).map_err(|error| borne(field, count, "hosts", &error))?;
+    if count > room.hosts() {
+        return Err(format!("{field}: more than a router keeps ({count} hosts; {} at most)", room.hosts()));
+    }
+    Ok(list)
+}
+
+/// An error in a part of the file, by its path.
+fn at(field: &str, path: &str, error: &serde_json::Error) -> String {
+    let dot = if path.starts_with('[') { "" } else { "." };
+    let path = if path == "." { String::new() } else { format!("{dot}{path}") };
+    format!("{field}{path}: {}", unplaced(&error.to_string()))
+}
+
+/// Without the line and column, which would be those of the part.
+fn unplaced(why: &str) -> &str {
+    why.split_once(" at line ").map_or(why, |(why, _)| why)
+}
+
 /// What cannot change while the program runs.
 pub struct Fixed {
     name: String,
@@ -140,6 +212,10 @@
 }
 
 impl Fixed {
+    pub fn memory_mb(&self) -> usize {
+        self.limits.memory_mb
+    }
+
     pub fn of(told: &Told) -> Self {
         Fixed {
             name: told.name.clone(),
--- a/router/src/program/mod.rs
+++ b/router/src/program/mod.rs
@@ -109,7 +109,7 @@
 }
 
 fn limits(told: &Told) -> Limits {
-    Limits::new(told.limits.sockets, told.limits.memory_mb, &told.terms, &told.transport)
+    Limits::new(told.limits.sockets, told.limits.memory_mb, &told.room, &told.terms, &told.transport)
 }
 
 fn run(serve: &Serve) -> Result<(), String> {
@@ -135,8 +135,9 @@
     let known = told.known.filter(|_| !alone);
     let news = told.platform.as_ref().and_then(|platform| platform.news.as_ref());
     let news = news.map(|news| news.state().news(false));
+    let of_fronts = known.as_ref().filter(|_| operators.any());
     let listed: Option<Vec<Listed>> =
-        known.as_ref().map(|known| known.targets.iter().map(|t| t.listed()).collect());
+        of_fronts.map(|known| known.targets.iter().map(|t| t.listed()).collect());
     let operations = told.transport.operations.keys().cloned().collect();
     let (router, terms) = (&told.name, &told.terms);
     let open = Opening { log: &log, clock, limits: &limits, router, terms, operations };
@@ -196,7 +197,7 @@
 /// Takes from the configuration what may change while the program runs, if all of it is well.
 fn reread(log: &Logger, routing: &mut Routing, serve: &Serve, fixed: &Fixed) -> Result<(), String> {
     let text = config::load(serve.config.clone())?;
-    let told = config::read(&text, When::Again)?;
+    let told = config::read(&text, When::Again { memory_mb: fixed.memory_mb() })?;
     fixed.check(&told)?;
     let platform = told.platform.map(|platform| platform.address);
     info!(log, "the configuration was read again"; "discovery" => %told.discovery,
--- a/router/src/program/unique.rs
+++ b/router/src/program/unique.rs
@@ -1,22 +1,41 @@
-//! JSON whose objects say each key once: of two values one would be passed over in silence.
+//! JSON whose objects say each key once: of two values one would be passed over in silence. It may take so much
+//! memory and no more, which is reckoned while it is read: a short text can hold very many values.
 
 use std::fmt;
 
-use serde::de::{self, Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde::de::{self, DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Value};
 
-#[derive(Debug)]
-pub struct Unique(pub Value);
+use crate::limits::Room;
 
-impl<'de> Deserialize<'de> for Unique {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        from.deserialize_any(Reader).map(Unique)
+/// Bytes that a value takes beside its text, and an object for its entries, as JSON and as the settings' fields
+/// (measured: 1,340 bytes for an object of three short values, 2,310 for one of seven).
+const VALUE: usize = 256;
+const OBJECT: usize = 640;
+
+/// Reads one value.
+pub struct Unique<'r> {
+    pub room: &'r mut Room,
+}
+
+impl Unique<'_> {
+    fn take<E: de::Error>(&mut self, bytes: usize) -> Result<(), E> {
+        self.room.take(bytes).map_err(|error| {
+            E::custom(format!("holds more than memory bears (limits.memory_mb is {})", error.memory_mb))
+        })
     }
 }
 
-struct Reader;
+impl<'de> DeserializeSeed<'de> for Unique<'_> {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(mut self, from: D) -> Result<Value, D::Error> {
+        self.take(VALUE)?;
+        from.deserialize_any(self)
+    }
+}
 
-impl<'de> Visitor<'de> for Reader {
+impl<'de> Visitor<'de> for Unique<'_> {
     type Value = Value;
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
@@ -43,25 +62,28 @@
         Ok(value.into())
     }
 
-    fn visit_str<E: de::Error>(self, value: &str) -> Result<Value, E> {
+    fn visit_str<E: de::Error>(mut self, value: &str) -> Result<Value, E> {
+        self.take(2 * value.len())?;
         Ok(value.into())
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut from: A) -> Result<Value, A::Error> {
         let mut items = Vec::new();
-        while let Some(Unique(item)) = from.next_element()? {
+        while let Some(item) = from.next_element_seed(Unique { room: &mut *self.room })? {
             items.push(item);
         }
         Ok(Value::Array(items))
     }
 
-    fn visit_map<A: MapAccess<'de>>(self, mut from: A) -> Result<Value, A::Error> {
+    fn visit_map<A: MapAccess<'de>>(mut self, mut from: A) -> Result<Value, A::Error> {
+        self.take(OBJECT)?;
         let mut map = Map::new();
         while let Some(key) = from.next_key::<String>()? {
             if map.contains_key(&key) {
                 return Err(de::Error::custom(format!("{key} stands twice")));
             }
-            let Unique(value) = from.next_value()?;
+            self.take(2 * key.len())?;
+            let value = from.next_value_seed(Unique { room: &mut *self.room })?;
             map.insert(key, value);
         }
         Ok(Value::Object(map))
--- a/router/tests/full_size.rs
+++ b/router/tests/full_size.rs
@@ -1,5 +1,5 @@
-//! Bad input at the full size: lists and messages at their limits and just over them are taken or refused by name, the
-//! last good one is kept, and no client notices.
+//! Bad input at the full size: lists, configurations and messages at their limits and just over them are taken or
+//! refused by name, the last good one is kept, and no client notices.
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Write};
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
+use std::{fs, thread};
 
 use kestreltide_router::protocol::discovery::{AnswerLimits, Chunks, response};
 use kestreltide_standins::*;
@@ -18,9 +18,9 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
 const READ: &str = "c=read,d=5000";
-/// Hosts that a router keeps, and bytes of a list's answer.
+/// Hosts that a router keeps, and bytes of a list's answer and of the configuration.
 const HOSTS: usize = 16_384;
-const ANSWER: usize = 4 << 20;
+const FILE: usize = 4 << 20;
 
 fn well() -> SocketAddr {
     fake_host(|words| value(&format!("of {}", words[2])))
@@ -39,6 +39,25 @@
     numbers.map(|number| (number, "Ready"))
 }
 
+fn with_memory(config: &str, memory_mb: usize) -> String {
+    config.replace("\"memory_mb\":64", &format!("\"memory_mb\":{memory_mb}"))
+}
+
+fn addresses(count: usize) -> String {
+    let address = |n: usize| format!("\"10.{}.{}.{}:7946\"", n >> 16, n >> 8 & 255, n & 255);
+    (0..count).map(address).collect::<Vec<_>>().join(",")
+}
+
+fn with_peers(config: &str, count: usize) -> String {
+    config.replace("\"known\":", &format!("\"peers\":[{}],\"known\":", addresses(count)))
+}
+
+fn with_tenants(config: &str, count: usize) -> String {
+    let tenant = |n| format!("{{\"name\":\"t{n}\",\"quota_per_s\":5.0,\"fraction\":0.1}}");
+    let tenants: Vec<_> = (0..count).map(tenant).collect();
+    config.replace("\"accounts\":[]", &format!("\"accounts\":[{}]", tenants.join(",")))
+}
+
 /// Puts blanks behind a text until it has this length.
 fn padded(mut text: String, length: usize) -> String {
     text.extend(std::iter::repeat_n(' ', length - text.len()));
@@ -86,8 +105,8 @@
 }
 
 #[rstest]
-#[case::at_the_limit(ANSWER, None)]
-#[case::one_byte_over(ANSWER + 1, Some("content-length: the answer is too long (4194305 bytes; 4194304 at most)"))]
+#[case::at_the_limit(FILE, None)]
+#[case::one_byte_over(FILE + 1, Some("content-length: the answer is too long (4194305 bytes; 4194304 at most)"))]
 fn a_list_answer_at_its_limit_is_taken_and_one_byte_more_is_refused(
     #[case] length: usize, #[case] refused: Option<&str>,
 ) {
@@ -155,7 +174,7 @@
     let (first, second) = (ready(0..HOSTS / 2), ready(0..HOSTS / 2));
     let doubled = hosts(13, true, at, first.chain(second));
     let cut = whole(11)[..1 << 20].to_owned();
-    let endless = chunked(&padded(whole(17), ANSWER), 1 << 16).replace("0\r\n\r\n", "10000\r\n");
+    let endless = chunked(&padded(whole(17), FILE), 1 << 16).replace("0\r\n\r\n", "10000\r\n");
     let steps = [
         // Cut by a connection that ends, and in itself.
         ((plain(&whole(11))[..1 << 20].to_owned(), false), "the connection ended"),
@@ -206,6 +225,114 @@
     assert!(error.0.starts_with(why), "{error}");
 }
 
+fn checked(config: &str) -> Result<(), String> {
+    let done = Program::command(BINARY, "check-config", config).output().expect("it runs");
+    let said = String::from_utf8_lossy(&done.stderr).into_owned();
+    if done.status.success() { Ok(()) } else { Err(said) }
+}
+
+#[test]
+fn a_configuration_file_at_its_limit_is_read_and_one_byte_more_is_refused() {
+    let text = config(nobody(), &list(1, true, &[]));
+    checked(&padded(text.clone(), FILE)).expect("well");
+    let why = checked(&padded(text, FILE + 1)).expect_err("refused");
+    assert!(why.contains("it is too long (4194305 bytes; 4194304 at most)"), "{why}");
+}
+
+/// What deployments give, and the full size, are taken.
+#[rstest]
+#[case::as_small_as_in_tests(16, 300, 150, 50)]
+#[case::as_on_small_days(32, 760, 1000, 200)]
+#[case::the_full_size(256, 760, 7_400, 0)]
+#[case::the_most_hosts(256, 760, HOSTS, 0)]
+#[case::all_tenants(256, 760, 1_000, 53_000)]
+fn what_memory_bears_is_taken(
+    #[case] memory_mb: usize, #[case] peers: usize, #[case] known: usize, #[case] tenants: usize,
+) {
+    let text = config(nobody(), &hosts(1, true, nobody(), ready(0..known)));
+    checked(&with_memory(&with_tenants(&with_peers(&text, peers), tenants), memory_mb)).expect("well");
+}
+
+#[rstest]
+#[case::peers(32, 20_000, 0, 0, "peers: more than memory bears (20000 addresses; 1", "memory_mb is 32")]
+#[case::hosts(16, 0, 2_000, 0, "known.targets: more than memory bears (2000 hosts; ", "memory_mb is 16")]
+#[case::most_hosts(512, 0, HOSTS + 1, 0, "known.targets: more than a router keeps (16385 hosts; 16384 at most)", "")]
+#[case::tenants(
+    64,
+    0,
+    0,
+    53_000,
+    "settings.accounts[",
+    "holds more than memory bears (limits.memory_mb is 64)"
+)]
+#[case::too_many_tenants(
+    4096,
+    0,
+    0,
+    65_537,
+    "settings.accounts.count: is not within 0 and 65536",
+    "(65537 was given)"
+)]
+fn what_memory_does_not_bear_is_refused_at_check_by_its_field(
+    #[case] memory_mb: usize, #[case] peers: usize, #[case] known: usize, #[case] tenants: usize,
+    #[case] field: &str, #[case] limit: &str,
+) {
+    let text = config(nobody(), &hosts(1, true, nobody(), ready(0..known)));
+    let text = with_memory(&with_tenants(&with_peers(&text, peers), tenants), memory_mb);
+    for verb in ["check-config", "serve"] {
+        let done = Program::command(BINARY, verb, &text).output().expect("it runs");
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert!(!done.status.success() && said.contains(field) && said.contains(limit), "{verb}: {said}");
+    }
+}
+
+/// A short text can hold very many values, or repeat a long path at each.
+#[rstest]
+#[case::objects("{\"a\":1},".repeat(40_000), "settings.x[")]
+#[case::texts(format!("\"{}\",", "y".repeat(700_000)), "settings.x[0]")]
+fn settings_that_take_far_more_memory_than_text_are_refused(#[case] items: String, #[case] field: &str) {
+    let text = config(nobody(), &list(1, true, &[]));
+    let with = format!("\"settings\":{{\"x\":[{}0],", items);
+    let text = with_memory(&text.replace("\"settings\":{", &with), 16);
+    let why = checked(&text).expect_err("refused");
+    assert!(why.contains(field) && why.contains("holds more than memory bears"), "{why}");
+}
+
+#[rstest]
+#[case::uid("\"uid\":\"a\"", "uid", 257)]
+#[case::zone("\"az\":\"a\"", "az", 300)]
+fn a_name_beyond_its_limit_is_refused_by_its_path(
+    #[case] is: &str, #[case] field: &str, #[case] length: usize,
+) {
+    let text = config(nobody(), &list(1, true, &[("a", nobody(), "Ready")]));
+    let becomes = |length: usize| format!("\"{field}\":\"{}\"", "n".repeat(length));
+    checked(&text.replace(is, &becomes(256))).expect("well");
+    let why = checked(&text.replace(is, &becomes(length))).expect_err("refused");
+    let expected = format!("known.targets[0].{field}: is too long ({length} bytes; 256 at most)");
+    assert!(why.contains(&expected), "{why}");
+}
+
+/// Whatever memory the new file says it has, the router has what it was started with.
+#[rstest]
+#[case::as_before(32)]
+#[case::says_more(100_000)]
+fn a_reread_configuration_that_memory_does_not_bear_is_not_taken(#[case] memory_mb: usize) {
+    let (lists, answers) = channel();
+    let text = config(fake_discovery(answers), &list(1, true, &[("a", well(), "Ready")]));
+    let program = Program::start(BINARY, &with_memory(&text, 32));
+    lists.send(list(2, false, &[])).expect("discovery runs");
+    program.logged("ready");
+    program.reread(&with_memory(&with_peers(&text, 20_000), memory_mb));
+    let line = program.logged("the configuration read again is not taken");
+    assert!(line.contains("peers: more than memory bears (20000 addresses; "), "{line}");
+    assert!(line.contains("where limits.memory_mb is 32)"), "{line}");
+    served(&program);
+    let moved = Discovery::start(5, list(5, true, &[("b", well(), "Ready")]));
+    program.reread(&with_memory(&config(moved.at, &list(1, true, &[])), 32));
+    program.logged("rev: 5");
+    served(&program);
+}
+
 /// Of a peer, too: what is too long, cut, of no message or doubled is dropped, and no request notices.
 #[test]
 fn datagrams_beyond_their_limit_cost_no_request() {
@@ -277,3 +404,51 @@
     assert!(lines.iter().all(|line| line.ends_with('\n') && line.matches('\n').count() == 1), "{lines:?}");
     assert!(lines[0].contains("starting") && lines[1].contains("listening"), "{lines:?}");
 }
+
+/// Operators' files are checked against what a router keeps, and what the memory of this one bears.
+#[rstest]
+#[case::fits(HOSTS, None, None)]
+#[case::more_than_any_keeps(HOSTS + 1, None, Some("(given: 16385; taken: 16384 at most)"))]
+#[case::more_than_memory_bears(
+    2_000,
+    Some(16),
+    Some("hosts: take more memory than the router has for them (given: 9216000 bytes for 2000 hosts")
+)]
+fn operators_files_beyond_the_limits_are_refused_at_check(
+    #[case] count: usize, #[case] memory_mb: Option<usize>, #[case] refused: Option<&str>,
+) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut text = "generation = g\n".to_owned();
+    for n in 0..count {
+        let endpoint = format!("10.{}.{}.{}:7", n >> 16, n >> 8 & 255, n & 255);
+        let _ = write!(text, "[host h{n}]\nendpoint = {endpoint}\nzone = a\nkind = m\nbuild = 7\n");
+    }
+    let _ = write!(text, "[end]\nhosts = {count}\ngeneration = g\n");
+    let at = |name: &str| folder.path().join(name);
+    fs::write(at("hosts.ini"), text).expect("a writable folder");
+    fs::write(at("operator.ini"), "[watch]\nhosts = hosts.ini\ndiscovery = off\n")
+        .expect("a writable folder");
+    let mut command = std::process::Command::new(BINARY);
+    command.arg("check-operator").arg(at("operator.ini"));
+    if let Some(memory_mb) = memory_mb {
+        let text = with_memory(&config(nobody(), &list(1, true, &[])), memory_mb);
+        fs::write(at("config.json"), text).expect("a writable folder");
+        command.arg("--config").arg(at("config.json"));
+    }
+    let done = command.output().expect("it runs");
+    let said = String::from_utf8_lossy(&done.stderr).into_owned();
+    match refused {
+        None => assert!(done.status.success(), "{said}"),
+        Some(why) => assert!(!done.status.success() && said.contains(why), "{said}"),
+    }
+}
+
+#[test]
+fn a_router_with_all_that_it_keeps_starts_and_serves() {
+    let at = well();
+    let (_lists, answers) = channel();
+    let known = hosts(1, true, at, ready(0..HOSTS));
+    let text = with_memory(&with_peers(&config(fake_discovery(answers), &known), 760), 256);
+    let program = Program::start(BINARY, &text);
+    served(&program);
+}
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -40,18 +40,35 @@
     pub pool: Arc<Pool>,
 }
 
-/// Two routes that some invocation fits both, and nothing says which goes first.
-pub fn unordered(routes: &[Route]) -> Vec<(&Route, &Route)> {
-    let mut found = vec![];
-    for (number, one) in routes.iter().enumerate() {
-        let later = routes[number + 1..].iter().filter(|other| one.of.overlaps(&other.of));
-        let told =
-            |other: &&Route| matches!((one.precedence, other.precedence), (Some(a), Some(b)) if a != b);
-        found.extend(later.filter(|other| !told(other)).map(|other| (one, other)));
+/// Pairs of routes that some invocation fits both, and nothing says which goes first; so many of them at most.
+///
+/// Only routes of which one's prefix begins the other's can overlap. In the order of prefixes these stand behind
+/// one another, so that routes for different keys are never compared.
+pub fn unordered(routes: &[Route], most: usize) -> Vec<(&Route, &Route)> {
+    let mut by_prefix: Vec<_> = routes.iter().enumerate().collect();
+    by_prefix.sort_by(|(_, a), (_, b)| a.of.key_prefix.cmp(&b.of.key_prefix));
+    let (mut found, mut wider): (Vec<_>, Vec<(usize, &Route)>) = (vec![], vec![]);
+    for (place, route) in by_prefix {
+        while wider.last().is_some_and(|(_, last)| !route.of.key_prefix.starts_with(&*last.of.key_prefix)) {
+            wider.pop();
+        }
+        let clash = |(_, other): &&(usize, &Route)| !ordered(route, other) && route.of.overlaps(&other.of);
+        for (other_place, other) in wider.iter().filter(clash) {
+            found.push(if *other_place < place { (*other, route) } else { (route, *other) });
+            if found.len() >= most {
+                return found;
+            }
+        }
+        wider.push((place, route));
     }
     found
 }
 
+/// Whether their precedences say which goes first.
+fn ordered(one: &Route, other: &Route) -> bool {
+    matches!((one.precedence, other.precedence), (Some(a), Some(b)) if a != b)
+}
+
 /// The routes in force, in the order in which they are asked.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
--- a/routes/tests/routes.rs
+++ b/routes/tests/routes.rs
@@ -38,7 +38,42 @@
     #[case] found: bool,
 ) {
     let routes = [route("one", a, &["read"], "b"), route("two", b, operations, prefix)];
-    assert_eq!(!unordered(&routes).is_empty(), found);
+    assert_eq!(!unordered(&routes, 1).is_empty(), found);
+}
+
+/// However many pairs there are, no more are kept than are asked for.
+#[test]
+fn of_routes_that_all_overlap_some_pairs_are_told() {
+    let routes: Vec<_> = (0..2000).map(|number| route(&format!("r{number}"), None, &[], "")).collect();
+    let told = unordered(&routes, 100);
+    assert_eq!(told.len(), 100);
+    assert!(told.iter().all(|(one, other)| one.name != other.name));
+}
+
+/// Nanoseconds that this thread has run on a core, whatever else the machine does. The kernel counts them up when
+/// the thread goes to sleep.
+fn run_time() -> u64 {
+    std::thread::sleep(std::time::Duration::from_micros(50));
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").expect("the kernel counts");
+    told.split(' ').next().and_then(|text| text.parse().ok()).expect("a number")
+}
+
+/// Eight times the routes are to cost some eight times as much, not sixty-four.
+#[test]
+fn routes_for_different_keys_are_not_compared_with_each_other() {
+    let cost = |count: usize| {
+        let prefix = |number: usize| format!("tenant-{:05}/", number * 7919 % count);
+        let routes: Vec<_> =
+            (0..count).map(|number| route(&format!("r{number}"), None, &[], &prefix(number))).collect();
+        let once = || {
+            let began = run_time();
+            assert!(unordered(&routes, 1).is_empty());
+            run_time() - began
+        };
+        (0..5).map(|_| once()).min().expect("five")
+    };
+    let (few, many) = (cost(1500), cost(12_000));
+    assert!(many < 24 * few, "{few} ns, {many} ns");
 }
 
 #[rstest]
