--- a/measure/src/capacity/fleet_run/net/hollow_router.rs
+++ b/measure/src/capacity/fleet_run/net/hollow_router.rs
@@ -32,8 +32,8 @@
 const PLATFORM_SILENCE: f64 = 3.0;
 const VOTE_TIME: f64 = 1.0;
 const RETRY: [f64; 2] = [0.05, 1.0];
-const LIST_ANSWER: usize = 4 * 1024 * 1024;
-const HEADERS: usize = 32;
+const ANSWER: discovery::AnswerLimits =
+    discovery::AnswerLimits { body: 4 * 1024 * 1024, head: 16 * 1024, frame: 256 * 1024, headers: 32 };
 const LINE: usize = 8 * 1024;
 const DATAGRAM: usize = 256;
 const BIND_TRIES: usize = 100;
@@ -167,8 +167,9 @@
         discovery::write_get(&mut question, at, watched);
         stream.write_all(&question).await?;
         let read = async {
+            let mut chunks = discovery::Chunks::default();
             loop {
-                let read = discovery::response(&input, LIST_ANSWER, HEADERS).map_err(malformed)?;
+                let read = discovery::response(&input, &ANSWER, &mut chunks).map_err(malformed)?;
                 if let Some((response, used)) = read {
                     break taken(&response, version).map(|input| (input, used));
                 }
@@ -194,7 +195,7 @@
     if response.status != 200 {
         return Err(io::Error::other("turned away"));
     }
-    let list = discovery::list(&response.body).map_err(malformed)?;
+    let list = discovery::list(&response.body).map_err(|error| malformed(error.into()))?;
     *version = Some(list.rev);
     let scope = if list.all { ListScope::Whole } else { ListScope::Changes };
     let entries = list.targets.iter().map(|target| target.listed().entry());
