--- a/measure/src/capacity/fleet_run/plan.rs
+++ b/measure/src/capacity/fleet_run/plan.rs
@@ -3,15 +3,16 @@
 use serde_json::{Value, json};
 
 use super::layout::Layout;
+use crate::capacity::numbers;
 
 /// The operators' numbers.
-pub const FLEET_ROUTERS: u32 = 760;
-pub const FLEET_HOSTS: u32 = 7_400;
-pub const RESTARTS_A_DAY: u32 = 3_000;
-pub const CHANGES_A_DAY: u32 = 440;
+pub const FLEET_ROUTERS: u32 = numbers::ROUTERS;
+pub const FLEET_HOSTS: u32 = numbers::HOSTS;
+pub const RESTARTS_A_DAY: u32 = numbers::RESTARTS_PER_DAY;
+pub const CHANGES_A_DAY: u32 = numbers::CHANGES_PER_DAY;
 /// Seconds until a change of configuration is in force at the last router.
-pub const IN_FORCE_WITHIN: f64 = 19.0;
-pub const SECONDS_A_DAY: f64 = 86_400.0;
+pub const IN_FORCE_WITHIN: f64 = numbers::IN_FORCE_SECONDS;
+pub const SECONDS_A_DAY: f64 = numbers::SECONDS_PER_DAY;
 
 /// Terms of the service, seconds.
 pub const DRAIN_GRACE: f64 = 0.5;
--- a/measure/src/capacity/mod.rs
+++ b/measure/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 //! simulation of the whole fleet.
 
 mod fleet_run;
+mod numbers;
 mod simulation;
 mod slopes;
 
--- a/measure/src/capacity/slopes/plan.rs
+++ b/measure/src/capacity/slopes/plan.rs
@@ -1,26 +1,28 @@
 //! The size that the operators plan with and what they allow, from their own numbers: one place for every part of
 //! the capacity measurement.
 
+use crate::capacity::numbers;
+
 /// Routers of the whole installation.
-pub(in crate::capacity) const ROUTERS: f64 = 760.0;
+pub(in crate::capacity) const ROUTERS: f64 = numbers::ROUTERS as f64;
 /// Hosts of all services together.
-pub(in crate::capacity) const HOSTS: f64 = 7400.0;
-pub(in crate::capacity) const SERVICES: f64 = 140.0;
+pub(in crate::capacity) const HOSTS: f64 = numbers::HOSTS as f64;
+pub(in crate::capacity) const SERVICES: f64 = numbers::SERVICES as f64;
 /// Requests a second of all routers together, at the peak.
-pub(in crate::capacity) const PEAK_REQUESTS_PER_S: f64 = 53_000.0;
-pub(in crate::capacity) const ROUTES: f64 = 11_000.0;
-pub(in crate::capacity) const TENANTS: f64 = 53_000.0;
+pub(in crate::capacity) const PEAK_REQUESTS_PER_S: f64 = numbers::REQUESTS_PER_SECOND as f64;
+pub(in crate::capacity) const ROUTES: f64 = numbers::ROUTES as f64;
+pub(in crate::capacity) const TENANTS: f64 = numbers::TENANTS as f64;
 /// Configuration changes a day.
-pub(in crate::capacity) const CHANGES_PER_DAY: f64 = 440.0;
+pub(in crate::capacity) const CHANGES_PER_DAY: f64 = numbers::CHANGES_PER_DAY as f64;
 /// Processes restarted or replaced a day.
-pub(in crate::capacity) const RESTARTS_PER_DAY: f64 = 3000.0;
+pub(in crate::capacity) const RESTARTS_PER_DAY: f64 = numbers::RESTARTS_PER_DAY as f64;
 /// Machines set aside for control.
-pub(in crate::capacity) const CONTROL_MACHINES: f64 = 9.0;
+pub(in crate::capacity) const CONTROL_MACHINES: f64 = numbers::CONTROL_MACHINES as f64;
 
 /// Added to a request, for 99 in 100, in milliseconds.
 pub(in crate::capacity) const ADDED_MS_MOST: f64 = 7.6;
 /// Until a configuration change is in force everywhere, in seconds.
-pub(in crate::capacity) const IN_FORCE_S_MOST: f64 = 19.0;
+pub(in crate::capacity) const IN_FORCE_S_MOST: f64 = numbers::IN_FORCE_SECONDS;
 /// A router's share of one core for control, in percent.
 pub(in crate::capacity) const CORE_PERCENT_MOST: f64 = 3.8;
 /// A router's memory for control, in MB.
