--- a/router/src/routing/send.rs
+++ b/router/src/routing/send.rs
@@ -45,6 +45,14 @@
     pub(super) fn host(&self) -> HostId {
         self.host
     }
+
+    /// The request whose command is not written whole, so that no host has begun it.
+    fn unwritten(&self) -> Option<&InvId> {
+        match &self.at_use {
+            Use::Dispatch(out) if !self.written => Some(&out.inv),
+            _ => None,
+        }
+    }
 }
 
 impl Routing {
@@ -55,7 +63,8 @@
         admitted.dispatches += 1;
         let left = admitted.left;
         self.tally.dispatches += 1;
-        if left {
+        // A first attempt follows the read that brought its request, which found no close.
+        if left || no.0 > 0 && self.is_client_gone(&inv) {
             // Decided before the decisions could hear that the client has left: nothing goes out any more.
             return self.ended(Out { inv, no }, host, Verdict::Moot, (0.0, 0.0), LoadReport::default());
         }
@@ -171,7 +180,9 @@
     }
 
     pub(super) fn link_ready(&mut self, id: SocketId) {
-        if !self.write_link(id) {
+        // What concerns hosts goes before what clients have done: a close may lie unread.
+        let waits = self.links.get(&id).and_then(Link::unwritten).cloned();
+        if waits.is_some_and(|inv| self.is_client_gone(&inv)) || !self.write_link(id) {
             return;
         }
         loop {
@@ -321,10 +332,9 @@
     /// Gives up the attempts whose clients are gone and whose command is not written whole, so that no host has begun
     /// them: a connection may come up long after its client has gone.
     pub(super) fn give_up_unwritten(&mut self) {
-        let gone = |out: &Out| self.admitted.get(&out.inv).is_some_and(|admitted| admitted.left);
-        let unwritten =
-            |link: &Link| matches!(&link.at_use, Use::Dispatch(out) if !link.written && gone(out));
-        let given_up = self.links.iter().filter(|(_, link)| unwritten(link)).map(|(id, _)| *id);
+        let gone = |inv: &InvId| self.admitted.get(inv).is_some_and(|admitted| admitted.left);
+        let waits = |link: &Link| link.unwritten().is_some_and(gone);
+        let given_up = self.links.iter().filter(|(_, link)| waits(link)).map(|(id, _)| *id);
         for id in given_up.collect::<Vec<_>>() {
             self.end_use(id, |_| Verdict::Moot);
         }
--- a/router/src/routing/take_in.rs
+++ b/router/src/routing/take_in.rs
@@ -397,6 +397,17 @@
         }
     }
 
+    /// Whether the client of this request is gone, be it that its close is not read yet.
+    pub(super) fn is_client_gone(&mut self, inv: &InvId) -> bool {
+        let Some(admitted) = self.admitted.get(inv) else { return false };
+        let (id, left) = (admitted.client, admitted.left);
+        let unread = !left && self.clients.get(&id).is_some_and(|client| client.stream.is_left());
+        if unread {
+            self.client_left(id);
+        }
+        left || unread
+    }
+
     /// Closes connections whose clients have not read for long, and the fullest where too much is unread.
     pub(super) fn close_stuck(&mut self, now: f64) {
         let (most, longest) = (self.limits.unread, self.limits.stuck_client);
--- a/router/tests/clients.rs
+++ b/router/tests/clients.rs
@@ -1,6 +1,6 @@
 //! Connections of clients, where two events cross: leaving, coming again, making room.
 
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -162,3 +162,64 @@
     let read = words(&mut BufReader::new(&host)).map(|words| words[2].clone());
     assert_eq!(read.as_deref(), Some("stays"));
 }
+
+#[test]
+fn what_waits_for_its_connection_is_not_sent_once_its_client_is_gone_though_that_is_not_read_yet() {
+    let mut door = Door::open();
+    door.shut();
+    let program = router_at(door.at, patient);
+    let mut gone = program.client();
+    gone.send(&["Q.DO", "k", "gone", "c=switch,d=20000"]);
+    door.wait_for_knock();
+    program.freeze();
+    gone.leave();
+    door.reopen();
+    // The connection is up: the router learns of both in one wake, and what concerns hosts goes first.
+    let host = door.accept();
+    program.signal("CONT");
+    assert_eq!(words(&mut BufReader::new(&host)), None);
+}
+
+/// An attempt has come back, and its request could be sent to another host.
+#[rstest]
+#[case::the_close_is_not_read_yet(b"", true)]
+#[case::the_close_lies_behind_nonsense(b"hello\r\n", false)]
+fn no_further_attempt_is_made_once_the_client_is_gone(#[case] then: &[u8], #[case] frozen: bool) {
+    let ((met, seen), (release, wait)) = (channel(), channel::<()>());
+    let ((met, wait), (answered, ended)) = ((Mutex::new(met), Mutex::new(wait)), channel());
+    let answered = Mutex::new(answered);
+    let host = party(move |stream| {
+        answer_each(stream.try_clone().expect("a second handle"), |words| {
+            let _ = met.lock().expect("no panic before").send(words[2].clone());
+            if words[2] != "gone" {
+                return value(&words[2]);
+            }
+            let _ = wait.lock().expect("no panic before").recv_timeout(PATIENCE);
+            let _ = (&stream).write_all(b"-BUSY\r\n");
+            let _ = answered.lock().expect("no panic before").send(());
+            Some(String::new())
+        });
+    });
+    let program = router_at(host, |text| text);
+    let mut gone = program.client();
+    gone.send(&["Q.ASK", "k", "gone", READ]);
+    assert_eq!(seen.recv_timeout(PATIENCE), Ok("gone".into()));
+    gone.write(then);
+    let mut stays = program.client();
+    stays.ask(&["PING"]);
+    if frozen {
+        program.freeze();
+    }
+    gone.leave();
+    if !frozen {
+        stays.ask(&["PING"]);
+    }
+    drop(release);
+    ended.recv_timeout(PATIENCE).expect("the host answers");
+    if frozen {
+        program.signal("CONT");
+    }
+    assert_eq!(stays.ask(&["Q.ASK", "k", "stays", READ]), "stays");
+    assert_eq!(stays.ask(&["Q.ASK", "k", "last", READ]), "last");
+    assert_eq!(seen.try_iter().collect::<Vec<_>>(), ["stays", "last"]);
+}
