--- a/src/decisions/rollout.rs
+++ b/src/decisions/rollout.rs
@@ -13,6 +13,9 @@
 
 use super::gossip::GOSSIP_INTERVAL;
 
+/// Seconds by which the beginning of a state may be told wrong: its age grows on the way.
+const STATUS_AGE_TOLERANCE: f64 = 0.5;
+
 /// What a router knows of the rollout.
 pub(super) struct RolloutState {
     /// None before the platform has told any.
@@ -37,6 +40,27 @@
     }
 }
 
+/// How far the rollout of one build has come, in an order that it does not go back in.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct RolloutProgress {
+    phase_rank: u8,
+    stage: u32,
+}
+
+/// How far a rollout has come by a status.
+fn progress(status: &RolloutStatus) -> RolloutProgress {
+    let phase_rank = match status.phase {
+        Phase::Canary => 0,
+        Phase::Released => 1,
+        Phase::RollingBack => 2,
+        Phase::RolledBack => 3,
+    };
+    RolloutProgress {
+        phase_rank,
+        stage: status.stage,
+    }
+}
+
 impl Router {
     /// The phase of a build.
     pub(super) fn phase_of(&self, build: BuildId) -> Phase {
@@ -98,7 +122,7 @@
             self.on_vote_answer(now, status.outcome, effects);
         }
         let old = self.rollout.status;
-        let is_outdated = old.is_some_and(|old| old.build > status.build);
+        let is_outdated = old.is_some_and(|old| self.is_outdated(now, &old, &status));
         if status.outcome != AttemptOutcome::Succeeded || is_outdated {
             return;
         }
@@ -117,6 +141,17 @@
         }
     }
 
+    /// Whether a status is older than the known one: an answer to a vote may cross the news of a later stage. A
+    /// platform that was set back tells a state that has begun since.
+    fn is_outdated(&self, now: f64, known: &RolloutStatus, status: &RolloutStatus) -> bool {
+        if known.build != status.build {
+            return known.build > status.build;
+        }
+        let began = now - status.age;
+        let has_begun_since = began > self.rollout.stage_since + STATUS_AGE_TOLERANCE;
+        progress(known) > progress(status) && !has_begun_since
+    }
+
     /// A vote was answered: counted, lost, or turned away because the platform is full.
     fn on_vote_answer(&mut self, now: f64, outcome: AttemptOutcome, effects: &mut Vec<Effect>) {
         let is_counted = matches!(
--- a/tests/fake/fleet.rs
+++ b/tests/fake/fleet.rs
@@ -73,6 +73,8 @@
     pub followed: Vec<bool>,
     /// Of the newest build that the platform has told.
     pub newest: RolloutStatus,
+    /// When it began.
+    newest_since: f64,
     pub asked: usize,
     pub answered: usize,
     pub in_time: usize,
@@ -152,6 +154,7 @@
             },
             followed: vec![false; routers],
             newest,
+            newest_since: 100.0 - newest.age,
             asked: 0,
             answered: 0,
             in_time: 0,
@@ -256,6 +259,7 @@
 
     pub fn tell_all(&mut self, rollout_status: RolloutStatus) {
         self.newest = rollout_status;
+        self.newest_since = self.now - rollout_status.age;
         for region in 0..2 {
             if self.platform_reaches[region] {
                 self.region_news[region] = rollout_status;
@@ -554,6 +558,7 @@
         let rollout_status = RolloutStatus {
             outcome,
             answers_vote: true,
+            age: self.now - self.newest_since,
             ..self.newest
         };
         self.after(0.1, router, Event::RolloutStatusReceived(rollout_status));
--- a/tests/votes.rs
+++ b/tests/votes.rs
@@ -107,3 +107,42 @@
         "{firsts:?}"
     );
 }
+
+/// An answer to a vote may come after the news of what followed. A router that took it for the newest would go back a
+/// stage, or send to a build that is being rolled back.
+#[rstest]
+#[case::an_earlier_stage(Phase::Canary, 1, 0.0, true)]
+#[case::not_released_yet(Phase::Released, 0, 0.0, true)]
+#[case::not_rolled_back_yet(Phase::RollingBack, 0, 0.9, false)]
+fn a_vote_answer_that_crosses_later_news_does_not_bring_the_earlier_status_back(
+    #[case] phase: Phase,
+    #[case] stage: u32,
+    #[case] answered_cap: f64,
+    #[case] is_sent_to: bool,
+) {
+    let mut fake = with_canary(settings(), 8);
+    fake.feed(rollout_status(NEW, stage, phase, 0.9));
+    let Event::RolloutStatusReceived(answer) = rollout_status(NEW, 0, Phase::Canary, answered_cap)
+    else {
+        panic!("a rollout status")
+    };
+    fake.feed(Event::RolloutStatusReceived(RolloutStatus {
+        answers_vote: true,
+        ..answer
+    }));
+    fake.run(4.0, |_, _| (AttemptOutcome::Succeeded, 0.1));
+    let (_, sent) = fake.run(4.0, |_, _| (AttemptOutcome::Succeeded, 0.1));
+    let at_canary = sent.iter().filter(|host| host.build == NEW).count();
+    assert_eq!(at_canary > 0, is_sent_to, "{at_canary} of {}", sent.len());
+}
+
+/// A platform that was set back has begun its state since: the lower cap of an earlier stage binds.
+#[test]
+fn an_earlier_stage_that_begins_anew_is_taken() {
+    let mut fake = with_canary(settings(), 8);
+    fake.feed(rollout_status(NEW, 1, Phase::Canary, 0.9));
+    fake.run(4.0, |_, _| (AttemptOutcome::Succeeded, 0.1));
+    fake.feed(rollout_status(NEW, 0, Phase::Canary, 0.0));
+    let (_, sent) = fake.run(4.0, |_, _| (AttemptOutcome::Succeeded, 0.1));
+    assert!(sent.iter().all(|host| host.build == OLD));
+}
