--- a/src/decisions/canary_assessment.rs
+++ b/src/decisions/canary_assessment.rs
@@ -30,6 +30,9 @@
 /// Chance of being worse below which the canary is promoted.
 const PROMOTE_CHANCE: f64 = 0.2;
 
+/// Chance of being worse above which a vote to promote the canary is withdrawn.
+const DOUBT_CHANCE: f64 = 0.5;
+
 /// Fraction of answers in time that the canary may lack.
 pub(super) const IN_TIME_MARGIN: f64 = 0.05;
 
@@ -60,6 +63,15 @@
 /// Seconds after a stage's last listed start before its canary is promoted with too few outcomes.
 const STARVED_PROMOTE_DELAY: f64 = 3.0;
 
+/// The same where the baseline has enough outcomes: the canary's are about to come.
+const THIN_PROMOTE_DELAY: f64 = 6.0;
+
+/// The same where the baseline has enough outcomes and the canary none: those who see it need this long to tell.
+const UNSEEN_PROMOTE_DELAY: f64 = 20.0;
+
+/// Outcomes below which nothing is known of the canary.
+const MIN_SEEN_OUTCOMES: f64 = 1.0;
+
 /// Seconds that a stage bakes where the times of a slowdown hold as they are.
 const BAKE_REFERENCE: f64 = 3.0;
 
@@ -78,6 +90,8 @@
     Fine,
     /// Neither is certain.
     Unclear,
+    /// More likely worse than not, and not certain.
+    Doubtful,
     /// The whole service has become slower, and the canary may be why.
     SlowingAll,
     /// Too few outcomes.
@@ -192,12 +206,46 @@
             Some(chance) if has_heard_enough => {
                 if chance < PROMOTE_CHANCE || !self.baseline_is_listed() {
                     Assessment::Fine
+                } else if chance > DOUBT_CHANCE {
+                    Assessment::Doubtful
                 } else {
                     Assessment::Unclear
                 }
             }
-            _ if now - stage.latest_start > STARVED_PROMOTE_DELAY => Assessment::Fine,
-            _ => Assessment::Starved,
+            _ => self.assess_starved(now, stage),
+        }
+    }
+
+    /// What too few outcomes say: a canary that they speak for, or of which there are none, is promoted in time.
+    fn assess_starved(&self, now: f64, stage: &StageProgress) -> Assessment {
+        let baseline = self.known_outcomes(Arm::Baseline);
+        let canary = self.known_outcomes(Arm::Canary);
+        let has_traffic = baseline.total() >= MIN_OUTCOMES;
+        let is_unseen = canary.total() < MIN_SEEN_OUTCOMES;
+        let lacks = baseline.good_fraction() - canary.good_fraction();
+        if has_traffic && !is_unseen && lacks > IN_TIME_MARGIN {
+            return Assessment::Doubtful;
+        }
+        let delay = match (has_traffic, is_unseen) {
+            (true, true) => UNSEEN_PROMOTE_DELAY,
+            (true, false) => THIN_PROMOTE_DELAY,
+            (false, _) => STARVED_PROMOTE_DELAY,
+        };
+        if now - stage.latest_start > delay {
+            Assessment::Fine
+        } else {
+            Assessment::Starved
+        }
+    }
+
+    /// The outcomes of an arm that this router or its peers have seen, by answers in time.
+    fn known_outcomes(&self, arm: Arm) -> SignalCounts {
+        let merged = self.evidence.merged.counts(None, Signal::InTime, arm);
+        let own = self.evidence.own.counts(None, Signal::InTime, arm);
+        if own.total() > merged.total() {
+            own
+        } else {
+            merged
         }
     }
 
--- a/src/decisions/vote_tables.rs
+++ b/src/decisions/vote_tables.rs
@@ -13,7 +13,7 @@
 }
 
 /// The desired vote of each assessment.
-const DESIRED_VOTES: [DesiredVote; 5] = [
+const DESIRED_VOTES: [DesiredVote; 6] = [
     DesiredVote {
         assessment: Assessment::Worse,
         by_votes: Some(Vote::RollBack),
@@ -29,6 +29,11 @@
         by_votes: None,
         by_clock: Some(Vote::Hold),
     },
+    DesiredVote {
+        assessment: Assessment::Doubtful,
+        by_votes: Some(Vote::Abstain),
+        by_clock: Some(Vote::Hold),
+    },
     DesiredVote {
         assessment: Assessment::SlowingAll,
         by_votes: Some(Vote::Abstain),
--- a/src/decisions/voting.rs
+++ b/src/decisions/voting.rs
@@ -132,14 +132,14 @@
         self.recast_delay = jitter * delay;
     }
 
-    /// A build that only begins to look worse is unclear.
+    /// A build that only begins to look worse is doubtful.
     fn confirm(&mut self, now: f64, assessment: Assessment) -> Assessment {
         if assessment != Assessment::Worse {
             self.worse_since = now;
         }
         let is_firm = now - self.worse_since >= ROLL_BACK_DELAY;
         if assessment == Assessment::Worse && !is_firm {
-            Assessment::Unclear
+            Assessment::Doubtful
         } else {
             assessment
         }
