--- a/router/src/management_threads/datastore_thread/mod.rs
+++ b/router/src/management_threads/datastore_thread/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, sync_channel};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -41,6 +41,9 @@
 /// The longest wait for a request, in seconds: what is due by time is done at least this often.
 const MAX_WAIT: f64 = 0.25;
 
+/// The longest wait for the event loop's view of now; a loop that is held up for longer is taken by its last view.
+const VIEW_REFRESH_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A request to the datastore thread.
 #[derive(Debug)]
 pub(super) enum DatastoreRequest {
@@ -197,7 +200,7 @@
         request: Option<DatastoreRequest>,
         event_loop: &LoopHandle,
     ) -> Result<(), EventLoopClosed> {
-        let facts = event_loop.view.load().facts(self.clock.now());
+        let facts = self.facts_for(request.is_some(), event_loop);
         let rolled_back = self
             .coordinator
             .expire_pending(&facts)
@@ -222,6 +225,21 @@
         }
     }
 
+    /// What the checks go by. Where something may be committed, that is the event loop's view of now: the published
+    /// one may lack a drain, and a commit that takes the last host away would pass.
+    fn facts_for(&self, has_request: bool, event_loop: &LoopHandle) -> Facts {
+        let now = self.clock.now();
+        let mut deadlines = self
+            .files
+            .next_retry()
+            .into_iter()
+            .chain(self.coordinator.next_expiry());
+        if has_request || deadlines.any(|deadline| deadline <= now) {
+            refresh_view(event_loop);
+        }
+        event_loop.view.load().facts(self.clock.now())
+    }
+
     fn handle(&mut self, request: Option<DatastoreRequest>, facts: &Facts) -> HandledRequest {
         match request {
             Some(DatastoreRequest::WatchedFiles(event)) => {
@@ -309,6 +327,16 @@
     }
 }
 
+/// Waits until the event loop has published its view of now.
+fn refresh_view(event_loop: &LoopHandle) {
+    let (refreshed, is_refreshed) = sync_channel(1);
+    let message = ManagementMessage::RefreshView(refreshed);
+    if event_loop.post.send(message).is_ok() {
+        // Without an answer in time the last view has to do.
+        let _ = is_refreshed.recv_timeout(VIEW_REFRESH_TIMEOUT);
+    }
+}
+
 /// The persisted state of a state directory, or an empty one where there is none or it is damaged.
 fn load_or_quarantine(log: &Logger, folder: &Path) -> Result<PersistedState, StartError> {
     let error = match persistence::load(folder) {
--- a/router/src/routing/management_link.rs
+++ b/router/src/routing/management_link.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::SyncSender;
 
 use arc_swap::ArcSwap;
 use kestreltide::interface::*;
@@ -17,6 +18,8 @@
 pub enum ManagementMessage {
     /// A revision was committed.
     Revision(Arc<Snapshot>),
+    /// The view is to be that of now; the sender has room for the one message that says so.
+    RefreshView(SyncSender<()>),
 }
 
 /// The heartbeat of a management thread: when it last ran, in milliseconds of Unix time; 0 where it has ended.
@@ -135,6 +138,11 @@
             };
             match message {
                 ManagementMessage::Revision(snapshot) => self.apply_revision(&snapshot),
+                ManagementMessage::RefreshView(refreshed) => {
+                    self.refresh_view();
+                    // Who asked may have stopped waiting.
+                    let _ = refreshed.try_send(());
+                }
             }
         }
     }
@@ -234,6 +242,17 @@
         );
     }
 
+    /// Publishes the view at once where it is not that of now.
+    fn refresh_view(&mut self) {
+        let is_stale = self
+            .management
+            .as_ref()
+            .is_some_and(|management| management.stale);
+        if is_stale {
+            self.publish_view();
+        }
+    }
+
     pub(super) fn publish_view(&mut self) {
         let Some(management) = &mut self.management else {
             return;
--- a/router/tests/operators.rs
+++ b/router/tests/operators.rs
@@ -249,14 +249,25 @@
     );
     program.wait_for_log("rev: 2");
     assert_eq!(all(&mut client, "drained"), ["of a"]);
-    // Discovery's whole list does not bring back what operators keep out.
+    // While discovery drains the other one, its last host stays in service.
     files.states("4", &[("a", "out"), ("b", "in-service")]);
-    program.wait_for_log("revision applied");
+    let line = program.wait_for_log("watched files rejected");
+    let why = "zone a would be left without hosts enough (given: 0 of 1 left";
+    assert!(line.contains(why), "{line}");
+    assert_eq!(all(&mut client, "last"), ["of a"]);
     discovery.publish(
         3,
         endpoint_list(3, true, &[("a", a, "Ready"), ("b", b, "Ready")]),
     );
     program.wait_for_log("rev: 3");
+    files.states("5", &[("a", "out"), ("b", "in-service")]);
+    program.wait_for_log("revision applied");
+    // Discovery's whole list does not bring back what operators keep out.
+    discovery.publish(
+        4,
+        endpoint_list(4, true, &[("a", a, "Ready"), ("b", b, "Ready")]),
+    );
+    program.wait_for_log("rev: 4");
     assert_eq!(all(&mut client, "again"), ["of b"]);
 }
 
