--- a/src/decisions/canary_assessment.rs
+++ b/src/decisions/canary_assessment.rs
@@ -31,7 +31,7 @@
 const PROMOTE_CHANCE: f64 = 0.2;
 
 /// Chance of being worse above which a vote to promote the canary is withdrawn.
-const DOUBT_CHANCE: f64 = 0.5;
+const DOUBT_CHANCE: f64 = 0.8;
 
 /// Fraction of answers in time that the canary may lack.
 pub(super) const IN_TIME_MARGIN: f64 = 0.05;
@@ -64,11 +64,14 @@
 const STARVED_PROMOTE_DELAY: f64 = 3.0;
 
 /// The same where the baseline has enough outcomes: the canary's are about to come.
-const THIN_PROMOTE_DELAY: f64 = 6.0;
+const THIN_PROMOTE_DELAY: f64 = 5.0;
 
 /// The same where the baseline has enough outcomes and the canary none: those who see it need this long to tell.
 const UNSEEN_PROMOTE_DELAY: f64 = 20.0;
 
+/// Outcomes of the canary with which a router does not wait for more for longer than [`STARVED_PROMOTE_DELAY`].
+const MIN_STARVED_OUTCOMES: f64 = 5.0;
+
 /// Outcomes below which nothing is known of the canary.
 const MIN_SEEN_OUTCOMES: f64 = 1.0;
 
@@ -138,6 +141,19 @@
     }
 }
 
+/// The chance that so few outcomes of the canary come from a fraction in time that is lower by over the margin. The
+/// uniform prior would speak against whatever has few.
+fn worse_chance(baseline: &SignalCounts, canary: &SignalCounts) -> f64 {
+    let expected = baseline.good_fraction() - IN_TIME_MARGIN;
+    let deviation = (expected * (1.0 - expected) / canary.total()).sqrt();
+    chance_above(expected - canary.good_fraction(), deviation)
+}
+
+/// The chance that a difference with this standard deviation is above zero.
+fn chance_above(difference: f64, deviation: f64) -> f64 {
+    1.0 / (1.0 + (-LOGISTIC_SCALE * difference / deviation).exp())
+}
+
 /// Which evidence is compared.
 struct Comparison {
     /// None: all operations.
@@ -216,20 +232,21 @@
         }
     }
 
-    /// What too few outcomes say: a canary that they speak for, or of which there are none, is promoted in time.
+    /// What too few outcomes say: a canary that they do not speak against is promoted in time, later the fewer they are.
     fn assess_starved(&self, now: f64, stage: &StageProgress) -> Assessment {
         let baseline = self.known_outcomes(Arm::Baseline);
         let canary = self.known_outcomes(Arm::Canary);
         let has_traffic = baseline.total() >= MIN_OUTCOMES;
-        let is_unseen = canary.total() < MIN_SEEN_OUTCOMES;
-        let lacks = baseline.good_fraction() - canary.good_fraction();
-        if has_traffic && !is_unseen && lacks > IN_TIME_MARGIN {
+        let is_seen = canary.total() >= MIN_SEEN_OUTCOMES;
+        if has_traffic && is_seen && worse_chance(&baseline, &canary) > DOUBT_CHANCE {
             return Assessment::Doubtful;
         }
-        let delay = match (has_traffic, is_unseen) {
-            (true, true) => UNSEEN_PROMOTE_DELAY,
-            (true, false) => THIN_PROMOTE_DELAY,
-            (false, _) => STARVED_PROMOTE_DELAY,
+        let delay = if !has_traffic || canary.total() >= MIN_STARVED_OUTCOMES {
+            STARVED_PROMOTE_DELAY
+        } else if is_seen {
+            THIN_PROMOTE_DELAY
+        } else {
+            UNSEEN_PROMOTE_DELAY
         };
         if now - stage.latest_start > delay {
             Assessment::Fine
@@ -275,8 +292,8 @@
         let canary = BetaMoments::of(&canary);
         let spread = host_spread(of.signal).powi(2) / self.rollout.canary_hosts.max(1.0);
         let deviation = (baseline.variance + canary.variance + spread).sqrt();
-        let z = (baseline.mean - canary.mean - margin(of.signal)) / deviation;
-        Some(1.0 / (1.0 + (-LOGISTIC_SCALE * z).exp()))
+        let difference = baseline.mean - canary.mean - margin(of.signal);
+        Some(chance_above(difference, deviation))
     }
 
     /// Whether the merged evidence speaks for rolling the canary back. One operation may fail alone, or a build be
