--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -4,7 +4,9 @@
 mod capacity;
 mod demo;
 mod fleet;
+mod log_lines;
 mod report;
+mod rollouts;
 mod router_process;
 mod watched_files;
 
@@ -12,6 +14,9 @@
 
 use argh::FromArgs;
 
+/// The exit code where a measurement cannot use what it was given.
+const BAD_INPUT: u8 = 2;
+
 /// Measurements of kestreltide on loopback.
 #[derive(FromArgs)]
 struct CommandLine {
@@ -26,6 +31,7 @@
     Demo(demo::Demo),
     Fleet(fleet::CountFleet),
     Capacity(capacity::Capacity),
+    Rollouts(rollouts::CountRollouts),
 }
 
 fn main() -> ExitCode {
@@ -39,6 +45,13 @@
         Measurement::Demo(demo) => demo.run(),
         Measurement::Fleet(count) => count.run(),
         Measurement::Capacity(capacity) => capacity.run(),
+        Measurement::Rollouts(count) => match count.run() {
+            Ok(()) => true,
+            Err(error) => {
+                eprintln!("kestreltide-measure: {error}");
+                return ExitCode::from(BAD_INPUT);
+            }
+        },
     };
     if is_as_required {
         ExitCode::SUCCESS
