--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -238,3 +238,34 @@
     let (late, _) = fake.run(6.0, how);
     assert!(late.contains(&Vote::Promote), "{late:?}");
 }
+
+/// Rule 3, where lists are asked for: what discovery has had for 6 s counts as told, also to a router that has restarted
+/// since and waits for its turn at a discovery that serves 4.4 calls a second.
+#[test]
+fn routers_that_restart_together_send_nothing_to_hosts_that_have_drained_for_longer_than_told() {
+    const ROUTERS: usize = 30;
+    const KEPT: usize = 9;
+    const COUNTS_AS_TOLD: f64 = 6.0;
+    let settings = ServiceSettings {
+        polls_endpoint_list: true,
+        ..settings()
+    };
+    let grace = settings.drain_grace;
+    let known = hosts(10);
+    let mut fleet = Fleet::new(settings, ROUTERS, known.clone(), 3);
+    fleet.discovery.each = 0.225;
+    fleet.discovery.turns_away = 2.0;
+    fleet.run(12.0, |_| 0.0);
+    let drained_at = fleet.now;
+    for host in &mut fleet.hosts[..5] {
+        host.entry.state = HostState::Stopping;
+    }
+    fleet.run(3.5, |_| 0.0);
+    (KEPT..ROUTERS).for_each(|router| fleet.restart_with(router, known.clone().into()));
+    let rate = |router: usize| if router < KEPT { 0.0 } else { 4.0 };
+    fleet.run(drained_at + COUNTS_AS_TOLD + grace - fleet.now, rate);
+    let came = |fleet: &Fleet| fleet.hosts[..5].iter().map(|host| host.came).sum::<usize>();
+    let in_time = came(&fleet);
+    fleet.run(6.0, rate);
+    assert_eq!(came(&fleet) - in_time, 0, "attempts at drained hosts");
+}
