--- a/router/src/routing/dispatch_decisions.rs
+++ b/router/src/routing/dispatch_decisions.rs
@@ -21,6 +21,18 @@
         self.decisions
             .handle(self.event_loop.now(), event, &mut effects);
         left.map(|request| self.requests.release(&request));
+        self.carry_out_all(effects);
+    }
+
+    /// Lets the decisions begin what goes by time, though no event has come yet.
+    pub(super) fn begin_decisions(&mut self) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.decisions.begin(self.event_loop.now(), &mut effects);
+        self.carry_out_all(effects);
+    }
+
+    /// Carries out effects, and keeps their buffer for the next event.
+    fn carry_out_all(&mut self, mut effects: Vec<Effect>) {
         effects.drain(..).for_each(|effect| self.carry_out(effect));
         self.effects = effects;
     }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -195,6 +195,7 @@
         if self.discovery.is_off() {
             self.mark_ready(ReadyReason::OperatorsOnly);
         }
+        self.begin_decisions();
         self.process_pending();
     }
 
--- a/router/tests/discovery_watch.rs
+++ b/router/tests/discovery_watch.rs
@@ -182,3 +182,21 @@
         "of id"
     );
 }
+
+/// Nothing happens at such a router that could remind it of the list: no known list, no platform, no client.
+#[test]
+fn a_router_that_knows_nothing_asks_for_the_list_where_lists_are_asked_for() {
+    let host = echo_host().expect("a host");
+    let list = endpoint_list(1, true, &[("a", host, "Ready")]);
+    let discovery = Discovery::start(1, list.clone());
+    let config = router_config(discovery.at, &list)
+        .replace("\"discovery\":\"push\"", "\"discovery\":\"ask\"")
+        .replace(&format!("\"known\":{list},"), "");
+    assert!(!config.contains("known") && config.contains("\"ask\""));
+    let program = Program::start(BINARY, &config);
+    program.wait_for_log("endpoint list applied");
+    assert_eq!(
+        program.client().request(&["Q.ASK", "k", "id", READ]),
+        "of id"
+    );
+}
