--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -8,6 +8,7 @@
 mod report;
 mod rollouts;
 mod router_process;
+mod soak;
 mod watched_files;
 
 use std::process::ExitCode;
@@ -32,6 +33,7 @@
     Fleet(fleet::CountFleet),
     Capacity(capacity::Capacity),
     Rollouts(rollouts::CountRollouts),
+    Soak(soak::Soak),
 }
 
 fn main() -> ExitCode {
@@ -47,10 +49,11 @@
         Measurement::Capacity(capacity) => capacity.run(),
         Measurement::Rollouts(count) => match count.run() {
             Ok(()) => true,
-            Err(error) => {
-                eprintln!("kestreltide-measure: {error}");
-                return ExitCode::from(BAD_INPUT);
-            }
+            Err(error) => return bad_input(&error),
+        },
+        Measurement::Soak(soak) => match soak.run() {
+            Ok(is_clean) => is_clean,
+            Err(error) => return bad_input(&error),
         },
     };
     if is_as_required {
@@ -59,3 +62,8 @@
         ExitCode::FAILURE
     }
 }
+
+fn bad_input(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("kestreltide-measure: {error}");
+    ExitCode::from(BAD_INPUT)
+}
--- a/testkit/src/arrival.rs
+++ b/testkit/src/arrival.rs
@@ -13,19 +13,19 @@
 use nix::sys::time::TimeSpec;
 
 /// Makes the machine note when bytes come on the connections that this listener accepts from now on.
-pub(crate) fn note_arrivals(listener: &TcpListener) {
+pub fn note_arrivals(listener: &TcpListener) {
     setsockopt(listener, ReceiveTimestampns, &true).expect("a socket notes when bytes come");
 }
 
-/// A connection that knows when the bytes that were read last had come.
-pub(crate) struct ArrivalReader {
+/// A connection that tells when the bytes that were read last had come.
+pub struct ArrivalReader {
     stream: TcpStream,
     last_arrival: SystemTime,
 }
 
 impl ArrivalReader {
     /// Reads from a connection of a listener that notes arrivals.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream) -> Self {
         ArrivalReader {
             stream,
             last_arrival: SystemTime::now(),
@@ -33,7 +33,7 @@
     }
 
     /// When the last of the bytes that were read had come; the time of the read, where the machine does not know.
-    pub(crate) fn last_arrival(&self) -> SystemTime {
+    pub fn last_arrival(&self) -> SystemTime {
         self.last_arrival
     }
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -31,6 +31,7 @@
 
 use std::time::Duration;
 
+pub use arrival::{ArrivalReader, note_arrivals};
 pub use client::Client;
 pub use config::{endpoint_list, router_config};
 pub use credentials::{ManagementClient, TestCredentials};
@@ -41,8 +42,8 @@
 pub use platform::{Platform, RolloutState};
 pub use program::Program;
 pub use servers::{
-    fake_discovery, fake_host, read_command, serve_commands, spawn_server, unused_address,
-    value_reply,
+    fake_discovery, fake_host, read_command, serve_commands, spawn_server, spawn_server_on,
+    unused_address, value_reply,
 };
 pub use test_listener::TestListener;
 
--- a/testkit/src/servers.rs
+++ b/testkit/src/servers.rs
@@ -15,7 +15,7 @@
 }
 
 /// Starts a server on a listener as [`spawn_server`] does.
-pub(crate) fn spawn_server_on(
+pub fn spawn_server_on(
     listener: TcpListener,
     serve: impl Fn(TcpStream) + Send + Sync + 'static,
 ) -> SocketAddr {
