--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -128,6 +128,11 @@
         self.decide_vote(now, effects);
     }
 
+    /// Whether another router of the service has this id.
+    fn is_peer(&self, id: RouterId) -> bool {
+        id != self.settings.router && id.0 < self.settings.routers
+    }
+
     /// Takes in a peer's message, and replies where it began the exchange.
     pub(super) fn on_gossip(
         &mut self,
@@ -137,7 +142,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let message = GossipMessage::decode(payload);
-        let Some(message) = message.filter(|_| from != self.settings.router) else {
+        let Some(message) = message.filter(|_| self.is_peer(from)) else {
             return;
         };
         let report = PeerReport {
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -110,3 +110,24 @@
         "{taken} of {told}"
     );
 }
+
+/// A datagram may name any sender; one that is no router of the service is no peer, and its evidence is none.
+#[rstest]
+#[case::the_other_router(1, true)]
+#[case::beyond_all_routers(2, false)]
+#[case::far_beyond(u32::MAX, false)]
+fn only_routers_of_the_service_are_peers(#[case] from: u32, #[case] is_peer: bool) {
+    let two = ServiceSettings {
+        routers: 2,
+        ..settings()
+    };
+    let mut fake = with_canary(two, 8);
+    let mut payload = vec![0, 0, 8, 0];
+    payload.resize(8 + 2 * 36, 0);
+    let effects = fake.feed(Event::GossipReceived {
+        from: RouterId(from),
+        payload,
+    });
+    let is_reply = |effect: &Effect| matches!(effect, Effect::SendGossip { .. });
+    assert_eq!(effects.iter().any(is_reply), is_peer, "{effects:?}");
+}
