--- a/datastore/src/history.rs
+++ b/datastore/src/history.rs
@@ -77,7 +77,9 @@
 
     /// The revision before the oldest that is kept: the oldest whose tree can be restored.
     pub(crate) fn oldest_base(&self) -> Option<u64> {
-        self.revisions.front().map(|first| first.number - 1)
+        self.revisions
+            .front()
+            .map(|first| first.number.saturating_sub(1))
     }
 
     /// The kept revisions after this one, newest first.
--- a/datastore/tests/datastore/history.rs
+++ b/datastore/tests/datastore/history.rs
@@ -152,3 +152,20 @@
         }
     }
 }
+
+/// Stored state that is damaged may hold a revision 0, before which there is none.
+#[test]
+fn a_stored_revision_0_has_none_before_it() {
+    let store = fleet(2);
+    let mut state = store.state();
+    let mut first = state.history.front().expect("a revision").clone();
+    first.number = 0;
+    state.history.push_front(first);
+    let restored = Datastore::from_state(rules(), HistoryLimits::default(), state);
+    assert_eq!(
+        restored.tree_at(Revision(1)).as_ref(),
+        Ok(&*store.in_force().tree)
+    );
+    let error = restored.tree_at(Revision(9)).expect_err("it never was");
+    assert_eq!(error.expected, "0 to 1");
+}
