--- a/yang/src/types/mod.rs
+++ b/yang/src/types/mod.rs
@@ -350,7 +350,7 @@
 
 fn parse_integer(text: &str, ranges: &[Range<Integer>]) -> Result<Integer, ValueError> {
     let signed = text.strip_prefix('+').unwrap_or(text);
-    let digits = signed.strip_prefix('-').unwrap_or(signed);
+    let digits = text.strip_prefix(['+', '-']).unwrap_or(text);
     if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
         return Err(ValueError::NotAnInteger);
     }
--- a/yang/tests/types.rs
+++ b/yang/tests/types.rs
@@ -24,6 +24,8 @@
 )]
 #[case(Type::integer(8, true), "+127", Ok("127"))]
 #[case(Type::integer(8, true), "1e2", Err("is no whole number"))]
+#[case(Type::integer(8, true), "+-5", Err("is no whole number"))]
+#[case(Type::integer(8, true), "-+5", Err("is no whole number"))]
 #[case(
     Type::integer(8, true),
     "99999999999999999999999999999999999999999999",
