--- a/src/decisions/rollout.rs
+++ b/src/decisions/rollout.rs
@@ -141,15 +141,15 @@
         }
     }
 
-    /// Whether a status is older than the known one: an answer to a vote may cross the news of a later stage. A
-    /// platform that was set back tells a state that has begun since.
+    /// Whether a status is older than the known one: an answer to a vote may cross the news of a later stage; news come
+    /// in their order. A platform that was set back tells a state that has begun since.
     fn is_outdated(&self, now: f64, known: &RolloutStatus, status: &RolloutStatus) -> bool {
         if known.build != status.build {
             return known.build > status.build;
         }
         let began = now - status.age;
         let has_begun_since = began > self.rollout.stage_since + STATUS_AGE_TOLERANCE;
-        progress(known) > progress(status) && !has_begun_since
+        status.answers_vote && progress(known) > progress(status) && !has_begun_since
     }
 
     /// A vote was answered: counted, lost, or turned away because the platform is full.
