--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -104,6 +104,10 @@
     pub state_log_interval: f64,
     /// A router that has received nothing from discovery or the platform serves by what it has after this time.
     pub ready_timeout: f64,
+    /// The longest time that it waits for its first turn to ask, where lists are asked for in turn.
+    pub first_poll_timeout: f64,
+    /// Between two looks at whether that turn has come.
+    pub ready_retry_interval: f64,
 }
 
 /// Limits of client connections. Times in seconds.
@@ -395,6 +399,8 @@
             expiry_interval: 0.5,
             state_log_interval: 5.0,
             ready_timeout: 3.0,
+            first_poll_timeout: 9.5,
+            ready_retry_interval: 0.25,
         }
     }
 }
--- a/router/src/routing/discovery_watch.rs
+++ b/router/src/routing/discovery_watch.rs
@@ -71,6 +71,8 @@
     last_number: u64,
     backoff: f64,
     has_answered: bool,
+    /// A call found nobody there. One that is refused for want of room has found discovery at work.
+    was_unreachable: bool,
     has_list: bool,
 }
 
@@ -87,6 +89,7 @@
             last_number: 0,
             backoff: limits.reconnect_backoff.initial,
             has_answered: false,
+            was_unreachable: false,
             has_list: false,
         }
     }
@@ -112,7 +115,12 @@
 
     /// Whether nothing has to be waited for before the router is ready.
     pub(super) fn has_answered(&self) -> bool {
-        self.has_answered || self.on_demand || self.off
+        self.has_answered || self.off
+    }
+
+    /// Whether the first answer is still to come from a discovery that is there.
+    pub(super) fn awaits_first_answer(&self) -> bool {
+        self.on_demand && !self.has_answered() && !self.was_unreachable
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -221,6 +229,7 @@
             }
             Err(e) => {
                 let now = event_loop.now();
+                self.was_unreachable = true;
                 self.on_call_failed(event_loop, query, now, &e.to_string());
                 None
             }
@@ -277,6 +286,7 @@
             Ok(true) => {}
             Ok(false) => return None,
             Err(e) => {
+                self.was_unreachable = true;
                 self.fail_call(event_loop, id, &e.to_string());
                 return None;
             }
@@ -415,6 +425,7 @@
             call.number == number && !matches!(call.stream.is_connected(), Ok(true))
         };
         if self.calls.get_mut(&id).is_some_and(is_down) {
+            self.was_unreachable = true;
             self.fail_call(event_loop, id, "the connection does not come up");
         }
     }
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -108,6 +108,8 @@
     /// The link to the management threads, where there are any.
     management: Option<management_link::ManagementLink>,
     ready: bool,
+    /// When the router began, in Unix seconds.
+    started_at: f64,
     /// A timer is set for clients that could not be accepted.
     accept_due: bool,
     shutdown: GracefulShutdown,
@@ -161,6 +163,7 @@
             upstreams: UpstreamPool::default(),
             endpoints,
             ready: false,
+            started_at: now,
             accept_due: false,
             shutdown: GracefulShutdown::new(),
             drain_scheduled: false,
@@ -295,7 +298,7 @@
                     platform.on_vote_timeout(event_loop, call)
                 });
             }
-            TimerEvent::Ready => self.mark_ready(ReadyReason::Timeout),
+            TimerEvent::Ready => self.on_ready_timeout(),
             TimerEvent::ServingOver => self.advance_shutdown(ShutdownInput::ServingOver),
             TimerEvent::DrainingOver => self.advance_shutdown(ShutdownInput::DrainingOver),
             TimerEvent::DrainAgain => self.on_drain_timer(),
@@ -319,6 +322,21 @@
         }
     }
 
+    /// Serves by what is remembered, as discovery or the platform has not answered; but where the endpoint list is
+    /// asked for in turn with hundreds of routers, the known one may be older than what counts as told, so that the
+    /// turn is waited for.
+    fn on_ready_timeout(&mut self) {
+        let now = self.event_loop.now();
+        let limits = &self.event_loop.limits.event_loop;
+        let waits_for_turn = self.discovery.awaits_first_answer()
+            && now < self.started_at + limits.first_poll_timeout;
+        if waits_for_turn {
+            let next = now + limits.ready_retry_interval;
+            return self.event_loop.schedule(next, TimerEvent::Ready);
+        }
+        self.mark_ready(ReadyReason::Timeout);
+    }
+
     fn mark_ready(&mut self, reason: ReadyReason) {
         let has_observed = self.discovery.has_answered()
             && self
--- a/router/tests/discovery_watch.rs
+++ b/router/tests/discovery_watch.rs
@@ -200,3 +200,32 @@
         "of id"
     );
 }
+
+/// What it knows may be older than what counts as told; clients come to it once it is ready.
+#[test]
+fn where_lists_are_asked_for_a_router_is_ready_once_discovery_has_answered() {
+    let host = echo_host().expect("a host");
+    let list = endpoint_list(1, true, &[("a", host, "Ready")]);
+    let discovery = Discovery::start(1, list.clone());
+    let config = router_config(discovery.at, &list)
+        .replace("\"discovery\":\"push\"", "\"discovery\":\"ask\"");
+    let program = Program::start(BINARY, &config);
+    let before = program.log_lines_until("ready");
+    let is_answer =
+        |line: &String| line.contains("endpoint list applied") && !line.contains("Cached");
+    assert!(before.iter().any(is_answer), "{before:?}");
+}
+
+#[test]
+fn where_lists_are_asked_for_a_router_is_ready_by_time_once_discovery_has_failed() {
+    let host = echo_host().expect("a host");
+    let list = endpoint_list(1, true, &[("a", host, "Ready")]);
+    let config = router_config(unused_address(), &list)
+        .replace("\"discovery\":\"push\"", "\"discovery\":\"ask\"");
+    let program = Program::start(BINARY, &config);
+    assert!(program.wait_for_log("ready").contains("by: time"));
+    assert_eq!(
+        program.client().request(&["Q.ASK", "k", "id", READ]),
+        "of id"
+    );
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -269,3 +269,31 @@
     fleet.run(6.0, rate);
     assert_eq!(came(&fleet) - in_time, 0, "attempts at drained hosts");
 }
+
+/// The same where all watches fall silent at once: what they miss counts as told 6 s later, and all routers are left to
+/// ask anew then.
+#[test]
+fn routers_whose_watches_fall_silent_together_send_nothing_to_hosts_that_have_drained_for_longer_than_told()
+ {
+    const ROUTERS: usize = 30;
+    const COUNTS_AS_TOLD: f64 = 6.0;
+    let settings = ServiceSettings {
+        polls_endpoint_list: true,
+        ..settings()
+    };
+    let grace = settings.drain_grace;
+    let mut fleet = Fleet::new(settings, ROUTERS, hosts(10), 3);
+    fleet.discovery.each = 0.225;
+    fleet.discovery.turns_away = 2.0;
+    fleet.run(12.0, |_| 0.0);
+    for host in &mut fleet.hosts[..5] {
+        host.entry.state = HostState::Stopping;
+    }
+    fleet.run(COUNTS_AS_TOLD, |_| 4.0);
+    (0..ROUTERS).for_each(|router| fleet.after(0.0, router, Event::EndpointListFailed));
+    fleet.run(grace, |_| 4.0);
+    let came = |fleet: &Fleet| fleet.hosts[..5].iter().map(|host| host.came).sum::<usize>();
+    let in_time = came(&fleet);
+    fleet.run(8.0, |_| 4.0);
+    assert_eq!(came(&fleet) - in_time, 0, "attempts at drained hosts");
+}
