--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! `TROUBLE=0` in the environment it does the same without the disruption.
 
 mod config;
+mod foreign;
 mod twice;
 mod support;
 
@@ -32,6 +33,7 @@
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let played = panic::catch_unwind(AssertUnwindSafe(|| match name.as_str() {
+        "foreign" => foreign::play(&run),
         "twice" => twice::play(&run),
         _ => Err(format!("no case {name}")),
     }));
