--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod foreign;
+mod large;
 mod twice;
 mod support;
 
@@ -34,6 +35,7 @@
     };
     let played = panic::catch_unwind(AssertUnwindSafe(|| match name.as_str() {
         "foreign" => foreign::play(&run),
+        "large" => large::play(&run),
         "twice" => twice::play(&run),
         _ => Err(format!("no case {name}")),
     }));
