--- a/review/standins/large.rs
+++ b/review/standins/large.rs
@@ -60,8 +60,11 @@
         let mut client = Client::connect(router.address).map_err(|e| e.to_string())?;
         for step in 0..3 {
             let (id, bytes) = command(100 * round + step, 100);
+            run.record.line(&format!("client: sends {id}, {} bytes, d={TIME_MS}", bytes.len()));
             client.send_bytes(&bytes);
             let reply = client.reply(Duration::from_secs(3));
+            let text = reply.as_ref().map_or("nothing".into(), Reply::text);
+            run.record.line(&format!("client: '{text}' to {id}"));
             let served = reply.as_ref().and_then(Reply::value) == Some(format!("of {id}").as_bytes());
             if !served {
                 return Err("usual traffic is not served".into());
--- a/review/standins/twice.rs
+++ b/review/standins/twice.rs
@@ -51,6 +51,8 @@
             value_answer(b"reserved")
         };
         let _ = stream.write_all(&answer);
+        let text = if fails.load(Relaxed) { "-ERR failed" } else { "a value" };
+        record.line(&format!("host {name}: answers {id} with {text}"));
     })
 }
 
@@ -86,7 +88,8 @@
     for round in 1..=ROUNDS {
         for _ in 0..20 {
             send(&mut client);
-            client.reply(Duration::from_secs(2)).ok_or("usual traffic is not answered")?;
+            let reply = client.reply(Duration::from_secs(2)).ok_or("usual traffic is not answered")?;
+            run.record.line(&format!("client: '{}'", reply.text()));
             thread::sleep(Duration::from_millis(30));
         }
         // A further host, listed as ready.
