--- a/review/standins-2/support.rs
+++ b/review/standins-2/support.rs
@@ -231,6 +231,8 @@
     pub delay_ms: AtomicU64,
     /// Whether it answers; a host that hangs takes commands and answers none.
     pub hangs: AtomicBool,
+    /// Its values have this length at least.
+    pub value_bytes: AtomicU64,
     keeps_record: bool,
 }
 
@@ -244,6 +246,7 @@
             begun: Mutex::new(vec![]),
             delay_ms: AtomicU64::new(delay_ms),
             hangs: AtomicBool::new(false),
+            value_bytes: AtomicU64::new(0),
             keeps_record,
         });
         let shared = host.clone();
@@ -276,7 +279,9 @@
                         sleep(0.01);
                     }
                     sleep(self.delay_ms.load(SeqCst) as f64 / 1e3);
-                    let value = format!("{}:{}", self.uid, words[2]);
+                    let mut value = format!("{}:{}", self.uid, words[2]);
+                    let missing = (self.value_bytes.load(SeqCst) as usize).saturating_sub(value.len());
+                    value.extend(std::iter::repeat_n('v', missing));
                     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())
                 }
                 Some("PING") => "+PONG\r\n".into(),
@@ -780,11 +785,13 @@
     router: SocketAddr,
     connection: Option<(TcpStream, Reader)>,
     was_used: bool,
+    /// The length of the body of `Q.DO`.
+    pub body_bytes: usize,
 }
 
 impl Client {
     pub fn new(router: SocketAddr) -> Self {
-        Client { router, connection: None, was_used: false }
+        Client { router, connection: None, was_used: false, body_bytes: 4 }
     }
 
     fn connect(&mut self) -> bool {
@@ -822,7 +829,10 @@
         };
         let name = if class.effect == "repeatable" { "Q.ASK" } else { "Q.DO" };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(limit_ms + 600)));
-        let written = stream.write_all(&command_bytes(&[name, key, &id, &list]));
+        let body = "b".repeat(self.body_bytes);
+        let words = [name, key, &id, &list, &body];
+        let words = if class.effect == "repeatable" { &words[..4] } else { &words[..] };
+        let written = stream.write_all(&command_bytes(words));
         sent.at = now();
         sent.outcome = match written.and_then(|()| reader.item()) {
             Ok(reply) => match reply.first() {
