--- a/router/src/routing/admission.rs
+++ b/router/src/routing/admission.rs
@@ -55,6 +55,11 @@
         self.requests.len()
     }
 
+    /// Bytes of the commands of all requests.
+    pub(super) fn stored_bytes(&self) -> usize {
+        self.stored_bytes
+    }
+
     /// Whether a request with a command of `command_bytes` bytes can be admitted.
     fn has_capacity(&self, limits: &RequestLimits, command_bytes: usize) -> bool {
         self.requests.len() < limits.in_flight
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -18,6 +18,7 @@
 mod gossip_peers;
 mod graceful_shutdown;
 mod management_link;
+mod memory_usage;
 mod metrics;
 mod platform_client;
 mod response_history;
@@ -408,7 +409,7 @@
             .take_line(now, self.event_loop.limits.event_loop.state_log_interval)
         {
             info!(self.event_loop.log, "state"; "open" => self.requests.len(), "clients" => self.clients.len(),
-                "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line);
+                "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line, "memory" => %self.memory_usage());
         }
     }
 }
--- a/router/src/routing/upstream_pool.rs
+++ b/router/src/routing/upstream_pool.rs
@@ -69,6 +69,11 @@
             .collect()
     }
 
+    /// All connections.
+    pub(super) fn connections(&self) -> impl Iterator<Item = &UpstreamConnection> {
+        self.connections.values()
+    }
+
     /// The connections for which `predicate` is true.
     pub(super) fn ids_matching(
         &self,
--- a/router/src/transport/stream.rs
+++ b/router/src/transport/stream.rs
@@ -179,6 +179,16 @@
         &mut self.output
     }
 
+    /// Bytes of memory that the input buffer holds.
+    pub fn input_capacity(&self) -> usize {
+        self.input.capacity()
+    }
+
+    /// Bytes of memory that the output buffer holds.
+    pub fn output_capacity(&self) -> usize {
+        self.output.capacity()
+    }
+
     /// Number of output bytes that have not been written.
     pub fn unwritten(&self) -> usize {
         self.output.len() - self.written
