--- a/measure/src/capacity/fleet_run/real_router.rs
+++ b/measure/src/capacity/fleet_run/real_router.rs
@@ -6,12 +6,13 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use kestreltide_testkit::resident_memory_kib;
 use serde_json::json;
 
 use super::layout::Party;
 use super::net::shared::Shared;
 use super::processes::{self, CoreTime};
-use crate::router_process::{self, RUN_AS_ROUTER_VARIABLE};
+use crate::router_process::RUN_AS_ROUTER_VARIABLE;
 
 const MEMORY_MB: u32 = 256;
 const SOCKETS: u32 = 512;
@@ -152,7 +153,7 @@
     }
 
     pub fn resident_kib(&self) -> u64 {
-        router_process::resident_memory_kib(self.child.id())
+        resident_memory_kib(self.child.id())
     }
 
     pub fn terminate(&self) {
--- a/measure/src/router_process.rs
+++ b/measure/src/router_process.rs
@@ -1,7 +1,6 @@
 //! Starts routers as child processes, and clients that send them requests and count the outcomes.
 
 use std::collections::BTreeSet;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -33,14 +32,6 @@
         .replace("\"memory_mb\":64", "\"memory_mb\":512")
 }
 
-/// Returns the resident memory of a process in KiB, or 0 where it cannot be read.
-pub fn resident_memory_kib(pid: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
-        .unwrap_or(0)
-}
-
 /// Returns an empty histogram of durations in microseconds, up to one minute.
 pub fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds")
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -20,6 +20,8 @@
 use kestreltide_datastore::Maximums;
 use kestreltide_settings::TransportSettings;
 
+use crate::transport::BufferLimits;
+
 pub use memory_budget::{MemoryBudget, MemoryBudgetError};
 
 /// Bytes of a KiB.
@@ -104,6 +106,8 @@
     pub delay_warning: f64,
     /// Sockets that are ready after a sleep shorter than this count as having been ready before the sleep.
     pub immediate_wake: f64,
+    /// How long input waits for memory before it is tried again, where none is released in the meantime.
+    pub memory_retry: f64,
     /// Interval between two checks for expired connections and missed heartbeats.
     pub expiry_interval: f64,
     /// Interval between two log lines with the router's state.
@@ -137,8 +141,8 @@
     pub unknown_commands: usize,
     /// Bytes that are read from a rejected client and discarded, so that it can read the error before the close.
     pub discarded_bytes: usize,
-    /// Bytes of responses that all clients together have not read.
-    pub unread_response_bytes: usize,
+    /// How long the rest of a long command may take, in seconds, while its memory is needed for others.
+    pub slow_command_age: f64,
     /// Time for a client's first command, from connecting, and for the rest of a partly received command.
     pub command_timeout: f64,
     /// How long an idle client that has sent at least one command is kept if other clients need its connection.
@@ -159,8 +163,6 @@
 pub struct RequestLimits {
     /// Number of requests in flight.
     pub in_flight: usize,
-    /// Bytes of their commands, which are stored for retries.
-    pub stored_command_bytes: usize,
 }
 
 /// Limits of connections to hosts. Times are in seconds.
@@ -281,6 +283,8 @@
 pub struct Limits {
     /// Limits of RESP messages of clients and hosts.
     pub resp: RespLimits,
+    /// The memory of the buffers of connections to clients and hosts, in bytes.
+    pub buffers: BufferLimits,
     /// Limits of the event loop.
     pub event_loop: EventLoopLimits,
     /// Limits of client connections.
@@ -316,16 +320,21 @@
 
 impl ConnectionCounts {
     fn new(sockets: usize, connection_bytes: usize) -> Self {
-        let available = sockets.saturating_sub(RESERVED_DESCRIPTORS).max(4);
-        let upstream = available / 2;
-        // Each client connection may buffer one whole message, in half of the memory for connections.
-        let in_memory = connection_bytes / 2 / MESSAGE_BYTES;
+        let available = sockets.saturating_sub(RESERVED_DESCRIPTORS);
+        let in_memory = memory_budget::max_connections(connection_bytes);
+        let connections = available.min(in_memory).max(4);
+        let upstream = connections / 2;
         ConnectionCounts {
-            clients: (available - upstream).min(in_memory).max(2),
+            clients: connections - upstream,
             upstream,
         }
     }
 
+    /// All connections.
+    fn connections(&self) -> usize {
+        self.clients + self.upstream
+    }
+
     /// The most requests in flight. Some client connections are spares that never hold an open request: while all the
     /// others do, a further client can still be accepted and rejected immediately, instead of waiting in the backlog
     /// without a response.
@@ -356,11 +365,11 @@
         let longest_time_limit = time_limits.fold(0.0, f64::max);
         Limits {
             resp: RespLimits::new(),
+            buffers: memory_budget::buffer_limits(connection_bytes, counts.connections()),
             event_loop: EventLoopLimits::new(),
-            clients: ClientLimits::new(counts.clients, connection_bytes, longest_time_limit),
+            clients: ClientLimits::new(counts.clients, longest_time_limit),
             requests: RequestLimits {
                 in_flight: counts.requests(transport.max_open_connections),
-                stored_command_bytes: connection_bytes / 4,
             },
             upstream: UpstreamLimits::new(counts.upstream, transport),
             discovery: DiscoveryLimits::new(budget.max_hosts()),
@@ -411,6 +420,7 @@
             max_sleep: 0.25,
             delay_warning: 0.1,
             immediate_wake: 0.01,
+            memory_retry: 0.05,
             expiry_interval: 0.5,
             state_log_interval: 5.0,
             ready_timeout: 3.0,
@@ -422,7 +432,7 @@
 
 impl ClientLimits {
     /// `longest_time_limit` is the longest time limit of an operation, in seconds.
-    fn new(connections: usize, connection_bytes: usize, longest_time_limit: f64) -> Self {
+    fn new(connections: usize, longest_time_limit: f64) -> Self {
         ClientLimits {
             connections,
             idle: (connections / 4).max(1),
@@ -432,7 +442,7 @@
             pipelined_commands: 16,
             unknown_commands: 16,
             discarded_bytes: 256 * KIB,
-            unread_response_bytes: connection_bytes / 4,
+            slow_command_age: 0.25,
             command_timeout: 2.0,
             idle_timeout: 0.1,
             lingering_close: 0.5,
--- a/router/src/limits/memory_budget.rs
+++ b/router/src/limits/memory_budget.rs
@@ -3,6 +3,7 @@
 use kestreltide_datastore::{Maximums, MemorySettings};
 
 use super::{KIB, MIB};
+use crate::transport::{BufferLimits, CHUNK_BYTES};
 
 /// The fraction of the memory that connections may use; the program uses the rest.
 const CONNECTIONS_FRACTION: f64 = 0.5;
@@ -22,6 +23,16 @@
 const ROUTE_NAME_BYTES: usize = 256;
 /// Bytes of a peer: its address, which is stored in three places, and its last gossip about the builds.
 const PEER_BYTES: usize = 640;
+/// Bytes of a connection: its own state, and the first chunk of one buffer.
+const CONNECTION_BYTES: usize = CHUNK_BYTES + KIB;
+/// The fraction of the connections' memory that their own state and first chunks may use.
+const CONNECTION_STATE_FRACTION: f64 = 0.5;
+/// The fraction of the buffers' memory that the input of clients may use.
+const CLIENT_INPUT_FRACTION: f64 = 0.25;
+/// The fraction that the commands of admitted requests may use.
+const COMMANDS_FRACTION: f64 = 0.3;
+/// The fraction that unread replies may use. What the three leave is always free for responses of hosts.
+const REPLIES_FRACTION: f64 = 0.25;
 /// The most hosts that are kept, regardless of the memory.
 const MAX_HOSTS: usize = 16 * KIB;
 
@@ -118,3 +129,20 @@
     let megabytes = memory_mb.max(MIN_MEMORY_MB) as f64 * CONNECTIONS_FRACTION;
     (megabytes as usize).saturating_mul(MIB)
 }
+
+/// The most connections to clients and hosts that this part of the memory is enough for.
+pub(super) fn max_connections(connection_bytes: usize) -> usize {
+    (connection_bytes as f64 * CONNECTION_STATE_FRACTION) as usize / CONNECTION_BYTES
+}
+
+/// The limits of the buffers of so many connections.
+pub(super) fn buffer_limits(connection_bytes: usize, connections: usize) -> BufferLimits {
+    let total = connection_bytes.saturating_sub(connections * CONNECTION_BYTES);
+    let part = |fraction: f64| (total as f64 * fraction) as usize;
+    BufferLimits {
+        total,
+        client_input: part(CLIENT_INPUT_FRACTION),
+        commands: part(COMMANDS_FRACTION),
+        replies: part(REPLIES_FRACTION),
+    }
+}
--- a/router/src/protocol/client.rs
+++ b/router/src/protocol/client.rs
@@ -1,10 +1,12 @@
 //! Commands of clients, and the responses that the router itself makes.
 
-use std::fmt::Write;
+use std::io::Write;
+use std::rc::Rc;
 
-use super::resp::{self, write_command, write_error};
+use super::resp::{self, EncodedCommand, write_error};
 use super::{Malformed, ParseResult};
 use crate::limits::RespLimits;
+use crate::transport::{Buffer, BufferOwner, MemoryLedger};
 
 /// The command for idempotent operations.
 const IDEMPOTENT_COMMAND: &[u8] = b"Q.ASK";
@@ -144,78 +146,81 @@
 }
 
 impl RequestCommand<'_> {
+    /// Total length of the words, in bytes.
+    pub fn size(&self) -> usize {
+        self.words.iter().map(|word| word.len()).sum()
+    }
+
     /// Copies the command out of the receive buffer.
-    pub fn to_stored(&self) -> StoredCommand {
-        let mut bytes = Vec::with_capacity(self.words.iter().map(|word| word.len()).sum());
+    pub fn to_stored(&self, memory: &Rc<MemoryLedger>) -> StoredCommand {
+        let mut bytes = Buffer::new(BufferOwner::Commands, memory);
+        bytes.reserve_exact(self.size());
         let mut word_ends = Vec::with_capacity(self.words.len());
         for word in &self.words {
-            bytes.extend_from_slice(word);
+            bytes.append(word);
             word_ends.push(bytes.len());
         }
         StoredCommand {
-            bytes: bytes.into(),
+            bytes,
             word_ends: word_ends.into(),
         }
     }
 }
 
 /// A copy of the words of a request's command, in one buffer.
-#[derive(Debug)]
 pub struct StoredCommand {
-    bytes: Box<[u8]>,
+    bytes: Buffer,
     /// The end of each word in `bytes`.
     word_ends: Box<[usize]>,
 }
 
 impl StoredCommand {
-    /// Total length of the words, in bytes.
-    pub fn size(&self) -> usize {
-        self.bytes.len()
-    }
-
     /// The request id, chosen by the client.
     pub fn id(&self) -> &[u8] {
-        self.word_ends.get(REQUEST_ID_INDEX).map_or(&[], |end| {
-            &self.bytes[self.word_ends[REQUEST_ID_INDEX - 1]..*end]
-        })
+        self.words().nth(REQUEST_ID_INDEX).unwrap_or_default()
     }
 
-    /// Writes the command as the client sent it, but with `time_limit_millis` as the remaining time limit (`d`).
-    pub fn write(&self, out: &mut Vec<u8>, time_limit_millis: u64) {
+    fn words(&self) -> impl Iterator<Item = &[u8]> {
         let starts = std::iter::once(0).chain(self.word_ends.iter().copied());
-        let mut words: Vec<_> = starts
+        starts
             .zip(&self.word_ends)
-            .map(|(start, end)| &self.bytes[start..*end])
-            .collect();
-        let parameters = words
-            .get(PARAMETERS_INDEX)
-            .and_then(|word| std::str::from_utf8(word).ok())
-            .map(|list| with_time_limit(list, time_limit_millis));
-        if let Some(parameters) = &parameters {
-            words[PARAMETERS_INDEX] = parameters.as_bytes();
+            .map(|(start, end)| &self.bytes.data()[start..*end])
+    }
+
+    /// The command as the client sent it, but with `time_limit_millis` as the remaining time limit (`d`).
+    pub fn encode(&self, time_limit_millis: u64) -> EncodedCommand<'_> {
+        let mut encoded = EncodedCommand::new(self.word_ends.len());
+        for (index, word) in self.words().enumerate() {
+            let parameters = (index == PARAMETERS_INDEX)
+                .then(|| std::str::from_utf8(word).ok())
+                .flatten();
+            match parameters.and_then(split_at_time_limit) {
+                Some((before, after)) => {
+                    let time_limit = format!("d={time_limit_millis}");
+                    encoded.push_replaced(before.as_bytes(), &time_limit, after.as_bytes());
+                }
+                None => encoded.push(word),
+            }
         }
-        write_command(out, &words);
+        encoded
     }
 }
 
-/// A list of parameters with its time limit (`d`) replaced.
-fn with_time_limit(list: &str, time_limit_millis: u64) -> String {
-    let mut replaced = String::new();
+/// Splits a list of parameters around its time limit (`d`).
+fn split_at_time_limit(list: &str) -> Option<(&str, &str)> {
+    let mut start = 0;
     for part in list.split(',') {
-        if !replaced.is_empty() {
-            replaced.push(',');
+        let end = start + part.len();
+        if part.split_once('=').is_some_and(|(name, _)| name == "d") {
+            return Some((&list[..start], &list[end..]));
         }
-        let written = match part.split_once('=') {
-            Some(("d", _)) => write!(replaced, "d={time_limit_millis}"),
-            _ => write!(replaced, "{part}"),
-        };
-        debug_assert!(written.is_ok());
+        start = end + 1;
     }
-    replaced
+    None
 }
 
 /// Writes the response to a rejected request. The client may retry it, after `retry_after_millis` if that is given.
-pub fn write_busy(out: &mut Vec<u8>, retry_after_millis: Option<u64>) {
+pub fn write_busy(out: &mut impl Write, retry_after_millis: Option<u64>) {
     match retry_after_millis {
         Some(millis) => write_error(out, &format!("BUSY {millis}")),
         None => write_error(out, "BUSY"),
--- a/router/src/protocol/discovery.rs
+++ b/router/src/protocol/discovery.rs
@@ -3,6 +3,7 @@
 mod http;
 mod wire;
 
+use std::io::Write;
 use std::net::SocketAddr;
 
 use thiserror::Error;
@@ -98,7 +99,7 @@
 }
 
 /// Writes a request for the list; without `watch`, for the full list at once.
-pub fn write_list_request(out: &mut Vec<u8>, host: SocketAddr, watch: Option<ListWatch>) {
+pub fn write_list_request(out: &mut impl Write, host: SocketAddr, watch: Option<ListWatch>) {
     let query = watch.map_or_else(String::new, |watch| {
         format!(
             "?from={}&hold_ms={}",
@@ -108,5 +109,5 @@
     let request = format!(
         "GET /registry/instances{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
     );
-    out.extend_from_slice(request.as_bytes());
+    let _ = out.write_all(request.as_bytes());
 }
--- a/router/src/protocol/host.rs
+++ b/router/src/protocol/host.rs
@@ -4,6 +4,8 @@
 //! second copy of the last one, shifts that order. The reply to the barrier, a command without an effect, shows where the
 //! responses to all earlier commands end.
 
+use std::io::Write;
+
 use super::resp::{self, Reply, write_command};
 use super::{Malformed, ParseResult};
 use crate::limits::RespLimits;
@@ -152,7 +154,7 @@
 }
 
 /// Writes the barrier, which goes behind a command whose response may be a surplus one.
-pub fn write_barrier(out: &mut Vec<u8>) {
+pub fn write_barrier(out: &mut impl Write) {
     write_command(out, &BARRIER);
 }
 
@@ -182,7 +184,7 @@
 }
 
 /// Writes a health check, which asks for a load report if `with_report` is set.
-pub fn write_probe(out: &mut Vec<u8>, with_report: bool) {
+pub fn write_probe(out: &mut impl Write, with_report: bool) {
     if with_report {
         write_command(out, &[b"INFO", b"load"]);
     } else {
--- a/router/src/protocol/platform.rs
+++ b/router/src/protocol/platform.rs
@@ -3,6 +3,7 @@
 mod wire;
 
 use std::borrow::Cow;
+use std::io::Write;
 
 use kestreltide::interface::{AttemptOutcome, BuildId, Phase, RolloutStatus, Vote};
 use serde::Deserialize;
@@ -162,13 +163,13 @@
 }
 
 /// Writes the call that subscribes to the rollout.
-pub fn write_follow(out: &mut Vec<u8>, call: u64) {
+pub fn write_follow(out: &mut impl Write, call: u64) {
     let line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{call},\"method\":\"follow\"}}\n");
-    out.extend_from_slice(line.as_bytes());
+    let _ = out.write_all(line.as_bytes());
 }
 
 /// Writes the call that votes on a stage of a build's rollout.
-pub fn write_vote(out: &mut Vec<u8>, call: u64, build: BuildId, stage: u32, vote: Vote) {
+pub fn write_vote(out: &mut impl Write, call: u64, build: BuildId, stage: u32, vote: Vote) {
     let opinion = match vote {
         Vote::Abstain => "none",
         Vote::Promote => "on",
@@ -182,5 +183,5 @@
     let line = format!(
         "{{\"jsonrpc\":\"2.0\",\"id\":{call},\"method\":\"castBallot\",\"params\":{params}}}\n"
     );
-    out.extend_from_slice(line.as_bytes());
+    let _ = out.write_all(line.as_bytes());
 }
--- a/router/src/protocol/resp.rs
+++ b/router/src/protocol/resp.rs
@@ -233,29 +233,88 @@
     Ok(string.map(|(word, length)| (word, header + length)))
 }
 
-// The functions below ignore the results of writing, since writing to a vector cannot fail.
+/// A command to be written. Its words are not copied.
+pub struct EncodedCommand<'a> {
+    /// What stands before each slice of `words`: ends of words, and the lengths of the next ones.
+    headers: Vec<String>,
+    words: Vec<&'a [u8]>,
+    /// The end of the last word and the headers that follow it.
+    next_header: String,
+}
+
+impl<'a> EncodedCommand<'a> {
+    /// The beginning of a command of so many words.
+    pub fn new(words: usize) -> Self {
+        EncodedCommand {
+            headers: Vec::with_capacity(words),
+            words: Vec::with_capacity(words),
+            next_header: format!("*{words}\r\n"),
+        }
+    }
+
+    /// Adds a word.
+    pub fn push(&mut self, word: &'a [u8]) {
+        self.next_header.push_str(&format!("${}\r\n", word.len()));
+        self.push_slice(word);
+        self.next_header.push_str("\r\n");
+    }
+
+    /// Adds a word that consists of `before`, a short text and `after`.
+    pub fn push_replaced(&mut self, before: &'a [u8], text: &str, after: &'a [u8]) {
+        let length = before.len() + text.len() + after.len();
+        self.next_header.push_str(&format!("${length}\r\n"));
+        self.push_slice(before);
+        self.next_header.push_str(text);
+        self.push_slice(after);
+        self.next_header.push_str("\r\n");
+    }
+
+    /// The parts of the command in their order.
+    pub fn parts(&self) -> Vec<&[u8]> {
+        let mut parts = Vec::with_capacity(2 * self.words.len() + 1);
+        for (header, word) in self.headers.iter().zip(&self.words) {
+            parts.push(header.as_bytes());
+            parts.push(word);
+        }
+        parts.push(self.next_header.as_bytes());
+        parts
+    }
+
+    fn push_slice(&mut self, slice: &'a [u8]) {
+        self.headers.push(std::mem::take(&mut self.next_header));
+        self.words.push(slice);
+    }
+}
+
+// The functions below ignore the results of writing, since writing to a buffer cannot fail.
 
 /// Writes a command.
-pub fn write_command(out: &mut Vec<u8>, words: &[&[u8]]) {
+pub fn write_command(out: &mut impl Write, words: &[&[u8]]) {
     let _ = write!(out, "*{}\r\n", words.len());
     for word in words {
         write_bulk(out, word);
     }
 }
 
+/// Calls `write` with the parts of a bulk string, whose value is not copied.
+pub fn with_bulk_parts<T>(value: &[u8], write: impl FnOnce(&[&[u8]]) -> T) -> T {
+    let header = format!("${}\r\n", value.len());
+    write(&[header.as_bytes(), value, LINE_END])
+}
+
 /// Writes a bulk string.
-pub fn write_bulk(out: &mut Vec<u8>, value: &[u8]) {
+pub fn write_bulk(out: &mut impl Write, value: &[u8]) {
     let _ = write!(out, "${}\r\n", value.len());
-    out.extend_from_slice(value);
-    out.extend_from_slice(LINE_END);
+    let _ = out.write_all(value);
+    let _ = out.write_all(LINE_END);
 }
 
 /// Writes a simple string.
-pub fn write_simple(out: &mut Vec<u8>, text: &str) {
+pub fn write_simple(out: &mut impl Write, text: &str) {
     let _ = write!(out, "+{text}\r\n");
 }
 
 /// Writes an error.
-pub fn write_error(out: &mut Vec<u8>, text: &str) {
+pub fn write_error(out: &mut impl Write, text: &str) {
     let _ = write!(out, "-{text}\r\n");
 }
--- a/router/src/routing/admission.rs
+++ b/router/src/routing/admission.rs
@@ -44,8 +44,6 @@
     requests: BTreeMap<RequestId, AdmittedRequest>,
     /// The ids that clients gave to the requests they wait for, each with its client's connection.
     open_ids: BTreeMap<Box<[u8]>, SocketId>,
-    /// Bytes of the commands of all requests.
-    stored_bytes: usize,
     /// The number that is the id of the request admitted last.
     last_number: u64,
 }
@@ -55,15 +53,9 @@
         self.requests.len()
     }
 
-    /// Bytes of the commands of all requests.
-    pub(super) fn stored_bytes(&self) -> usize {
-        self.stored_bytes
-    }
-
-    /// Whether a request with a command of `command_bytes` bytes can be admitted.
-    fn has_capacity(&self, limits: &RequestLimits, command_bytes: usize) -> bool {
+    /// Whether one more request can be admitted.
+    fn has_capacity(&self, limits: &RequestLimits) -> bool {
         self.requests.len() < limits.in_flight
-            && self.stored_bytes + command_bytes <= limits.stored_command_bytes
     }
 
     /// Adds a request and returns the id by which the router knows it.
@@ -72,7 +64,6 @@
         // ids clients send.
         self.last_number += 1;
         let id = RequestId(self.last_number.to_string().into());
-        self.stored_bytes += command.size();
         self.open_ids.insert(command.id().into(), client);
         let request = AdmittedRequest {
             client,
@@ -88,7 +79,6 @@
     /// Removes a request that needs no response any more; returns its client.
     pub(super) fn release(&mut self, request: &RequestId) -> Option<SocketId> {
         let request = self.requests.remove(request)?;
-        self.stored_bytes -= request.command.size();
         if !request.client_has_disconnected {
             self.open_ids.remove(request.command.id());
         }
@@ -169,11 +159,9 @@
             is_retry,
             command,
         } = request;
-        // No attempt has been started, so the reply BUSY is correct: a retry is safe.
         let limits = &self.event_loop.limits.requests;
-        if !self.requests.has_capacity(limits, command.size()) || self.shutdown.has_given_up() {
-            self.event_loop.metrics.increment(Counter::RequestsRejected);
-            return self.reply(client, |out| client::write_busy(out, None));
+        if !self.requests.has_capacity(limits) || self.shutdown.has_given_up() {
+            return self.reject_request(client);
         }
         let id = self.requests.admit(client, command, deadline);
         let time_left = (deadline - self.event_loop.now()).max(0.0);
@@ -192,4 +180,10 @@
                 pool,
             }));
     }
+
+    /// Rejects a request of which no attempt was started, so that a retry is safe.
+    pub(super) fn reject_request(&mut self, client: SocketId) {
+        self.event_loop.metrics.increment(Counter::RequestsRejected);
+        self.reply(client, |out| client::write_busy(out, None));
+    }
 }
--- a/router/src/routing/client_connection.rs
+++ b/router/src/routing/client_connection.rs
@@ -2,6 +2,7 @@
 //! read their replies.
 
 use std::collections::VecDeque;
+use std::io;
 
 use kestreltide::interface::*;
 use slog::{info, warn};
@@ -10,16 +11,16 @@
 use super::admission::ParsedRequest;
 use super::arrival_times::ArrivalTimes;
 use super::metrics::Counter;
-use crate::protocol::client::{self, Command, StoredCommand};
+use crate::protocol::client::{self, Command};
 use crate::protocol::{Malformed, resp};
-use crate::transport::{ReadStatus, SocketId, Stream};
+use crate::transport::{Buffer, BufferOwner, CHUNK_BYTES, ReadStatus, SocketId, Stream};
 
 /// The place of a command in its client's pipeline, whose replies are sent in the order of the commands.
 pub(super) enum QueuedReply {
     /// The response to this request has not come yet.
     Pending(RequestId),
     /// The bytes of a reply that waits for those before it.
-    Ready(Vec<u8>),
+    Ready(Buffer),
 }
 
 /// A client's connection.
@@ -42,6 +43,8 @@
     unknown_commands: usize,
     /// Since when the client has not read all replies, in Unix seconds.
     pub(super) unread_since: Option<f64>,
+    /// Writing to it has failed.
+    has_failed: bool,
 }
 
 /// The limits of a lingering close, in which the client's input is read and discarded.
@@ -65,6 +68,7 @@
             command_began_at: None,
             unknown_commands: 0,
             unread_since: None,
+            has_failed: false,
         }
     }
 
@@ -89,11 +93,52 @@
         self.arrival_times.consume(bytes);
     }
 
+    /// Writes a reply that consists of these parts, or keeps what the socket does not take. Where it fails,
+    /// [`Client::flush`] tells.
+    pub(super) fn send(&mut self, parts: &[&[u8]]) {
+        self.has_failed |= self.stream.send(parts).is_err();
+    }
+
+    /// Writes the kept output as far as the socket takes it. Returns whether all of it is written; an error where
+    /// writing has failed.
+    pub(super) fn flush(&mut self) -> io::Result<bool> {
+        if self.has_failed {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        self.stream.flush()
+    }
+
+    /// Takes the first reply out of the queue, if it is ready.
+    pub(super) fn next_ready_reply(&mut self) -> Option<Buffer> {
+        match self.queue.pop_front()? {
+            QueuedReply::Ready(bytes) => Some(bytes),
+            pending => {
+                self.queue.push_front(pending);
+                None
+            }
+        }
+    }
+
+    /// Bytes of memory that its unread replies hold.
+    pub(super) fn reply_bytes_held(&self) -> usize {
+        let queued = self.queue.iter().map(|reply| match reply {
+            QueuedReply::Pending(_) => 0,
+            QueuedReply::Ready(bytes) => bytes.held(),
+        });
+        self.stream.output_held() + queued.sum::<usize>()
+    }
+
     /// Whether no reply is pending or unwritten.
     pub(super) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.stream.unwritten() == 0
     }
 
+    /// Since when part of a command that is longer than a chunk has been in the input, in Unix seconds.
+    pub(super) fn long_command_since(&self) -> Option<f64> {
+        self.command_began_at
+            .filter(|_| self.stream.input_held() > CHUNK_BYTES)
+    }
+
     /// Whether the client has sent part of a command.
     pub(super) fn is_mid_command(&self) -> bool {
         self.command_began_at.is_some()
@@ -128,6 +173,8 @@
     Error(&'static str),
     /// Reply that the command is unknown.
     Unknown,
+    /// Reject the request, for which there is no memory.
+    Busy,
 }
 
 /// The next command in a client's input.
@@ -176,13 +223,16 @@
         // Where the read was cut short, the end of the stream may lie behind what was read; polling the socket then shows
         // whether the client has disconnected.
         if status == ReadStatus::Closed
-            || status == ReadStatus::More && client.stream.is_closed_by_peer()
+            || matches!(status, ReadStatus::More | ReadStatus::OutOfMemory)
+                && client.stream.is_closed_by_peer()
         {
             return self.close_client(id);
         }
         // The socket reports only what arrives after a read that emptied it.
-        if self.take_commands(id) == TakeEnd::InputIncomplete && status == ReadStatus::More {
-            self.schedule_read(id);
+        match (self.take_commands(id), status) {
+            (TakeEnd::InputIncomplete, ReadStatus::More) => self.schedule_read(id),
+            (TakeEnd::InputIncomplete, ReadStatus::OutOfMemory) => self.await_client_memory(id),
+            _ => {}
         }
         // Only after a read that emptied the socket, so that a command that has arrived still gets its reply.
         if status == ReadStatus::Exhausted && self.shutdown.is_draining() {
@@ -216,7 +266,7 @@
         let is_limit_reached = lingering.bytes_left == 0;
         if status == ReadStatus::Closed || is_limit_reached {
             self.close_client(id);
-        } else if status == ReadStatus::More {
+        } else if status != ReadStatus::Exhausted {
             self.schedule_read(id);
         }
     }
@@ -303,6 +353,7 @@
                 self.reply(id, |out| resp::write_error(out, OPEN_ID_ERROR));
             }
             CommandAction::Error(text) => self.reply(id, |out| resp::write_error(out, text)),
+            CommandAction::Busy => self.reject_request(id),
             CommandAction::Unknown => {
                 self.reply(id, |out| resp::write_error(out, "ERR unknown command"));
             }
@@ -354,7 +405,11 @@
         {
             return Err(Malformed::new("the time (d) is beyond all sense"));
         }
-        let command: StoredCommand = command_fields.to_stored();
+        let memory = self.event_loop.memory();
+        if memory.allowance(BufferOwner::Commands) < command_fields.size() {
+            return Ok(CommandAction::Busy);
+        }
+        let command = command_fields.to_stored(memory);
         let key = (!command_fields.key.is_empty()).then(|| KeyId(command_fields.key.into()));
         let pool = self
             .endpoints
@@ -384,13 +439,24 @@
         self.event_loop
             .metrics
             .increment(Counter::MalformedMessages);
+        self.close_with(id, |out| resp::write_error(out, &format!("ERR {why}")));
+        TakeEnd::Closing
+    }
+
+    /// Rejects a command that is not complete, as its memory is needed for others, and begins to close the connection.
+    pub(super) fn reject_incomplete_command(&mut self, id: SocketId) {
+        self.event_loop.metrics.increment(Counter::RequestsRejected);
+        self.close_with(id, |out| client::write_busy(out, None));
+    }
+
+    /// Sends a last reply and begins to close the connection. Its input is discarded.
+    fn close_with(&mut self, id: SocketId, write: impl FnOnce(&mut Vec<u8>)) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.is_closing = true;
             client.consume(usize::MAX);
         }
-        self.reply(id, |out| resp::write_error(out, &format!("ERR {why}")));
+        self.reply(id, write);
         self.discard_input(id);
-        TakeEnd::Closing
     }
 
     /// Closes clients that have sent no command within `command_timeout` of connecting or have not completed one within
@@ -469,39 +535,36 @@
         is_closed
     }
 
-    /// Closes clients that have not read their replies within `write_timeout`, and the one with the most unread bytes
-    /// where all clients together have more than `unread_response_bytes`.
+    /// Closes clients that have not read their replies within `write_timeout`.
     pub(super) fn close_clients_not_reading(&mut self, now: f64) {
-        let (max_unread_bytes, write_timeout) = (
-            self.event_loop.limits.clients.unread_response_bytes,
-            self.event_loop.limits.clients.write_timeout,
-        );
+        let write_timeout = self.event_loop.limits.clients.write_timeout;
         let not_reading = self.clients.iter().filter(|(_, client)| {
             client
                 .unread_since
                 .is_some_and(|since| now - since > write_timeout)
         });
-        let mut to_close: Vec<_> = not_reading.map(|(id, _)| *id).collect();
-        let unread_bytes = |client: &Client| {
-            let queued = client.queue.iter().map(|reply| match reply {
-                QueuedReply::Pending(_) => 0,
-                QueuedReply::Ready(bytes) => bytes.len(),
-            });
-            client.stream.unwritten() + queued.sum::<usize>()
-        };
-        if self.clients.values().map(unread_bytes).sum::<usize>() > max_unread_bytes {
-            let fullest = self
-                .clients
-                .iter()
-                .max_by_key(|(_, client)| unread_bytes(client));
-            to_close.extend(fullest.map(|(id, _)| *id));
-        }
+        let to_close: Vec<_> = not_reading.map(|(id, _)| *id).collect();
         for id in to_close {
-            warn!(
-                self.event_loop.log,
-                "client not reading replies, connection closed"
-            );
-            self.close_client(id);
+            self.close_client_not_reading(id);
         }
     }
+
+    /// Closes the client whose unread replies hold the most memory.
+    pub(super) fn close_client_with_most_unread(&mut self) {
+        let fullest = self
+            .clients
+            .iter()
+            .max_by_key(|(_, client)| client.reply_bytes_held());
+        if let Some((&id, _)) = fullest {
+            self.close_client_not_reading(id);
+        }
+    }
+
+    fn close_client_not_reading(&mut self, id: SocketId) {
+        warn!(
+            self.event_loop.log,
+            "client not reading replies, connection closed"
+        );
+        self.close_client(id);
+    }
 }
--- a/router/src/routing/client_listener.rs
+++ b/router/src/routing/client_listener.rs
@@ -106,7 +106,7 @@
         match Stream::accepted(
             &mut self.event_loop.reactor,
             socket,
-            SocketOwner::Client.priority(),
+            SocketOwner::Client.stream_role(),
         ) {
             Ok(stream) => {
                 let id = stream.id;
--- a/router/src/routing/command_writes.rs
+++ b/router/src/routing/command_writes.rs
@@ -9,8 +9,7 @@
 
 use super::Routing;
 use super::metrics::Counter;
-use super::upstream_connection::{ConnectionUse, UpstreamConnection, WriteProgress};
-use crate::protocol::host;
+use super::upstream_connection::{ConnectionUse, UpstreamConnection};
 use crate::transport::SocketId;
 
 /// Whether the rest of a command may be written now.
@@ -95,25 +94,26 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
-        if upstream.progress == WriteProgress::NotStarted {
-            upstream.progress = WriteProgress::Started;
-            let output = upstream.stream.output();
-            match &upstream.current_use {
-                ConnectionUse::Idle => {}
-                ConnectionUse::Attempt(in_flight) => {
-                    if let Some(command) = self.requests.command(&in_flight.request) {
-                        command.write(output, upstream.deadlines.response_millis(now));
-                    }
-                }
-                ConnectionUse::HealthCheck => {
-                    host::write_probe(output, self.transport.load_reporting != LoadReporting::Off);
+        let written = match &upstream.current_use {
+            ConnectionUse::Attempt(in_flight) => {
+                match self.requests.command(&in_flight.request) {
+                    Some(command) => upstream.write_attempt(command, now),
+                    // Answered; what follows the command may still be written behind a command that is.
+                    None => Ok(upstream.is_written()),
                 }
             }
-        }
-        match upstream.stream.flush() {
-            Ok(true) => upstream.progress = WriteProgress::Complete,
-            Ok(false) => {}
-            Err(_) => self.on_upstream_failed(id),
+            ConnectionUse::HealthCheck => {
+                upstream.write_probe(self.transport.load_reporting != LoadReporting::Off)
+            }
+            ConnectionUse::Idle => Ok(true),
+        };
+        let flushed = match written {
+            Ok(true) => upstream.stream.flush().map(drop),
+            Ok(false) => Ok(()),
+            Err(error) => Err(error),
+        };
+        if flushed.is_err() {
+            self.on_upstream_failed(id);
         }
     }
 }
--- a/router/src/routing/discovery_watch.rs
+++ b/router/src/routing/discovery_watch.rs
@@ -223,7 +223,7 @@
         match Stream::connect(
             &mut event_loop.reactor,
             self.address,
-            SocketOwner::Discovery.priority(),
+            SocketOwner::Discovery.stream_role(),
         ) {
             Ok(stream) => {
                 let id = stream.id;
--- a/router/src/routing/dispatch_decisions.rs
+++ b/router/src/routing/dispatch_decisions.rs
@@ -70,11 +70,11 @@
                 self.event_loop.metrics.increment(Counter::RequestsShed);
                 let millis =
                     retry_after.map(|time| (time * MILLIS_PER_SECOND).ceil().max(0.0) as u64);
-                self.respond(&request, |out| client::write_busy(out, millis));
+                self.respond_briefly(&request, |out| client::write_busy(out, millis));
             }
             Effect::FailRequest { request } => {
                 self.event_loop.metrics.increment(Counter::RequestsFailed);
-                self.respond(&request, |out| write_error(out, "ERR failed"));
+                self.respond_briefly(&request, |out| write_error(out, "ERR failed"));
             }
             Effect::ScheduleTimer { at, key } => {
                 self.event_loop.schedule(at, TimerEvent::Decisions(key))
--- a/router/src/routing/event_loop.rs
+++ b/router/src/routing/event_loop.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::rc::Rc;
 
 use kestreltide::interface::{Event, TimerKey};
 use rand::{RngExt, SeedableRng};
@@ -11,7 +12,10 @@
 
 use super::metrics::Metrics;
 use crate::limits::Limits;
-use crate::transport::{Clock, Priority, Reactor, ReceivedSignals, SocketId, Timers};
+use crate::transport::{
+    BufferOwner, Clock, MemoryLedger, Priority, Reactor, ReceivedSignals, SocketId, StreamRole,
+    Timers,
+};
 
 /// The smallest jitter factor of a backoff; the largest is greater by 1.
 const BACKOFF_JITTER_MIN: f64 = 0.5;
@@ -51,6 +55,20 @@
         Priority(self as u8)
     }
 
+    /// The role of the owner's connections.
+    pub(super) const fn stream_role(self) -> StreamRole {
+        let (input, output) = match self {
+            SocketOwner::Upstream => (BufferOwner::HostInput, BufferOwner::HostOutput),
+            SocketOwner::Client => (BufferOwner::ClientInput, BufferOwner::Replies),
+            _ => (BufferOwner::Control, BufferOwner::Control),
+        };
+        StreamRole {
+            priority: self.priority(),
+            input,
+            output,
+        }
+    }
+
     /// The owner of the sockets with this priority.
     fn from_priority(priority: Priority) -> Option<Self> {
         Self::BY_PRIORITY.get(usize::from(priority.0)).copied()
@@ -76,6 +94,8 @@
     UpstreamWriteTimeout(SocketId, u64),
     /// Accept clients that were left waiting.
     AcceptAgain,
+    /// Read the connections again whose input waits for memory.
+    RetryReads,
     /// Run the periodic checks.
     ExpireIdle,
     /// The response to the discovery request with this number must be complete.
@@ -134,9 +154,10 @@
         log: Logger,
         limits: Limits,
         clock: Clock,
-        reactor: Reactor,
+        mut reactor: Reactor,
         seed: u64,
     ) -> Self {
+        reactor.limit_memory(limits.buffers);
         EventLoop {
             timers: Timers::new(limits.event_loop.timers),
             log,
@@ -152,6 +173,11 @@
         }
     }
 
+    /// The memory that the buffers of the connections hold.
+    pub(super) fn memory(&self) -> &Rc<MemoryLedger> {
+        self.reactor.memory()
+    }
+
     /// Unix time in seconds.
     pub(super) fn now(&self) -> f64 {
         self.clock.now()
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -19,6 +19,7 @@
 mod graceful_shutdown;
 mod management_link;
 mod memory_usage;
+mod memory_waits;
 mod metrics;
 mod platform_client;
 mod response_history;
@@ -49,6 +50,8 @@
 use gossip_peers::GossipPeers;
 use graceful_shutdown::{GracefulShutdown, ShutdownInput};
 pub use management_link::{EventLoopHandle, Heartbeat, ManagementInbox, ManagementMessage};
+use memory_usage::MemoryUsage;
+use memory_waits::MemoryWaits;
 use platform_client::PlatformClient;
 use upstream_pool::UpstreamPool;
 
@@ -113,6 +116,7 @@
     resumed_clients: Vec<SocketId>,
     /// Clients whose sockets may hold more input; they are read again in the next iteration.
     clients_with_more_input: Vec<SocketId>,
+    memory_waits: MemoryWaits,
     listener: ClientListener,
     clients: BTreeMap<SocketId, Client>,
     requests: RequestTable,
@@ -184,6 +188,7 @@
             effects: vec![],
             resumed_clients: vec![],
             clients_with_more_input: vec![],
+            memory_waits: MemoryWaits::default(),
             listener,
             clients: BTreeMap::new(),
             requests: RequestTable::default(),
@@ -261,6 +266,7 @@
             self.read_client(id);
             self.process_pending();
         }
+        self.retry_reads_after_release();
         self.stage_next_part();
         // Timers run after the sockets, and only those that were due when the sleep ended, so that a response that has
         // arrived takes precedence over its timeout.
@@ -309,6 +315,7 @@
             TimerEvent::UpstreamUseTimeout(id, number) => self.on_use_timeout(id, number),
             TimerEvent::UpstreamWriteTimeout(id, number) => self.on_write_timeout(id, number),
             TimerEvent::AcceptAgain => self.on_accept_timer(),
+            TimerEvent::RetryReads => self.on_retry_reads_timer(),
             TimerEvent::ExpireIdle => self.run_periodic_checks(),
             TimerEvent::DiscoveryCallTimeout(id, number) => {
                 self.discovery
@@ -409,7 +416,7 @@
             .take_line(now, self.event_loop.limits.event_loop.state_log_interval)
         {
             info!(self.event_loop.log, "state"; "open" => self.requests.len(), "clients" => self.clients.len(),
-                "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line, "memory" => %self.memory_usage());
+                "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line, "memory" => %MemoryUsage::now(self.event_loop.memory()));
         }
     }
 }
--- a/router/src/routing/platform_client.rs
+++ b/router/src/routing/platform_client.rs
@@ -99,7 +99,7 @@
         match Stream::connect(
             &mut event_loop.reactor,
             self.address,
-            SocketOwner::Platform.priority(),
+            SocketOwner::Platform.stream_role(),
         ) {
             Ok(mut stream) => {
                 let call = self.next_call_number();
@@ -191,7 +191,7 @@
             self.watch_incomplete_line(event_loop, now);
             match status {
                 ReadStatus::Closed => return self.on_lost(event_loop, "the connection ended"),
-                ReadStatus::Exhausted => return,
+                ReadStatus::Exhausted | ReadStatus::OutOfMemory => return,
                 ReadStatus::More => {}
             }
         }
--- a/router/src/routing/response_relay.rs
+++ b/router/src/routing/response_relay.rs
@@ -1,18 +1,32 @@
 //! Responses to clients: each client's replies are written in the order of its commands.
 
+use std::rc::Rc;
+
 use kestreltide::interface::RequestId;
 
 use super::Routing;
 use super::client_connection::{Client, Lingering, QueuedReply};
-use crate::transport::SocketId;
+use crate::transport::{Buffer, BufferOwner, MemoryLedger, SocketId};
+
+/// The bytes of a short message.
+fn encoded(write: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write(&mut bytes);
+    bytes
+}
+
+/// A reply that waits for those before it.
+fn queued_reply(parts: &[&[u8]], memory: &Rc<MemoryLedger>) -> QueuedReply {
+    let mut bytes = Buffer::new(BufferOwner::Replies, memory);
+    bytes.reserve_exact(parts.iter().map(|part| part.len()).sum());
+    parts.iter().for_each(|part| bytes.append(part));
+    QueuedReply::Ready(bytes)
+}
 
 impl Routing {
-    /// Sends the response to a request and releases the request. False where its client is gone or has its response.
-    pub(super) fn respond(
-        &mut self,
-        request: &RequestId,
-        write: impl FnOnce(&mut Vec<u8>),
-    ) -> bool {
+    /// Sends the response to a request, which consists of these parts, and releases the request. False where its client
+    /// is gone or has its response.
+    pub(super) fn respond(&mut self, request: &RequestId, parts: &[&[u8]]) -> bool {
         let Some(id) = self.requests.release(request) else {
             return false;
         };
@@ -27,13 +41,11 @@
             .position(|reply| matches!(reply, QueuedReply::Pending(pending) if pending == request));
         match position {
             Some(0) => {
-                write(client.stream.output());
                 client.queue.pop_front();
+                client.send(parts);
             }
             Some(position) => {
-                let mut bytes = Vec::new();
-                write(&mut bytes);
-                client.queue[position] = QueuedReply::Ready(bytes);
+                client.queue[position] = queued_reply(parts, self.event_loop.memory());
             }
             None => return false,
         }
@@ -41,17 +53,26 @@
         true
     }
 
+    /// Sends an error or another short response to a request, like [`Routing::respond`].
+    pub(super) fn respond_briefly(
+        &mut self,
+        request: &RequestId,
+        write: impl FnOnce(&mut Vec<u8>),
+    ) -> bool {
+        self.respond(request, &[&encoded(write)])
+    }
+
     /// Replies to a command that is not a request, or to a request that was not admitted.
     pub(super) fn reply(&mut self, id: SocketId, write: impl FnOnce(&mut Vec<u8>)) {
         let Some(client) = self.clients.get_mut(&id) else {
             return;
         };
+        let reply = encoded(write);
         if client.queue.is_empty() {
-            write(client.stream.output());
+            client.send(&[&reply]);
         } else {
-            let mut bytes = Vec::new();
-            write(&mut bytes);
-            client.queue.push_back(QueuedReply::Ready(bytes));
+            let queued = queued_reply(&[&reply], self.event_loop.memory());
+            client.queue.push_back(queued);
         }
         self.write_client(id);
     }
@@ -65,14 +86,23 @@
 
     /// Writes the replies that are next in order as far as the socket takes them; false where the client is gone.
     pub(super) fn write_client(&mut self, id: SocketId) -> bool {
+        let is_open = self.write_next_replies(id);
+        if !is_open || !self.event_loop.memory().is_over_limit(BufferOwner::Replies) {
+            return is_open;
+        }
+        self.close_client_with_most_unread();
+        self.clients.contains_key(&id)
+    }
+
+    fn write_next_replies(&mut self, id: SocketId) -> bool {
         let now = self.event_loop.now();
         let Some(client) = self.clients.get_mut(&id) else {
             return false;
         };
-        while let Some(QueuedReply::Ready(bytes)) = client.queue.front_mut() {
-            client.stream.output().append(bytes);
-            client.queue.pop_front();
+        while let Some(bytes) = client.next_ready_reply() {
+            client.send(&[bytes.data()]);
         }
+        let flushed = client.flush();
         let Client {
             stream,
             queue,
@@ -81,7 +111,7 @@
             lingering,
             ..
         } = client;
-        match stream.flush() {
+        match flushed {
             Ok(true) => *unread_since = None,
             Ok(false) => *unread_since = unread_since.or(Some(now)),
             Err(_) => {
--- a/router/src/routing/shutdown_actions.rs
+++ b/router/src/routing/shutdown_actions.rs
@@ -177,7 +177,7 @@
     fn give_up_open_requests(&mut self) {
         info!(self.event_loop.log, "failing open requests"; "open" => self.requests.len(), "clients" => self.clients.len());
         for (request, attempts) in self.requests.attempt_counts() {
-            self.respond(&request, |out| match attempts {
+            self.respond_briefly(&request, |out| match attempts {
                 // No attempt was started, so the client can safely send it again.
                 0 => write_busy(out, None),
                 _ => write_error(out, "ERR failed"),
--- a/router/src/routing/upstream_connection.rs
+++ b/router/src/routing/upstream_connection.rs
@@ -1,10 +1,12 @@
 //! A connection to a host and its current use.
 
+use std::io;
 use std::net::SocketAddr;
 
 use kestreltide::interface::*;
 
 use super::response_history::ResponseHistory;
+use crate::protocol::client::StoredCommand;
 use crate::protocol::host::{self, HostResponse};
 use crate::transport::{ReadStatus, Stream};
 
@@ -29,7 +31,12 @@
     /// No byte of it. What is written, and with which time limit, is determined at the first write.
     NotStarted,
     /// Part of it may be written.
-    Started,
+    Started {
+        /// The time limit that the host is told, in milliseconds.
+        response_millis: u64,
+        /// Bytes of the command that are written.
+        written: usize,
+    },
     /// All of it, so the host may execute it.
     Complete,
 }
@@ -141,6 +148,54 @@
         self.progress == WriteProgress::Complete
     }
 
+    /// Writes as much as the socket takes of the command of an attempt. Returns whether all of it is written.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has failed.
+    pub(super) fn write_attempt(&mut self, command: &StoredCommand, now: f64) -> io::Result<bool> {
+        let (response_millis, before) = match self.progress {
+            WriteProgress::NotStarted => (self.deadlines.response_millis(now), 0),
+            WriteProgress::Started {
+                response_millis,
+                written,
+            } => (response_millis, written),
+            WriteProgress::Complete => return Ok(true),
+        };
+        let encoded = command.encode(response_millis);
+        let parts = encoded.parts();
+        let length: usize = parts.iter().map(|part| part.len()).sum();
+        let written = self.stream.write_parts(&parts, before)?;
+        self.progress = match written {
+            0 => WriteProgress::NotStarted,
+            _ if written == length => WriteProgress::Complete,
+            _ => WriteProgress::Started {
+                response_millis,
+                written,
+            },
+        };
+        Ok(self.is_written())
+    }
+
+    /// Writes as much as the socket takes of a health check. Returns whether all of it is written.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has failed.
+    pub(super) fn write_probe(&mut self, with_report: bool) -> io::Result<bool> {
+        if self.progress == WriteProgress::NotStarted {
+            host::write_probe(self.stream.output(), with_report);
+            self.progress = WriteProgress::Started {
+                response_millis: 0,
+                written: 0,
+            };
+        }
+        if self.stream.flush()? {
+            self.progress = WriteProgress::Complete;
+        }
+        Ok(self.is_written())
+    }
+
     /// The request of the current attempt, if its command is not fully written, so that the host has not executed it.
     pub(super) fn unwritten_request(&self) -> Option<&RequestId> {
         match &self.current_use {
--- a/router/src/routing/upstream_pool.rs
+++ b/router/src/routing/upstream_pool.rs
@@ -69,11 +69,6 @@
             .collect()
     }
 
-    /// All connections.
-    pub(super) fn connections(&self) -> impl Iterator<Item = &UpstreamConnection> {
-        self.connections.values()
-    }
-
     /// The connections for which `predicate` is true.
     pub(super) fn ids_matching(
         &self,
@@ -178,9 +173,8 @@
 
     /// Opens a connection; without a free file descriptor, closes the longest idle connection and tries again.
     fn connect(&mut self, event_loop: &mut EventLoop, address: SocketAddr) -> Option<Stream> {
-        // The order in which the event loop handles ready sockets.
-        let priority = SocketOwner::Upstream.priority();
-        let error = match Stream::connect(&mut event_loop.reactor, address, priority) {
+        let role = SocketOwner::Upstream.stream_role();
+        let error = match Stream::connect(&mut event_loop.reactor, address, role) {
             Ok(stream) => return Some(stream),
             Err(error) => error,
         };
@@ -190,7 +184,7 @@
         }
         let oldest = self.idle.take_oldest()?;
         self.close(event_loop, oldest);
-        Stream::connect(&mut event_loop.reactor, address, priority).ok()
+        Stream::connect(&mut event_loop.reactor, address, role).ok()
     }
 
     /// Ends the use of a connection, and keeps the connection as idle if it can be reused; otherwise closes it.
@@ -216,8 +210,10 @@
                 .increment(Counter::UpstreamsWithSurplusInput);
         }
         // Further input could be taken for the next response, and unwritten output for part of the next command.
-        let is_open_and_empty =
-            !has_surplus_input && connection.stream.unwritten() == 0 && !is_closed;
+        let is_open_and_empty = !has_surplus_input
+            && connection.is_written()
+            && connection.stream.unwritten() == 0
+            && !is_closed;
         // The host may have been removed, or its id may belong to another machine now.
         let may_be_kept = endpoints.is_usable(connection.host, connection.address)
             && self.idle.count() < event_loop.limits.upstream.idle_connections;
--- a/router/src/routing/upstream_responses.rs
+++ b/router/src/routing/upstream_responses.rs
@@ -9,7 +9,7 @@
 use super::upstream_connection::{AttemptInFlight, Barrier, ConnectionUse, UpstreamConnection};
 use crate::protocol::Malformed;
 use crate::protocol::host::{self, BarrierInput, HostResponse};
-use crate::protocol::resp::write_bulk;
+use crate::protocol::resp::with_bulk_parts;
 use crate::transport::{ReadStatus, SocketId};
 
 impl Routing {
@@ -33,8 +33,10 @@
             if status == ReadStatus::Closed {
                 return self.on_upstream_failed(id);
             }
-            if status == ReadStatus::Exhausted {
-                return;
+            match status {
+                ReadStatus::Exhausted => return,
+                ReadStatus::OutOfMemory => return self.await_upstream_memory(id),
+                ReadStatus::More | ReadStatus::Closed => {}
             }
         }
     }
@@ -242,7 +244,7 @@
 
     /// Sends the value of a successful response to the client.
     fn relay_value(&mut self, request: &RequestId, value: &[u8]) {
-        if self.respond(request, |out| write_bulk(out, value)) {
+        if with_bulk_parts(value, |parts| self.respond(request, parts)) {
             self.event_loop
                 .metrics
                 .increment(Counter::RequestsSucceeded);
--- a/router/src/transport/mod.rs
+++ b/router/src/transport/mod.rs
@@ -12,26 +12,30 @@
     clippy::wildcard_imports
 )]
 
+mod buffer;
 mod clock;
 mod datagram_socket;
 mod idle_connections;
 mod inbox;
 mod listener;
+mod memory_ledger;
 mod process_memory;
 mod reactor;
 mod socket_id;
 mod stream;
 mod timers;
 
+pub use buffer::{Buffer, CHUNK_BYTES};
 pub use clock::Clock;
 pub use datagram_socket::DatagramSocket;
 pub use idle_connections::IdleConnections;
 pub use inbox::{Inbox, InboxSender};
 pub use listener::Listener;
+pub use memory_ledger::{BufferLimits, BufferOwner, MemoryLedger};
 pub use process_memory::ProcessMemory;
 pub use reactor::{Reactor, ReceivedSignals};
 pub use socket_id::{Priority, SocketId};
-pub use stream::{ReadStatus, Stream};
+pub use stream::{ReadStatus, Stream, StreamRole};
 pub use timers::Timers;
 
 /// Whether a call failed because the process or the system has no file descriptor left.
--- a/router/src/transport/reactor.rs
+++ b/router/src/transport/reactor.rs
@@ -16,6 +16,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 
 use super::inbox::{Inbox, InboxSender};
+use super::memory_ledger::{BufferLimits, MemoryLedger};
 use super::socket_id::{Priority, SocketId};
 
 /// What has become ready since the last [`Reactor::poll`].
@@ -40,6 +41,8 @@
     handle: LoopHandle<'static, ReadyEvents>,
     ready: ReadyEvents,
     last_id: u64,
+    /// The memory that the buffers of the connections hold.
+    memory: Rc<MemoryLedger>,
 }
 
 impl Reactor {
@@ -72,9 +75,20 @@
             handle,
             ready: ReadyEvents::default(),
             last_id: 0,
+            memory: Rc::new(MemoryLedger::new(BufferLimits::UNLIMITED)),
         })
     }
 
+    /// Limits the memory of the buffers of connections that are opened from now on.
+    pub fn limit_memory(&mut self, limits: BufferLimits) {
+        self.memory = Rc::new(MemoryLedger::new(limits));
+    }
+
+    /// The memory that the buffers of the connections hold.
+    pub fn memory(&self) -> &Rc<MemoryLedger> {
+        &self.memory
+    }
+
     fn next_id(&mut self) -> SocketId {
         self.last_id += 1;
         SocketId(self.last_id)
--- a/router/src/transport/stream.rs
+++ b/router/src/transport/stream.rs
@@ -1,6 +1,6 @@
 //! A non-blocking TCP connection with its read and write buffers.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -8,12 +8,11 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, Socket, Type};
 
+use super::buffer::Buffer;
+use super::memory_ledger::BufferOwner;
 use super::reactor::Reactor;
 use super::socket_id::{Priority, SocketId};
 
-/// Maximum bytes of one read, and the capacity in bytes that an empty buffer keeps.
-const CHUNK_BYTES: usize = 4096;
-
 /// How a read ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadStatus {
@@ -21,10 +20,23 @@
     Exhausted,
     /// The buffer is full or the read limit is reached; more data may be available.
     More,
+    /// The memory budget allows no more input to be read now.
+    OutOfMemory,
     /// The peer has closed its sending direction, or the connection failed.
     Closed,
 }
 
+/// How a connection's socket is polled, and who its buffers are accounted to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamRole {
+    /// The order in which ready sockets are handled.
+    pub priority: Priority,
+    /// Owner of the input buffer.
+    pub input: BufferOwner,
+    /// Owner of the output buffer.
+    pub output: BufferOwner,
+}
+
 /// A TCP connection that is registered with the event loop.
 pub struct Stream {
     /// The identifier that the event loop reports when the connection is readable or writable.
@@ -33,14 +45,10 @@
     token: RegistrationToken,
     /// Whether the connection has been found established.
     connected: bool,
-    /// Bytes that have been read from the socket.
-    input: Vec<u8>,
-    /// Bytes at the beginning of `input` that the caller has consumed.
-    consumed: usize,
+    /// Bytes that have been read from the socket and are not consumed.
+    input: Buffer,
     /// Bytes to be written to the socket.
-    output: Vec<u8>,
-    /// Bytes at the beginning of `output` that have been written to the socket.
-    written: usize,
+    output: Buffer,
 }
 
 impl Stream {
@@ -52,10 +60,10 @@
     pub fn accepted(
         reactor: &mut Reactor,
         socket: TcpStream,
-        priority: Priority,
+        role: StreamRole,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        Self::new(reactor, socket, priority, true)
+        Self::new(reactor, socket, role, true)
     }
 
     /// Starts connecting; [`Stream::is_connected`] reports whether the connection is established.
@@ -63,7 +71,7 @@
     /// # Errors
     ///
     /// If connecting fails immediately, or the socket cannot be configured or registered.
-    pub fn connect(reactor: &mut Reactor, to: SocketAddr, priority: Priority) -> io::Result<Self> {
+    pub fn connect(reactor: &mut Reactor, to: SocketAddr, role: StreamRole) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
@@ -73,27 +81,25 @@
                     || e.kind() == ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
-        Self::new(reactor, socket.into(), priority, false)
+        Self::new(reactor, socket.into(), role, false)
     }
 
     fn new(
         reactor: &mut Reactor,
         socket: TcpStream,
-        priority: Priority,
+        role: StreamRole,
         connected: bool,
     ) -> io::Result<Self> {
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
-        let (id, token) = reactor.register(socket.clone(), priority)?;
+        let (id, token) = reactor.register(socket.clone(), role.priority)?;
         Ok(Stream {
             id,
             socket,
             token,
             connected,
-            input: Vec::new(),
-            consumed: 0,
-            output: Vec::new(),
-            written: 0,
+            input: Buffer::new(role.input, reactor.memory()),
+            output: Buffer::new(role.output, reactor.memory()),
         })
     }
 
@@ -116,28 +122,26 @@
         Ok(self.connected)
     }
 
-    /// Reads until the socket is empty, the input holds `max_unconsumed` bytes, or this call has read `max_read` bytes
-    /// or more. The latter limit keeps one connection from delaying the others.
+    /// Reads until the socket is empty, the input holds `max_unconsumed` bytes, this call has read `max_read` bytes or
+    /// more, or the memory budget is exhausted. `max_read` keeps one connection from delaying the others.
     pub fn read_available(&mut self, max_unconsumed: usize, max_read: usize) -> ReadStatus {
-        self.input.drain(..self.consumed);
-        self.consumed = 0;
         let mut total_read = 0;
         while total_read < max_read {
-            let buffered = self.input.len();
-            let capacity = max_unconsumed.saturating_sub(buffered).min(CHUNK_BYTES);
-            if capacity == 0 {
+            let wanted = max_unconsumed.saturating_sub(self.input.len());
+            if wanted == 0 {
                 return ReadStatus::More;
             }
-            self.input.resize(buffered + capacity, 0);
-            let read = (&*self.socket).read(&mut self.input[buffered..]);
-            self.input.truncate(buffered + *read.as_ref().unwrap_or(&0));
-            match read {
+            let Some(spare) = self.input.spare(wanted) else {
+                return ReadStatus::OutOfMemory;
+            };
+            match (&*self.socket).read(spare) {
                 Ok(0) => return ReadStatus::Closed,
-                Ok(length) => total_read += length,
+                Ok(length) => {
+                    self.input.advance(length);
+                    total_read += length;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    if self.input.is_empty() {
-                        self.input.shrink_to(CHUNK_BYTES);
-                    }
+                    self.input.release_if_empty();
                     return ReadStatus::Exhausted;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -160,59 +164,83 @@
 
     /// The bytes that have been read but not consumed.
     pub fn input(&self) -> &[u8] {
-        &self.input[self.consumed..]
+        self.input.data()
     }
 
     /// Marks the first `length` bytes of the input as consumed.
     pub fn consume(&mut self, length: usize) {
-        self.consumed = self.consumed.saturating_add(length).min(self.input.len());
-        if self.consumed == self.input.len() {
-            // Frees the memory of a long message instead of keeping it for the life of the connection.
-            self.input.clear();
-            self.input.shrink_to(CHUNK_BYTES);
-            self.consumed = 0;
-        }
+        self.input.consume(length);
     }
 
     /// The buffer to append output to; [`Stream::flush`] writes it to the socket.
-    pub fn output(&mut self) -> &mut Vec<u8> {
+    pub fn output(&mut self) -> &mut Buffer {
         &mut self.output
     }
 
     /// Bytes of memory that the input buffer holds.
-    pub fn input_capacity(&self) -> usize {
-        self.input.capacity()
+    pub fn input_held(&self) -> usize {
+        self.input.held()
     }
 
     /// Bytes of memory that the output buffer holds.
-    pub fn output_capacity(&self) -> usize {
-        self.output.capacity()
+    pub fn output_held(&self) -> usize {
+        self.output.held()
     }
 
     /// Number of output bytes that have not been written.
     pub fn unwritten(&self) -> usize {
-        self.output.len() - self.written
+        self.output.len()
     }
 
-    /// Writes as much output as the socket accepts. Returns whether all output has been written.
+    /// Writes a message that consists of these parts behind the output. What the socket does not take now is appended
+    /// to the output.
     ///
     /// # Errors
     ///
     /// If the connection has failed.
-    pub fn flush(&mut self) -> io::Result<bool> {
-        while self.written < self.output.len() {
-            match (&*self.socket).write(&self.output[self.written..]) {
+    pub fn send(&mut self, parts: &[&[u8]]) -> io::Result<()> {
+        let mut written = if self.flush()? {
+            self.write_parts(parts, 0)?
+        } else {
+            0
+        };
+        for part in parts {
+            let skipped = written.min(part.len());
+            written -= skipped;
+            self.output.append(&part[skipped..]);
+        }
+        Ok(())
+    }
+
+    /// Writes as much as the socket takes of a message that consists of these parts and whose first `written` bytes
+    /// were written before. Returns the number of bytes that are written then. The output has to be empty.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has failed.
+    pub fn write_parts(&self, parts: &[&[u8]], mut written: usize) -> io::Result<usize> {
+        let total: usize = parts.iter().map(|part| part.len()).sum();
+        while written < total {
+            match (&*self.socket).write_vectored(&remaining_slices(parts, written)) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(length) => self.written += length,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Ok(length) => written += length,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
         }
-        self.output.clear();
-        self.output.shrink_to(CHUNK_BYTES);
-        self.written = 0;
-        Ok(true)
+        Ok(written)
+    }
+
+    /// Writes as much output as the socket accepts. Returns whether all output has been written.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has failed.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        let written = self.write_parts(&[self.output.data()], 0)?;
+        self.output.consume(written);
+        Ok(self.output.is_empty())
     }
 
     /// Closes the sending direction; the peer may still send.
@@ -229,3 +257,13 @@
         reactor.deregister(self.token);
     }
 }
+
+/// What remains of a message that consists of these parts after its first `written` bytes.
+fn remaining_slices<'a>(parts: &[&'a [u8]], mut written: usize) -> Vec<IoSlice<'a>> {
+    let remaining = parts.iter().map(|part| {
+        let skipped = written.min(part.len());
+        written -= skipped;
+        IoSlice::new(&part[skipped..])
+    });
+    remaining.filter(|slice| !slice.is_empty()).collect()
+}
--- a/testkit/src/program.rs
+++ b/testkit/src/program.rs
@@ -11,6 +11,14 @@
 
 use crate::{Client, TEST_TIMEOUT};
 
+/// Returns the resident memory of a process in KiB, or 0 where it cannot be read.
+pub fn resident_memory_kib(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
+}
+
 /// A running router with a configuration file of its own; killed when dropped.
 pub struct RouterProcess {
     /// The process.
