--- a/router/src/program/config.rs
+++ b/router/src/program/config.rs
@@ -10,6 +10,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
+use kestreltide::decisions::STICKY_BUILDS_BYTES;
 use kestreltide::interface::ServiceSettings;
 use kestreltide_settings::{Fields, NameTable, TransportSettings, decode};
 
@@ -147,6 +148,16 @@
         &Fields::from_json("settings", &settings),
         &mut NameTable::Hashed,
     )?;
+    if settings.service.sticky_keys {
+        budget
+            .reserve(STICKY_BUILDS_BYTES)
+            .map_err(|budget| ConfigError::TooMuchMemory {
+                field: "settings.extra.no_return",
+                count: STICKY_BUILDS_BYTES,
+                unit: MemoryUnit::Bytes,
+                budget,
+            })?;
+    }
     let known = file
         .known
         .map(|known| parts::known_hosts(known, &budget))
--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -7,6 +7,7 @@
 
 use super::Router;
 use super::request_table::TrackedRequest;
+use super::sticky_builds::KeyHash;
 use crate::interface::{Effect, IdempotencyScope, Request, RequestId};
 
 /// Initial limit, in attempts in flight per host over all routers.
@@ -135,15 +136,20 @@
         let objective_at = now + operation.latency_objective;
         self.exposure.expire(now, self.settings.exposure_window);
         self.retry_budget.earn();
+        let depends_on_keys = self.settings.key_affinity || self.settings.sticky_keys;
+        let key = request
+            .key
+            .filter(|_| depends_on_keys)
+            .map(|key| KeyHash::of(&key));
         let is_bound_to_canary = self
             .sticky_builds
-            .get(request.key.as_ref())
+            .get(key)
             .is_some_and(|build| self.is_canary(build));
         self.exposure
             .record_request(now, request.operation.0, is_bound_to_canary);
         let tracked = TrackedRequest {
             operation: request.operation.0,
-            key: request.key,
+            key,
             work: request.work.unwrap_or(1.0).max(MIN_WORK),
             is_client_retry: request.is_retry,
             objective_at,
--- a/src/decisions/attempt_outcome.rs
+++ b/src/decisions/attempt_outcome.rs
@@ -77,7 +77,7 @@
             outcome,
             duration: report.duration,
         };
-        let key = request.key.clone();
+        let key = request.key;
         let is_final = report.is_final || request.has_final_answer;
         self.in_flight.finish();
         if outcome == AttemptOutcome::Reset {
@@ -88,7 +88,7 @@
         let binds_key = outcome == AttemptOutcome::Succeeded && self.settings.sticky_keys;
         let build_is_active = matches!(self.phase_of(build), Phase::Canary | Phase::Released);
         if let Some(key) = key.filter(|_| binds_key && build_is_active) {
-            self.sticky_builds.bind(key, build);
+            self.bind_key(key, build);
         }
         if is_final {
             self.requests.close(id);
--- a/src/decisions/endpoint_selection.rs
+++ b/src/decisions/endpoint_selection.rs
@@ -11,9 +11,8 @@
 use super::request_table::TrackedRequest;
 use crate::arm::{Arm, PerArm};
 use crate::candidates::{Candidate, Candidates};
-use crate::hashing::hash_mix;
 use crate::host_group::{HostGroup, HostSum, Requirements};
-use crate::interface::{HostId, KeyId, RequestId};
+use crate::interface::{HostId, RequestId};
 use crate::operator_weights::{EffectiveWeight, apply_weights};
 
 use super::host_table::Host;
@@ -27,21 +26,14 @@
 /// Tier of hosts that this request has been sent to.
 const TIER_TRIED: u8 = 2;
 
-/// The hash of a key, which is the same at every router.
-fn hash_key(key: &KeyId) -> u64 {
-    key.0
-        .bytes()
-        .fold(0, |hash, byte| hash_mix(hash ^ u64::from(byte)))
-}
-
 impl Router {
     /// Selects the host for a request's next attempt; none where no host may serve it.
     pub(super) fn select_endpoint(&mut self, now: f64, id: &RequestId) -> Option<HostId> {
         let request = self.requests.get(id)?;
         let revision_weights = self.weights_of_revision(now, request);
         let requirements = self.requirements(now, request);
-        let key = request.key.as_ref();
-        let key_hash = key.filter(|_| self.settings.key_affinity).map(hash_key);
+        let key = request.key.filter(|_| self.settings.key_affinity);
+        let key_hash = key.map(|key| key.0);
         let mut candidates = self.candidates(now, &requirements, revision_weights);
         self.apply_slow_start(now, &mut candidates)?;
         let tier = candidates.lowest_tier()?;
--- a/src/decisions/request_table.rs
+++ b/src/decisions/request_table.rs
@@ -1,11 +1,10 @@
-//! The requests without a final answer, with their attempts, and the builds that keys are bound to.
+//! The requests without a final answer, with their attempts.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::interface::{
-    AttemptOutcome, BuildId, HostEntry, HostPool, KeyId, OperatorOverrides, RequestId,
-};
+use super::sticky_builds::KeyHash;
+use crate::interface::{AttemptOutcome, HostEntry, HostPool, OperatorOverrides, RequestId};
 
 /// One attempt of a request.
 #[derive(Clone, Copy)]
@@ -36,7 +35,8 @@
 /// A request without a final answer or with attempts in flight; points in time are in seconds.
 pub(super) struct TrackedRequest {
     pub(super) operation: usize,
-    pub(super) key: Option<KeyId>,
+    /// None also where the decisions do not depend on keys.
+    pub(super) key: Option<KeyHash>,
     /// Expected work, in CPU seconds on a core of a standard machine.
     pub(super) work: f64,
     /// The client has sent it before.
@@ -101,29 +101,3 @@
         }
     }
 }
-
-/// The build that each sticky key is bound to; its requests go to no earlier build.
-#[derive(Default)]
-pub(super) struct StickyBuilds {
-    by_key: BTreeMap<KeyId, BuildId>,
-}
-
-impl StickyBuilds {
-    /// The build that a key is bound to.
-    pub(super) fn get(&self, key: Option<&KeyId>) -> Option<BuildId> {
-        key.and_then(|key| self.by_key.get(key)).copied()
-    }
-
-    /// Binds a key to a build, or keeps its binding to a newer one.
-    pub(super) fn bind(&mut self, key: KeyId, build: BuildId) {
-        self.by_key
-            .entry(key)
-            .and_modify(|bound_build| *bound_build = build.max(*bound_build))
-            .or_insert(build);
-    }
-
-    /// Removes the bindings to a build that is rolled back.
-    pub(super) fn unbind(&mut self, build: BuildId) {
-        self.by_key.retain(|_, bound_build| *bound_build != build);
-    }
-}
--- a/src/decisions/requirements.rs
+++ b/src/decisions/requirements.rs
@@ -54,11 +54,17 @@
     /// Whether a build has exposure left for a request and is not older than the build that the request's sticky
     /// key is bound to.
     fn may_use_build(&self, now: f64, request: &TrackedRequest, build: BuildId) -> bool {
-        let bound_build = self.sticky_builds.get(request.key.as_ref());
+        let bound_build = self.sticky_builds.get(request.key);
         // Also true for a key that is bound to an older build, and for a request without a key.
         let is_unbound = bound_build.is_none_or(|bound_build| bound_build < build);
         let is_not_older = bound_build.is_none_or(|bound_build| build >= bound_build);
-        is_not_older && self.has_exposure_room(now, build, request.operation, is_unbound)
+        let may_bind = request.key.is_none()
+            || !self.settings.sticky_keys
+            || !is_unbound
+            || self.may_bind_key(build);
+        is_not_older
+            && may_bind
+            && self.has_exposure_room(now, build, request.operation, is_unbound)
     }
 
     /// Whether hosts of a group may serve a request. An attempt is not started where the time left is shorter than
--- a/src/decisions/rollout.rs
+++ b/src/decisions/rollout.rs
@@ -132,6 +132,7 @@
             return;
         }
         self.rollout.status = Some(status);
+        self.sticky_builds.merge_settled(status.build);
         if matches!(status.phase, Phase::RollingBack | Phase::RolledBack) {
             self.sticky_builds.unbind(status.build);
         }
--- a/tests/exposure.rs
+++ b/tests/exposure.rs
@@ -85,6 +85,73 @@
     assert!(attempted_host(&harness.send_request(IDEMPOTENT, Some(&key)).1).is_some());
 }
 
+/// More sticky keys than a router binds individually.
+const MANY_KEYS: usize = 40_000;
+
+/// Sends a request with this key, which its host answers; returns the host.
+fn answered_by(harness: &mut RouterHarness, key: &str) -> Option<HostId> {
+    harness.now += 0.1;
+    let (id, effects) = harness.send_request(IDEMPOTENT, Some(key));
+    harness.finish_attempt(&id, 0, AttemptOutcome::Succeeded, 0.1);
+    attempted_host(&effects)
+}
+
+/// Guards against bindings that are forgotten where there are too many to keep each.
+#[test]
+fn keys_that_a_released_build_has_answered_go_to_no_earlier_build_however_many_they_are() {
+    let settings = ServiceSettings {
+        sticky_keys: true,
+        ..service_settings()
+    };
+    let mut harness = RouterHarness::new(settings, 1);
+    harness.handle(rollout_status(CANARY_BUILD, 0, Phase::Released, 1.0));
+    harness.set_endpoint_list(vec![running_host(0, CANARY_BUILD, None)]);
+    for number in 0..MANY_KEYS {
+        assert!(answered_by(&mut harness, &format!("key-{number}")).is_some());
+    }
+    harness.set_endpoint_list(vec![running_host(1, BASELINE_BUILD, None)]);
+    for number in (0..MANY_KEYS).step_by(1000) {
+        assert_eq!(
+            answered_by(&mut harness, &format!("key-{number}")),
+            None,
+            "key {number}"
+        );
+    }
+    harness.handle(rollout_status(CANARY_BUILD, 0, Phase::RollingBack, 0.0));
+    assert_eq!(answered_by(&mut harness, "key-0"), Some(HostId(1)));
+}
+
+/// Guards against new keys without service, and against forgotten bindings, once no further key can be bound to a canary.
+#[test]
+fn new_keys_go_to_the_baseline_once_no_further_ones_can_be_bound_to_the_canary() {
+    let mut harness = with_canary(
+        ServiceSettings {
+            sticky_keys: true,
+            exposure_allowance: 1e9,
+            ..service_settings()
+        },
+        4,
+    );
+    let canary_host = Some(HostId(0));
+    let mut at_canary = vec![];
+    for number in 0..4 * MANY_KEYS {
+        let key = format!("key-{number}");
+        let host = answered_by(&mut harness, &key);
+        assert!(host.is_some(), "key {number}");
+        if host == canary_host {
+            at_canary.push(key);
+        }
+    }
+    assert!(at_canary.len() > MANY_KEYS / 2 && at_canary.len() < MANY_KEYS);
+    for number in 0..100 {
+        let host = answered_by(&mut harness, &format!("late-{number}"));
+        assert!(host.is_some() && host != canary_host, "late key {number}");
+    }
+    for key in at_canary.iter().step_by(1000) {
+        assert_eq!(answered_by(&mut harness, key), canary_host, "{key}");
+    }
+}
+
 /// Slow replies of the baseline hosts lower the limit on attempts in flight, so that few requests are admitted. The
 /// idle canary hosts must still get their part of all requests.
 #[test]
