--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -137,6 +137,8 @@
     pub accept_retry_delay: f64,
     /// Number of commands of one client that are in progress at once.
     pub pipelined_commands: usize,
+    /// Number of commands that are taken from one client before other sockets are served.
+    pub commands_per_turn: usize,
     /// Number of unknown commands accepted from one client; client libraries send a few when they connect.
     pub unknown_commands: usize,
     /// Bytes that are read from a rejected client and discarded, so that it can read the error before the close.
@@ -440,6 +442,7 @@
             accepts_per_wake: 64,
             accept_retry_delay: 0.05,
             pipelined_commands: 16,
+            commands_per_turn: 16,
             unknown_commands: 16,
             discarded_bytes: 256 * KIB,
             slow_command_age: 0.25,
--- a/router/src/routing/client_connection.rs
+++ b/router/src/routing/client_connection.rs
@@ -190,6 +190,8 @@
 enum TakeEnd {
     /// The input holds no further complete command.
     InputIncomplete,
+    /// As many commands were taken as one client gets in a turn; it is read again in the next iteration.
+    TurnOver,
     /// Backpressure: the client is read again after its next response, or once it reads its replies.
     Paused,
     /// The connection is closed or being closed.
@@ -229,19 +231,23 @@
             return self.close_client(id);
         }
         // The socket reports only what arrives after a read that emptied it.
-        match (self.take_commands(id), status) {
-            (TakeEnd::InputIncomplete, ReadStatus::More) => self.schedule_read(id),
+        let end = self.take_commands(id);
+        match (end, status) {
+            (TakeEnd::TurnOver, _) | (TakeEnd::InputIncomplete, ReadStatus::More) => {
+                self.schedule_read(id);
+            }
             (TakeEnd::InputIncomplete, ReadStatus::OutOfMemory) => self.await_client_memory(id),
             _ => {}
         }
         // Only after a read that emptied the socket, so that a command that has arrived still gets its reply.
-        if status == ReadStatus::Exhausted && self.shutdown.is_draining() {
+        let is_read_to_its_end = status == ReadStatus::Exhausted && end != TakeEnd::TurnOver;
+        if is_read_to_its_end && self.shutdown.is_draining() {
             self.drain_client(id);
         }
     }
 
     /// Has a client read again in the next iteration, as its socket may hold more input.
-    fn schedule_read(&mut self, id: SocketId) {
+    pub(super) fn schedule_read(&mut self, id: SocketId) {
         if !self.clients_with_more_input.contains(&id) {
             self.clients_with_more_input.push(id);
         }
@@ -271,9 +277,10 @@
         }
     }
 
-    /// Takes the complete commands in a client's input, while its pipeline has room. Returns why it ended.
+    /// Takes the complete commands in a client's input, as many as one client gets in a turn, while its pipeline has
+    /// room. Returns why it ended.
     fn take_commands(&mut self, id: SocketId) -> TakeEnd {
-        loop {
+        for _ in 0..self.event_loop.limits.clients.commands_per_turn {
             let taken = match self.next_command(id) {
                 Ok(NextCommand::None(end)) => return end,
                 Ok(NextCommand::Take(CommandAction::CloseHolder(holder), _)) if holder != id => {
@@ -287,6 +294,7 @@
                 return self.reject(id, &why);
             }
         }
+        TakeEnd::TurnOver
     }
 
     /// The next command in a client's input.
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -112,9 +112,8 @@
     decisions: Router,
     /// A buffer for the effects of one event, kept to avoid allocations.
     effects: Vec<Effect>,
-    /// Clients that have received a response, so that further commands of their pipeline may be taken.
-    resumed_clients: Vec<SocketId>,
-    /// Clients whose sockets may hold more input; they are read again in the next iteration.
+    /// Clients whose sockets or buffers may hold more commands that may be taken; they are read again in the next
+    /// iteration, so that each client gets its turn.
     clients_with_more_input: Vec<SocketId>,
     memory_waits: MemoryWaits,
     listener: ClientListener,
@@ -186,7 +185,6 @@
             event_loop: EventLoop::new(log, limits, clock, reactor, seed),
             decisions: Router::start(service, seed, now),
             effects: vec![],
-            resumed_clients: vec![],
             clients_with_more_input: vec![],
             memory_waits: MemoryWaits::default(),
             listener,
@@ -348,16 +346,10 @@
         }
     }
 
-    /// Passes events to the decisions until none is left, and reads the clients that were resumed by their effects.
+    /// Passes events to the decisions until none is left.
     fn process_pending(&mut self) {
-        loop {
-            if let Some(event) = self.event_loop.next_decision_event() {
-                self.dispatch_event(event);
-            } else if let Some(id) = self.resumed_clients.pop() {
-                self.read_client(id);
-            } else {
-                return;
-            }
+        while let Some(event) = self.event_loop.next_decision_event() {
+            self.dispatch_event(event);
         }
     }
 
--- a/router/src/routing/response_relay.rs
+++ b/router/src/routing/response_relay.rs
@@ -77,10 +77,10 @@
         self.write_client(id);
     }
 
-    /// Writes a client's replies and marks it to be read again, as its pipeline may have room.
+    /// Writes a client's replies and has it read again, as its pipeline may have room.
     fn write_and_resume(&mut self, id: SocketId) {
-        if self.write_client(id) && !self.resumed_clients.contains(&id) {
-            self.resumed_clients.push(id);
+        if self.write_client(id) {
+            self.schedule_read(id);
         }
     }
 
