--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -165,6 +165,11 @@
 pub struct RequestLimits {
     /// Number of requests in flight.
     pub in_flight: usize,
+    /// Number of ids that are remembered of requests, not idempotent ones, that may have run when their clients
+    /// disconnected.
+    pub executed_ids: usize,
+    /// How long they are remembered, in seconds.
+    pub executed_id_retention: f64,
 }
 
 /// Limits of connections to hosts. Times are in seconds.
@@ -372,6 +377,8 @@
             clients: ClientLimits::new(counts.clients, longest_time_limit),
             requests: RequestLimits {
                 in_flight: counts.requests(transport.max_open_connections),
+                executed_ids: 16 * KIB,
+                executed_id_retention: 10.0,
             },
             upstream: UpstreamLimits::new(counts.upstream, transport),
             discovery: DiscoveryLimits::new(budget.max_hosts()),
--- a/router/src/routing/admission.rs
+++ b/router/src/routing/admission.rs
@@ -32,6 +32,10 @@
     command: StoredCommand,
     /// When the client stops waiting, in Unix seconds.
     deadline: f64,
+    /// Whether its id, should it come again, may be run again.
+    may_repeat: bool,
+    /// Whether a host may have run it.
+    may_have_run: bool,
     /// Attempts started.
     attempts: u32,
     /// The client has disconnected, and the decisions have not processed that event yet.
@@ -59,7 +63,13 @@
     }
 
     /// Adds a request and returns the id by which the router knows it.
-    fn admit(&mut self, client: SocketId, command: StoredCommand, deadline: f64) -> RequestId {
+    fn admit(
+        &mut self,
+        client: SocketId,
+        command: StoredCommand,
+        deadline: f64,
+        may_repeat: bool,
+    ) -> RequestId {
         // Hosts get the client's id unchanged. Inside the router a number takes its place, which stays unique whatever
         // ids clients send.
         self.last_number += 1;
@@ -69,6 +79,8 @@
             client,
             command,
             deadline,
+            may_repeat,
+            may_have_run: false,
             attempts: 0,
             client_has_disconnected: false,
         };
@@ -133,6 +145,26 @@
         self.requests.get(request).map(|request| &request.command)
     }
 
+    /// Attempts started.
+    pub(super) fn attempts(&self, request: &RequestId) -> u32 {
+        self.requests
+            .get(request)
+            .map_or(0, |request| request.attempts)
+    }
+
+    /// Records whether a host may have run a request.
+    pub(super) fn set_may_have_run(&mut self, request: &RequestId, may_have_run: bool) {
+        if let Some(request) = self.requests.get_mut(request) {
+            request.may_have_run = may_have_run;
+        }
+    }
+
+    /// The id that the client gave to a request that must not be run again, as a host may have run it.
+    pub(super) fn unrepeatable_id(&self, request: &RequestId) -> Option<&[u8]> {
+        let request = self.requests.get(request)?;
+        (request.may_have_run && !request.may_repeat).then(|| request.command.id())
+    }
+
     /// The connection of the client that awaits the response to the request with this id; clients choose the ids.
     pub(super) fn connection_awaiting(&self, client_id: &[u8]) -> Option<SocketId> {
         self.open_ids.get(client_id).copied()
@@ -163,7 +195,8 @@
         if !self.requests.has_capacity(limits) || self.shutdown.has_given_up() {
             return self.reject_request(client);
         }
-        let id = self.requests.admit(client, command, deadline);
+        let may_repeat = self.is_idempotent(operation);
+        let id = self.requests.admit(client, command, deadline, may_repeat);
         let time_left = (deadline - self.event_loop.now()).max(0.0);
         self.event_loop.metrics.increment(Counter::RequestsAdmitted);
         if let Some(client) = self.clients.get_mut(&client) {
@@ -181,6 +214,14 @@
             }));
     }
 
+    /// Whether an operation may run any number of times.
+    pub(super) fn is_idempotent(&self, operation: OperationId) -> bool {
+        matches!(
+            self.idempotency.get(operation.0),
+            Some(Idempotency::Idempotent)
+        )
+    }
+
     /// Rejects a request of which no attempt was started, so that a retry is safe.
     pub(super) fn reject_request(&mut self, client: SocketId) {
         self.event_loop.metrics.increment(Counter::RequestsRejected);
--- a/router/src/routing/attempts.rs
+++ b/router/src/routing/attempts.rs
@@ -254,6 +254,10 @@
     ) {
         self.event_loop.metrics.count_attempt(outcome);
         let AttemptInFlight { request, attempt } = in_flight;
+        // Of several attempts, another one may have run.
+        if outcome == AttemptOutcome::Rejected && self.requests.attempts(&request) == 1 {
+            self.requests.set_may_have_run(&request, false);
+        }
         let request_finished = !self.requests.client_awaits_response(&request);
         let (took, connection_idle) =
             (took_and_connection_idle.0, Some(took_and_connection_idle.1));
--- a/router/src/routing/client_connection.rs
+++ b/router/src/routing/client_connection.rs
@@ -160,6 +160,9 @@
 /// The error for a request whose id is that of a request in flight.
 const OPEN_ID_ERROR: &str = "ERR the id is that of an open invocation";
 
+/// The error for a request whose id is that of a request which may have had its effect.
+const EXECUTED_ID_ERROR: &str = "ERR the id is that of an invocation that may have run";
+
 /// What to do about a command.
 enum CommandAction {
     /// Admit the request.
@@ -408,6 +411,10 @@
                 CommandAction::Error(OPEN_ID_ERROR)
             });
         }
+        let now = self.event_loop.now();
+        if !self.is_idempotent(operation) && self.executed_ids.contains(command_fields.id) {
+            return Ok(CommandAction::Error(EXECUTED_ID_ERROR));
+        }
         if command_fields.time_limit_millis as f64
             > self.event_loop.limits.clients.max_time_limit * 1e3
         {
@@ -424,7 +431,6 @@
             .route(command_fields.operation, command_fields.key)
             .map(|route| route.pool.clone());
         // Time that the command waited unread, in a stall of this process or behind a full pipeline, is subtracted.
-        let now = self.event_loop.now();
         let unread_time = now - arrived_at.unwrap_or(now);
         let time_left = (command_fields.time_limit_millis as f64 / 1e3 - unread_time)
             .max(0.0)
@@ -512,6 +518,9 @@
             if let QueuedReply::Pending(request) = reply
                 && self.requests.abandon(&request)
             {
+                if let Some(id) = self.requests.unrepeatable_id(&request) {
+                    self.executed_ids.remember(id, self.event_loop.now());
+                }
                 self.event_loop
                     .metrics
                     .increment(Counter::RequestsAbandoned);
--- a/router/src/routing/command_writes.rs
+++ b/router/src/routing/command_writes.rs
@@ -94,6 +94,7 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
+        let was_written = upstream.is_written();
         let written = match &upstream.current_use {
             ConnectionUse::Attempt(in_flight) => {
                 match self.requests.command(&in_flight.request) {
@@ -107,6 +108,13 @@
             }
             ConnectionUse::Idle => Ok(true),
         };
+        // From its last byte on, the host may execute the command.
+        if !was_written
+            && let ConnectionUse::Attempt(in_flight) = &upstream.current_use
+            && upstream.is_written()
+        {
+            self.requests.set_may_have_run(&in_flight.request, true);
+        }
         let flushed = match written {
             Ok(true) => upstream.stream.flush().map(drop),
             Ok(false) => Ok(()),
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -15,6 +15,7 @@
 mod endpoint_list;
 mod endpoint_table;
 mod event_loop;
+mod executed_ids;
 mod gossip_peers;
 mod graceful_shutdown;
 mod management_link;
@@ -47,6 +48,7 @@
 use discovery_watch::DiscoveryWatch;
 use endpoint_table::EndpointTable;
 use event_loop::{EventLoop, ReadySocket, SocketOwner, TimerEvent};
+use executed_ids::ExecutedIds;
 use gossip_peers::GossipPeers;
 use graceful_shutdown::{GracefulShutdown, ShutdownInput};
 pub use management_link::{EventLoopHandle, Heartbeat, ManagementInbox, ManagementMessage};
@@ -119,6 +121,7 @@
     listener: ClientListener,
     clients: BTreeMap<SocketId, Client>,
     requests: RequestTable,
+    executed_ids: ExecutedIds,
     upstreams: UpstreamPool,
     endpoints: EndpointTable,
     discovery: DiscoveryWatch,
@@ -181,6 +184,10 @@
             None => None,
         };
         let endpoints = EndpointTable::new(limits.discovery.hosts);
+        let executed_ids = ExecutedIds::new(
+            limits.requests.executed_ids,
+            limits.requests.executed_id_retention,
+        );
         let mut routing = Routing {
             event_loop: EventLoop::new(log, limits, clock, reactor, seed),
             decisions: Router::start(service, seed, now),
@@ -190,6 +197,7 @@
             listener,
             clients: BTreeMap::new(),
             requests: RequestTable::default(),
+            executed_ids,
             upstreams: UpstreamPool::default(),
             endpoints,
             is_ready: false,
--- a/router/tests/clients.rs
+++ b/router/tests/clients.rs
@@ -15,6 +15,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_kestreltide");
 /// Request attributes: the idempotent operation `read` with a time limit of 5000 ms.
 const READ: &str = "c=read,d=5000";
+/// Request attributes: the non-idempotent operation `switch` with a time limit of 5000 ms.
+const SWITCH: &str = "c=switch,d=5000";
 
 /// Starts a router with four hosts at the same address; `change` edits its configuration.
 fn start_router(host: SocketAddr, change: impl Fn(String) -> String) -> RouterProcess {
@@ -73,6 +75,27 @@
     assert_eq!(retrying.reply(), "held");
 }
 
+/// Guards against a request that runs twice because its id comes again after its client has left.
+#[test]
+fn an_id_that_may_have_run_when_its_client_left_does_not_run_again() {
+    const EXECUTED: &str = "-ERR the id is that of an invocation that may have run";
+    let (host, received, release) = holding_host();
+    let program = start_router(host, |text| text);
+    let (mut first, mut again) = (program.client(), program.client());
+    first.send(&["Q.DO", "k", "held", SWITCH]);
+    assert_eq!(received.recv_timeout(TEST_TIMEOUT), Ok("held".into()));
+    first.close();
+    assert_eq!(again.request(&["Q.DO", "k", "held", SWITCH]), EXECUTED);
+    drop(release);
+    assert_eq!(again.request(&["Q.DO", "k", "served", SWITCH]), "served");
+    assert_eq!(again.request(&["Q.DO", "k", "held", SWITCH]), EXECUTED);
+    // The connection goes on, and what may run any number of times is run again.
+    again.send(&["Q.ASK", "k", "read", READ]);
+    assert_eq!(again.reply(), "read");
+    let ids: Vec<_> = received.try_iter().collect();
+    assert_eq!(ids, ["served", "read"]);
+}
+
 /// A client has pipelined more bytes than the router buffers and closes: none of its requests that still wait for
 /// their first attempt is sent to a host.
 #[test]
