--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -143,6 +143,8 @@
     pub unknown_commands: usize,
     /// Bytes that are read from a rejected client and discarded, so that it can read the error before the close.
     pub discarded_bytes: usize,
+    /// How long the rest of a command may take, in seconds, while its connection is needed for others.
+    pub evictable_command_age: f64,
     /// How long the rest of a long command may take, in seconds, while its memory is needed for others.
     pub slow_command_age: f64,
     /// Time for a client's first command, from connecting, and for the rest of a partly received command.
@@ -452,6 +454,7 @@
             commands_per_turn: 16,
             unknown_commands: 16,
             discarded_bytes: 256 * KIB,
+            evictable_command_age: 0.05,
             slow_command_age: 0.25,
             command_timeout: 2.0,
             idle_timeout: 0.1,
--- a/router/src/routing/client_connection.rs
+++ b/router/src/routing/client_connection.rs
@@ -144,15 +144,22 @@
         self.command_began_at.is_some()
     }
 
+    /// Whether part of a command has been in the input since before this time, in Unix seconds.
+    pub(super) fn is_slow_writer(&self, began_before: f64) -> bool {
+        self.command_began_at
+            .is_some_and(|began_at| began_at < began_before)
+    }
+
     /// The order in which connections are closed to make room for new ones, lowest first: those that are being closed,
-    /// those with at most one command, those with more. Those in the middle of a command are closed last; the
-    /// command timeout limits them anyway.
-    pub(super) fn eviction_rank(&self) -> u8 {
+    /// those whose command began before `slow_before` (Unix seconds) and is not complete, those with at most one
+    /// command, those with more. Those in the middle of a younger command are closed last.
+    pub(super) fn eviction_rank(&self, slow_before: f64) -> u8 {
         match () {
             () if self.is_closing => 0,
-            () if self.command_began_at.is_some() => 3,
-            () if self.commands_received > 1 => 2,
-            () => 1,
+            () if self.is_slow_writer(slow_before) => 1,
+            () if self.command_began_at.is_some() => 4,
+            () if self.commands_received > 1 => 3,
+            () => 2,
         }
     }
 }
@@ -463,6 +470,12 @@
         self.close_with(id, |out| client::write_busy(out, None));
     }
 
+    /// Rejects a command that is not complete, as its connection is needed for others, and closes the connection.
+    pub(super) fn close_slow_writer(&mut self, id: SocketId) {
+        self.reject_incomplete_command(id);
+        self.close_client(id);
+    }
+
     /// Sends a last reply and begins to close the connection. Its input is discarded.
     fn close_with(&mut self, id: SocketId, write: impl FnOnce(&mut Vec<u8>)) {
         if let Some(client) = self.clients.get_mut(&id) {
--- a/router/src/routing/client_listener.rs
+++ b/router/src/routing/client_listener.rs
@@ -125,11 +125,13 @@
         }
     }
 
-    /// Closes one connection to make room: an idle one, or one whose unread replies are too late to be of use. Of those
+    /// Closes one connection to make room: an idle one, one whose command does not become complete, or one whose unread
+    /// replies are too late to be of use. Of those
     /// with the lowest eviction rank, it closes the one that was not used for longest. False where there is none.
     fn close_idle_client(&mut self) -> bool {
-        let stale_before =
-            self.event_loop.now() - self.event_loop.limits.clients.stale_response_age;
+        let now = self.event_loop.now();
+        let stale_before = now - self.event_loop.limits.clients.stale_response_age;
+        let slow_before = now - self.event_loop.limits.clients.evictable_command_age;
         let is_evictable = |client: &Client| {
             client.is_idle()
                 || client
@@ -142,8 +144,8 @@
                 .iter()
                 .filter(|(_, client)| is_evictable(client));
             let by_rank_and_age = |a: &Client, b: &Client| {
-                a.eviction_rank()
-                    .cmp(&b.eviction_rank())
+                a.eviction_rank(slow_before)
+                    .cmp(&b.eviction_rank(slow_before))
                     .then(a.last_used.total_cmp(&b.last_used))
             };
             let Some((&id, _)) = evictable.min_by(|a, b| by_rank_and_age(a.1, b.1)) else {
@@ -179,9 +181,11 @@
 
     /// Closes an unused connection, unless reading it first shows that it is in use again; then returns false.
     pub(super) fn close_if_unused(&mut self, id: SocketId) -> bool {
+        let slow_before =
+            self.event_loop.now() - self.event_loop.limits.clients.evictable_command_age;
         let usage = |client: &Client| {
             (
-                client.eviction_rank(),
+                client.eviction_rank(slow_before),
                 client.last_used,
                 client.commands_received,
                 client.unread_since,
@@ -191,8 +195,13 @@
         let before = self.clients.get(&id).map(usage);
         self.read_client(id);
         let after = self.clients.get(&id).map(usage);
+        let is_slow_writer = |client: &Client| client.is_slow_writer(slow_before);
         if after.is_some() && after == before {
-            self.close_client(id);
+            if self.clients.get(&id).is_some_and(is_slow_writer) {
+                self.close_slow_writer(id);
+            } else {
+                self.close_client(id);
+            }
         }
         after.is_none() || after == before
     }
