--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -145,8 +145,12 @@
             .sticky_builds
             .get(key)
             .is_some_and(|build| self.is_canary(build));
-        self.exposure
-            .record_request(now, request.operation.0, is_bound_to_canary);
+        self.exposure.record_request(
+            now,
+            request.operation.0,
+            is_bound_to_canary,
+            self.settings.exposure_window,
+        );
         let tracked = TrackedRequest {
             operation: request.operation.0,
             key,
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -26,6 +26,7 @@
 mod rollout;
 mod service_slowdown;
 mod settings;
+mod sliding_count;
 mod slow_start;
 mod sticky_builds;
 mod thompson_sampling;
--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -166,8 +166,9 @@
         if let Some(request) = self.requests.get_mut(id) {
             request.attempts.push(attempt);
             if is_capped {
+                let window = self.settings.exposure_window;
                 self.exposure
-                    .record_canary_attempt(now, build, request.operation);
+                    .record_canary_attempt(now, build, request.operation, window);
             }
         }
     }
