--- a/router/src/routing/attempts.rs
+++ b/router/src/routing/attempts.rs
@@ -117,10 +117,11 @@
             return;
         };
         let number = upstream.begin_use(current_use, deadlines, now);
-        self.event_loop.schedule(
-            deadlines.response_by,
-            TimerEvent::UpstreamUseTimeout(id, number),
-        );
+        let use_timeout = TimerEvent::UpstreamUseTimeout(id, number);
+        let timer = self
+            .event_loop
+            .schedule_cancellable(deadlines.response_by, use_timeout);
+        upstream.timers.extend(timer);
         self.flush_upstream(id);
         if let Some(upstream) = self.upstreams.get_mut(id)
             && !upstream.is_written()
@@ -129,10 +130,11 @@
             // Ends an attempt to connect that hangs, so that another host gets the request. Whether a command may still
             // be written is checked at the write.
             let connect_by = now + self.event_loop.limits.upstream.connect_timeout;
-            self.event_loop.schedule(
-                connect_by.min(deadlines.write_by),
-                TimerEvent::UpstreamWriteTimeout(id, number),
-            );
+            let write_timeout = TimerEvent::UpstreamWriteTimeout(id, number);
+            let timer = self
+                .event_loop
+                .schedule_cancellable(connect_by.min(deadlines.write_by), write_timeout);
+            upstream.timers.extend(timer);
         }
     }
 
@@ -153,9 +155,10 @@
     /// Ends the current use of a connection without a response and closes it. `outcome` maps whether the command was
     /// fully written to the outcome that is reported.
     pub(super) fn abandon_use(&mut self, id: SocketId, outcome: impl Fn(bool) -> AttemptOutcome) {
-        let Some(upstream) = self.upstreams.take(id) else {
+        let Some(mut upstream) = self.upstreams.take(id) else {
             return;
         };
+        self.event_loop.cancel(upstream.timers.drain(..));
         let (outcome, host) = (outcome(upstream.is_written()), upstream.host);
         let took = self.event_loop.now() - upstream.use_began_at;
         match upstream.current_use {
--- a/router/src/routing/event_loop.rs
+++ b/router/src/routing/event_loop.rs
@@ -14,7 +14,7 @@
 use crate::limits::Limits;
 use crate::transport::{
     BufferOwner, Clock, MemoryLedger, Priority, Reactor, ReceivedSignals, SocketId, StreamRole,
-    Timers,
+    TimerId, Timers,
 };
 
 /// The smallest jitter factor of a backoff; the largest is greater by 1.
@@ -245,9 +245,28 @@
 
     /// Schedules an event at `at`, in Unix seconds; drops and logs it where too many timers are pending.
     pub(super) fn schedule(&mut self, at: f64, event: TimerEvent) {
-        if !self.timers.schedule(at, event) {
+        self.schedule_cancellable(at, event);
+    }
+
+    /// Schedules an event like [`EventLoop::schedule`], and returns how to cancel it; `None` where it was dropped.
+    pub(super) fn schedule_cancellable(&mut self, at: f64, event: TimerEvent) -> Option<TimerId> {
+        let timer = self.timers.schedule(at, event);
+        if timer.is_none() {
             error!(self.log, "timer dropped, too many scheduled"; "due" => ?event);
         }
+        timer
+    }
+
+    /// The number of timers that have not expired.
+    pub(super) fn pending_timers(&self) -> usize {
+        self.timers.pending_count()
+    }
+
+    /// Cancels timers that have not expired.
+    pub(super) fn cancel(&mut self, timers: impl IntoIterator<Item = TimerId>) {
+        for timer in timers {
+            self.timers.cancel(timer);
+        }
     }
 
     /// Removes and returns the earliest timer that was due when the last sleep ended.
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -416,7 +416,7 @@
             .take_line(now, self.event_loop.limits.event_loop.state_log_interval)
         {
             info!(self.event_loop.log, "state"; "open" => self.requests.len(), "clients" => self.clients.len(),
-                "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line, "memory" => %MemoryUsage::now(self.event_loop.memory()));
+                "timers" => self.event_loop.pending_timers(), "links" => self.upstreams.len(), "idle" => self.upstreams.idle_count(), "counts" => line, "memory" => %MemoryUsage::now(self.event_loop.memory()));
         }
     }
 }
--- a/router/src/routing/upstream_connection.rs
+++ b/router/src/routing/upstream_connection.rs
@@ -8,7 +8,7 @@
 use super::response_history::ResponseHistory;
 use crate::protocol::client::StoredCommand;
 use crate::protocol::host::{self, HostResponse};
-use crate::transport::{ReadStatus, Stream};
+use crate::transport::{ReadStatus, Stream, TimerId};
 
 const MILLIS_PER_SECOND: f64 = 1e3;
 
@@ -92,6 +92,9 @@
     pub(super) current_use: ConnectionUse,
     /// Counts the uses, so that a timer of an earlier use is ignored.
     pub(super) use_number: u64,
+    /// The timers of the current use. They are cancelled when it ends, as their number would grow with the rate of
+    /// attempts.
+    pub(super) timers: Vec<TimerId>,
     /// When the current use began, in Unix seconds.
     pub(super) use_began_at: f64,
     /// Seconds that it had been idle before the current use; 0 for a new connection.
@@ -113,6 +116,7 @@
             address,
             current_use: ConnectionUse::Idle,
             use_number: 0,
+            timers: vec![],
             use_began_at: now,
             idle_time: 0.0,
             deadlines: UseDeadlines {
--- a/router/src/routing/upstream_pool.rs
+++ b/router/src/routing/upstream_pool.rs
@@ -201,6 +201,7 @@
             return;
         };
         connection.current_use = ConnectionUse::Idle;
+        event_loop.cancel(connection.timers.drain(..));
         // Timers of the use that ends here are ignored from now on.
         connection.use_number += 1;
         let has_surplus_input = connection.has_surplus_input();
--- a/router/src/transport/mod.rs
+++ b/router/src/transport/mod.rs
@@ -36,7 +36,7 @@
 pub use reactor::{Reactor, ReceivedSignals};
 pub use socket_id::{Priority, SocketId};
 pub use stream::{ReadStatus, Stream, StreamRole};
-pub use timers::Timers;
+pub use timers::{TimerId, Timers};
 
 /// Whether a call failed because the process or the system has no file descriptor left.
 ///
--- a/router/src/transport/timers.rs
+++ b/router/src/transport/timers.rs
@@ -1,45 +1,27 @@
 //! A bounded queue of timers, ordered by deadline.
 
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 
-/// A scheduled timer.
-struct Entry<T> {
-    /// Unix seconds.
-    deadline: f64,
+/// Identifies a scheduled timer, so that it can be cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerId {
+    /// The bits of the deadline, whose order is that of the deadlines: these are not negative.
+    deadline_bits: u64,
     /// Increases with each timer, so that timers with the same deadline expire in the order in which they were
     /// scheduled.
     sequence: u64,
-    event: T,
 }
 
-impl<T> Ord for Entry<T> {
-    fn cmp(&self, other: &Self) -> Ordering {
-        // Reversed, since the heap yields its greatest entry first and the earliest deadline is needed.
-        other
-            .deadline
-            .total_cmp(&self.deadline)
-            .then(other.sequence.cmp(&self.sequence))
+impl TimerId {
+    /// In Unix seconds.
+    fn deadline(&self) -> f64 {
+        f64::from_bits(self.deadline_bits)
     }
 }
 
-impl<T> PartialOrd for Entry<T> {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl<T> PartialEq for Entry<T> {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl<T> Eq for Entry<T> {}
-
 /// A queue of timers, each with an event. Deadlines are in Unix seconds.
 pub struct Timers<T> {
-    heap: BinaryHeap<Entry<T>>,
+    pending: BTreeMap<TimerId, T>,
     last_sequence: u64,
     capacity: usize,
 }
@@ -48,29 +30,39 @@
     /// Creates an empty queue for at most `capacity` timers.
     pub fn new(capacity: usize) -> Self {
         Timers {
-            heap: BinaryHeap::new(),
+            pending: BTreeMap::new(),
             last_sequence: 0,
             capacity,
         }
     }
 
-    /// Schedules a timer. If the queue is full, drops the event and returns false.
-    pub fn schedule(&mut self, deadline: f64, event: T) -> bool {
-        let has_capacity = self.heap.len() < self.capacity;
-        if has_capacity {
-            self.last_sequence += 1;
-            self.heap.push(Entry {
-                deadline,
-                sequence: self.last_sequence,
-                event,
-            });
+    /// Schedules a timer. If the queue is full, drops the event and returns `None`.
+    pub fn schedule(&mut self, deadline: f64, event: T) -> Option<TimerId> {
+        if self.pending.len() >= self.capacity {
+            return None;
         }
-        has_capacity
+        self.last_sequence += 1;
+        let id = TimerId {
+            deadline_bits: deadline.max(0.0).to_bits(),
+            sequence: self.last_sequence,
+        };
+        self.pending.insert(id, event);
+        Some(id)
+    }
+
+    /// Removes a timer, if it has not expired.
+    pub fn cancel(&mut self, id: TimerId) {
+        self.pending.remove(&id);
+    }
+
+    /// The number of timers that have not expired.
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
     }
 
     /// The earliest deadline.
     pub fn next_deadline(&self) -> Option<f64> {
-        self.heap.peek().map(|entry| entry.deadline)
+        self.pending.keys().next().map(TimerId::deadline)
     }
 
     /// Removes the earliest timer if its deadline is not after `now`, and returns its event.
@@ -78,6 +70,9 @@
         if self.next_deadline()? > now {
             return None;
         }
-        self.heap.pop().map(|entry| entry.event)
+        self.pending.pop_first().map(|(_, event)| event)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/router/tests/client_floods.rs
+++ b/router/tests/client_floods.rs
@@ -5,12 +5,14 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use kestreltide_testkit::*;
 use rstest::rstest;
 
-use common::{echo_host, start_router_with_hosts};
+use common::{BINARY, echo_host, start_router_with_hosts};
 
 /// Commands that a flood writes at once.
 const BATCH: usize = 200;
@@ -116,3 +118,60 @@
     assert!(answer_times.len() > 10, "{answer_times:?}");
     assert_eq!(in_time, answer_times.len(), "{answer_times:?}");
 }
+
+/// Guards against timers that stay until they are due after their attempts have ended: the queue of timers was full
+/// after 65,536 attempts with long time limits, and those of other attempts were dropped.
+#[test]
+fn attempts_that_have_ended_keep_no_timer() {
+    const CLIENTS: usize = 4;
+    const ROUNDS: usize = 60;
+    const PIPELINED: usize = 16;
+    /// Those of the router itself.
+    const MAX_TIMERS: usize = 50;
+    let host = echo_host().expect("a host");
+    // Enough hosts that the decisions shed no request.
+    let names: Vec<_> = (0..24).map(|number| format!("host-{number}")).collect();
+    let hosts: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), host, "Ready"))
+        .collect();
+    let (_lists, answers) = channel();
+    let known = endpoint_list(1, true, &hosts);
+    // With a single attempt, its time limit is that of the request.
+    let config = router_config(fake_discovery(answers), &known)
+        .replace("\"max_attempts\":2", "\"max_attempts\":1");
+    let program = RouterProcess::start(BINARY, &config);
+    let router = program.at;
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            scope.spawn(move || {
+                let mut client = Client::connect(router);
+                for round in 0..ROUNDS {
+                    let commands: String = (0..PIPELINED)
+                        .map(|place| {
+                            let id = format!("{number}-{round}-{place}");
+                            let length = id.len();
+                            format!(
+                                "*4\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n${length}\r\n{id}\r\n$15\r\nc=read,d=500000\r\n"
+                            )
+                        })
+                        .collect();
+                    client.write(commands.as_bytes());
+                    (0..PIPELINED).for_each(|_| drop(client.reply()));
+                }
+            });
+        }
+    });
+    // The line after the one that may have been written meanwhile.
+    program.wait_for_log(" state");
+    let line = program.wait_for_log(" state");
+    let timers = line
+        .split("timers: ")
+        .nth(1)
+        .and_then(|rest| rest.split(',').next())
+        .and_then(|count| count.parse().ok());
+    assert!(
+        timers.is_some_and(|count: usize| count <= MAX_TIMERS),
+        "{line}"
+    );
+}
