--- a/router/src/transport/buffer.rs
+++ b/router/src/transport/buffer.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::rc::Rc;
 
-use memmap2::MmapMut;
+use memmap2::{Advice, MmapMut};
 
 use super::memory_ledger::{BufferOwner, MemoryLedger};
 
@@ -204,6 +204,8 @@
         let Ok(mut map) = MmapMut::map_anon(length) else {
             return Self::on_heap(data, length);
         };
+        // Neighboring mappings could otherwise share a huge page, which takes memory that no buffer has written to.
+        let _ = map.advise(Advice::NoHugePage);
         map[..data.len()].copy_from_slice(data);
         Storage::Pages {
             map,
