--- a/router/src/routing/discovery_watch.rs
+++ b/router/src/routing/discovery_watch.rs
@@ -6,59 +6,15 @@
 use kestreltide::interface::*;
 use slog::warn;
 
+use super::discovery_call::{Call, PartialResponse, Query, ResponseEnd};
 use super::event_loop::{EventLoop, SocketOwner, TimerEvent};
 use super::metrics::Counter;
-use crate::limits::{Limits, ResponseLimits};
+use crate::limits::Limits;
 use crate::protocol::Malformed;
-use crate::protocol::discovery::{self, ChunkedBody, EndpointList, ListWatch, Response};
-use crate::transport::{ReadStatus, SocketId, Stream};
+use crate::protocol::discovery::{self, ChunkedBody, EndpointList, ListWatch};
+use crate::transport::{SocketId, Stream};
 
 const MILLIS_PER_SECOND: f64 = 1e3;
-const HTTP_STATUS_OK: u16 = 200;
-
-/// What a call requests.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Query {
-    /// The full list, with which a watch begins.
-    InitialFull,
-    /// The changes since the known version; discovery holds the request until there are some.
-    Changes,
-    /// The full list once, outside the watch.
-    SingleFull,
-}
-
-/// A connection to discovery with one request at a time.
-pub(super) struct Call {
-    stream: Stream,
-    query: Query,
-    /// Identifies the request to its timers; 0 before the first request.
-    request_number: u64,
-    /// How many lists had been accepted when the request was sent.
-    accepted_before: u64,
-    /// When connecting began, in Unix seconds.
-    connected_at: f64,
-    /// The progress of a response that is not complete.
-    partial: Option<PartialResponse>,
-    /// What has been parsed of a chunked response.
-    chunks: ChunkedBody,
-    /// Discovery has closed the connection.
-    is_closed: bool,
-}
-
-/// How much of a response has been received.
-struct PartialResponse {
-    bytes: usize,
-    /// When its last bytes were received, in Unix seconds.
-    last_received: f64,
-}
-
-/// The end of a complete response.
-pub(super) struct ResponseEnd {
-    /// Length of the response in the input.
-    pub(super) bytes: usize,
-    /// Whether discovery keeps the connection open.
-    pub(super) stays_open: bool,
-}
 
 /// The calls to discovery, and the state of the endpoint list.
 pub(super) struct DiscoveryWatch {
@@ -524,54 +480,3 @@
         event_loop.schedule(now + wait, TimerEvent::DiscoveryRetry);
     }
 }
-
-impl Call {
-    /// How many lists had been accepted when the request was sent.
-    pub(super) fn accepted_before(&self) -> u64 {
-        self.accepted_before
-    }
-
-    /// The response in the input and its length in bytes; `None` where it is incomplete.
-    ///
-    /// # Errors
-    ///
-    /// Where it is malformed, too long or has another status than 200.
-    pub(super) fn response(
-        &mut self,
-        limits: &ResponseLimits,
-    ) -> Result<Option<(Response<'_>, usize)>, Malformed> {
-        let input = self.stream.input();
-        let Some((response, bytes)) = discovery::parse_response(input, limits, &mut self.chunks)?
-        else {
-            // The input buffer is full, so the rest would never be read.
-            if input.len() >= limits.max_response_bytes() {
-                return Err(Malformed::new(format!(
-                    "the response is longer than {} bytes",
-                    limits.max_response_bytes()
-                )));
-            }
-            return Ok(None);
-        };
-        if response.status != HTTP_STATUS_OK {
-            return Err(Malformed::new(format!("HTTP status {}", response.status)));
-        }
-        Ok(Some((response, bytes)))
-    }
-
-    /// Writes the request. True once all is written; false where the connection is not established or the socket takes
-    /// no more.
-    fn flush(&mut self) -> std::io::Result<bool> {
-        Ok(self.stream.is_connected()? && self.stream.flush()?)
-    }
-
-    /// Reads all available input, up to the size of the longest response.
-    fn read(&mut self, event_loop: &EventLoop) {
-        let max_bytes = event_loop.limits.discovery.response.max_response_bytes();
-        let bytes_per_turn = event_loop.limits.event_loop.read_bytes_per_turn;
-        let mut status = ReadStatus::More;
-        while status == ReadStatus::More && self.stream.input().len() < max_bytes {
-            status = self.stream.read_available(max_bytes, bytes_per_turn);
-        }
-        self.is_closed = status == ReadStatus::Closed;
-    }
-}
--- a/router/src/routing/endpoint_list.rs
+++ b/router/src/routing/endpoint_list.rs
@@ -6,7 +6,7 @@
 use kestreltide::interface::*;
 use slog::{info, warn};
 
-use super::discovery_watch::{Call, ResponseEnd};
+use super::discovery_call::{Call, ResponseEnd};
 use super::{ReadyReason, Routing};
 use crate::protocol::Malformed;
 use crate::protocol::discovery::{self, EndpointList, ListedEndpoint};
@@ -71,7 +71,7 @@
         &mut self,
         call: &mut Call,
     ) -> Result<Option<ResponseEnd>, Malformed> {
-        let accepted_before = call.accepted_before();
+        let accepted_before = call.accepted_before;
         let limits = self.event_loop.limits.discovery.response;
         let Some((response, bytes)) = call.response(&limits)? else {
             return Ok(None);
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod client_connection;
 mod client_listener;
 mod command_writes;
+mod discovery_call;
 mod discovery_watch;
 mod dispatch_decisions;
 mod endpoint_list;
