--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -203,12 +203,25 @@
     pub hosts: usize,
     /// How long discovery may hold a watch request if nothing changes.
     pub watch_hold: f64,
-    /// Time for the response to a watch request in addition to `watch_hold`.
+    /// The shortest such time, for a discovery that responds slowly.
+    pub watch_hold_min: f64,
+    /// Time for the response to a watch request in addition to the hold time, until it is late. For a slow discovery
+    /// it is longer, by `watch_grace_margin` more than the last response took.
     pub watch_grace: f64,
-    /// How long a poll of the endpoint list may take. Discovery serves the polls of all routers one after another, and
-    /// rejects a poll that has waited for 2 s. A shorter timeout would abandon responses that are on their way, which
-    /// wastes the work of discovery and causes another poll.
+    /// See `watch_grace`. A discovery that responds within this time is not slow.
+    pub watch_grace_margin: f64,
+    /// The response to the request that replaces a silent watch of a slow discovery is to arrive this long after the
+    /// watch fell silent. What it misses counts as known 0.5 s later; on demand the request follows after a short pause.
+    pub watch_limit: f64,
+    /// Time for the response to a poll of the endpoint list, until it is late. Discovery serves the polls of all
+    /// routers one after another, and rejects a poll that has waited for 2 s. A shorter time would repeat polls whose
+    /// responses are on their way, which wastes the work of discovery.
     pub list_poll_timeout: f64,
+    /// Number of late requests, beside the one whose response is expected, that are kept open for a late response.
+    pub late_calls: usize,
+    /// How long the oldest late request is kept while there are more than `late_calls`. The others are replaced by
+    /// newer ones, as one of them may be on a broken connection.
+    pub late_call_age: f64,
 }
 
 /// Limits of the connection to the platform. Times are in seconds.
@@ -308,8 +321,8 @@
     pub platform: PlatformLimits,
     /// Backoff between attempts to connect to discovery or the platform.
     pub reconnect_backoff: BackoffLimits,
-    /// A partly received response of discovery or line of the platform is abandoned if no further byte arrives for this
-    /// time, in seconds. Connecting to discovery may take as long.
+    /// A partly received response of discovery is late, and a partly received line of the platform is abandoned, if no
+    /// further byte arrives for this time, in seconds. Connecting to discovery may take as long before it is late.
     pub message_stall_timeout: f64,
     /// Limits of the gossip with peers.
     pub peers: PeerLimits,
@@ -481,7 +494,7 @@
 }
 
 impl DiscoveryLimits {
-    fn new(hosts: usize) -> Self {
+    pub(crate) fn new(hosts: usize) -> Self {
         DiscoveryLimits {
             response: ResponseLimits {
                 body: 4 * MIB,
@@ -491,8 +504,13 @@
             },
             hosts,
             watch_hold: 5.0,
+            watch_hold_min: 1.0,
             watch_grace: 1.0,
+            watch_grace_margin: 0.25,
+            watch_limit: 5.5,
             list_poll_timeout: 2.5,
+            late_calls: 3,
+            late_call_age: 10.0,
         }
     }
 }
--- a/router/src/routing/discovery_call.rs
+++ b/router/src/routing/discovery_call.rs
@@ -25,6 +25,14 @@
     pub(super) query: Query,
     /// Identifies the request to its timers; 0 before the first request.
     pub(super) request_number: u64,
+    /// When the request was sent, in Unix seconds.
+    pub(super) requested_at: f64,
+    /// How long discovery may hold the request, in seconds.
+    pub(super) hold: f64,
+    /// Discovery serves this request after those of other routers, and does not hold it.
+    pub(super) is_served_in_turn: bool,
+    /// Since when the request has been late, in Unix seconds; `None` while its response is expected.
+    pub(super) late_since: Option<f64>,
     /// How many lists had been accepted when the request was sent.
     pub(super) accepted_before: u64,
     /// When connecting began, in Unix seconds.
@@ -50,9 +58,26 @@
     pub(super) bytes: usize,
     /// Whether discovery keeps the connection open.
     pub(super) stays_open: bool,
+    /// Whether it holds no changes, so that discovery has held the request for its whole hold time.
+    pub(super) is_unchanged: bool,
 }
 
 impl Call {
+    /// Whether the call is part of the watch, and not for a single list.
+    pub(super) fn is_watch(&self) -> bool {
+        self.query != Query::SingleFull
+    }
+
+    /// Whether the response is late, so that the request has been repeated on another connection.
+    pub(super) fn is_late(&self) -> bool {
+        self.late_since.is_some()
+    }
+
+    /// Whether discovery has not begun to respond to a request that it serves after those of other routers.
+    pub(super) fn awaits_its_turn(&self) -> bool {
+        self.is_served_in_turn && self.partial.is_none()
+    }
+
     /// The response in the input and its length in bytes; `None` where it is incomplete.
     ///
     /// # Errors
--- a/router/src/routing/discovery_watch.rs
+++ b/router/src/routing/discovery_watch.rs
@@ -1,14 +1,19 @@
 //! The discovery client: watches the endpoint list by long polls, or fetches it when the decisions ask for it.
+//!
+//! A request whose response is late is repeated on a new connection, as its own may be broken. The late one stays open:
+//! a discovery that is only slow answers it first. The first response to a watch, late or not, closes all its other
+//! calls, and the watch continues on the connection of that response.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use kestreltide::interface::*;
-use slog::warn;
+use slog::{info, warn};
 
 use super::discovery_call::{Call, PartialResponse, Query, ResponseEnd};
 use super::event_loop::{EventLoop, SocketOwner, TimerEvent};
 use super::metrics::Counter;
+use super::watch_timing::WatchTiming;
 use crate::limits::Limits;
 use crate::protocol::Malformed;
 use crate::protocol::discovery::{self, ChunkedBody, EndpointList, ListWatch};
@@ -30,6 +35,7 @@
     lists_accepted: u64,
     calls: BTreeMap<SocketId, Call>,
     last_request_number: u64,
+    timing: WatchTiming,
     /// The next pause before a retry, in seconds, without jitter.
     backoff: f64,
     /// Whether a list was accepted since the start.
@@ -52,6 +58,7 @@
             lists_accepted: 0,
             calls: BTreeMap::new(),
             last_request_number: 0,
+            timing: WatchTiming::default(),
             backoff: limits.reconnect_backoff.initial,
             has_answered: false,
             was_unreachable: false,
@@ -113,14 +120,10 @@
     /// Starts or ends the watch of the list.
     pub(super) fn subscribe(&mut self, event_loop: &mut EventLoop, on: bool) -> Option<Call> {
         self.is_watch_wanted = on && !self.is_disabled;
-        match self.watch_connection() {
-            Some(id) if !self.is_watch_wanted => {
-                self.close_call(event_loop, id);
-                None
-            }
-            None if self.is_watch_wanted => self.begin_watch(event_loop),
-            _ => None,
+        if !self.is_watch_wanted {
+            self.close_watch(event_loop);
         }
+        self.begin_watch(event_loop)
     }
 
     /// Fetches the full list once.
@@ -140,22 +143,28 @@
     ) -> Option<Call> {
         self.address = address;
         self.version = None;
+        self.timing = WatchTiming::default();
         self.backoff = event_loop.limits.reconnect_backoff.initial;
         for id in self.connections() {
-            let Some((query, _)) = self.close_call(event_loop, id) else {
+            let Some(call) = self.calls.remove(&id) else {
                 continue;
             };
-            if self.on_demand {
-                self.is_watch_wanted &= query == Query::SingleFull;
+            // The failure of a late call has been reported.
+            let is_reported = call.is_late();
+            let is_watch = call.is_watch();
+            call.stream.close(&event_loop.reactor);
+            if self.on_demand && !is_reported {
+                self.is_watch_wanted &= !is_watch;
                 event_loop.notify_decisions(Event::EndpointListFailed);
             }
         }
         self.begin_watch(event_loop)
     }
 
-    /// Begins to watch the list, where it is to be watched and no watch is open.
+    /// Begins to watch the list, where it is to be watched and no watch is open whose response is not late.
     pub(super) fn begin_watch(&mut self, event_loop: &mut EventLoop) -> Option<Call> {
-        if !self.is_watch_wanted || self.watch_connection().is_some() {
+        let is_watched = |call: &Call| call.is_watch() && !call.is_late();
+        if !self.is_watch_wanted || self.calls.values().any(is_watched) {
             return None;
         }
         let query = if self.version.is_some() {
@@ -166,16 +175,10 @@
         self.start_call(event_loop, query)
     }
 
-    /// The connection of the open watch.
-    fn watch_connection(&self) -> Option<SocketId> {
-        self.calls
-            .iter()
-            .find(|(_, call)| call.query != Query::SingleFull)
-            .map(|(id, _)| *id)
-    }
-
     /// Connects to discovery and sends a request. Returns the call where its input is to be processed.
     fn start_call(&mut self, event_loop: &mut EventLoop, query: Query) -> Option<Call> {
+        // Otherwise a crowded discovery would have several polls of this router to serve.
+        self.close_calls(event_loop, |call| call.is_late() && call.awaits_its_turn());
         match Stream::connect(
             &mut event_loop.reactor,
             self.address,
@@ -187,6 +190,10 @@
                     stream,
                     query,
                     request_number: 0,
+                    requested_at: event_loop.now(),
+                    hold: 0.0,
+                    is_served_in_turn: false,
+                    late_since: None,
                     accepted_before: 0,
                     connected_at: event_loop.now(),
                     partial: None,
@@ -217,35 +224,40 @@
         let call = self.calls.get_mut(&id)?;
         // The first request of a watch on demand is not held: discovery responds at once, even if nothing has changed.
         let responds_at_once = self.on_demand && call.request_number == 0;
-        let hold = if responds_at_once {
-            0.0
+        let version = self.version.filter(|_| query == Query::Changes);
+        let is_held = version.is_some() && !responds_at_once;
+        let limits = &event_loop.limits.discovery;
+        let hold = if is_held {
+            self.timing.hold(limits)
         } else {
-            event_loop.limits.discovery.watch_hold
+            0.0
         };
         self.last_request_number += 1;
         event_loop.metrics.increment(Counter::EndpointListRequests);
         call.query = query;
         call.request_number = self.last_request_number;
+        call.requested_at = now;
+        call.hold = hold;
+        call.is_served_in_turn = self.on_demand && responds_at_once || query == Query::SingleFull;
+        call.late_since = None;
         call.partial = None;
         call.accepted_before = self.lists_accepted;
         call.chunks = ChunkedBody::default();
-        let watch = self
-            .version
-            .filter(|_| query == Query::Changes)
-            .map(|version| ListWatch {
-                known_revision: version,
-                hold_millis: (hold * MILLIS_PER_SECOND) as u64,
-            });
+        let watch = version.map(|version| ListWatch {
+            known_revision: version,
+            hold_millis: (hold * MILLIS_PER_SECOND) as u64,
+        });
         discovery::write_list_request(call.stream.output(), self.address, watch);
         let number = call.request_number;
-        let is_served_in_turn = self.on_demand && hold <= 0.0 || query == Query::SingleFull;
-        let grace = if is_served_in_turn {
-            event_loop.limits.discovery.list_poll_timeout
+        let grace = if call.is_served_in_turn {
+            limits.list_poll_timeout
+        } else if is_held {
+            self.timing.grace(limits)
         } else {
-            event_loop.limits.discovery.watch_grace
+            limits.watch_grace
         };
-        let timeout = if watch.is_some() { hold } else { 0.0 } + grace;
-        event_loop.schedule(now + timeout, TimerEvent::DiscoveryCallTimeout(id, number));
+        let late_at = now + hold + grace;
+        event_loop.schedule(late_at, TimerEvent::DiscoveryCallTimeout(id, number));
         // Changes of the list count as known to a router after a fixed time, received or not. A connection that is not
         // established must therefore be noticed sooner than at the call timeout.
         event_loop.schedule(
@@ -260,6 +272,8 @@
     pub(super) fn on_readable(&mut self, event_loop: &mut EventLoop, id: SocketId) -> Option<Call> {
         let call = self.calls.get_mut(&id)?;
         match call.flush() {
+            // A late connection has come up after all.
+            Ok(true) if call.is_late() => self.was_unreachable = false,
             Ok(true) => {}
             Ok(false) => return None,
             Err(e) => {
@@ -299,8 +313,21 @@
             }
         };
         call.stream.consume(end.bytes);
+        if let Some(since) = call.late_since {
+            let late_by = format!("{:.2}", event_loop.now() - since);
+            info!(event_loop.log, "late discovery response accepted"; "late_by" => late_by);
+        }
+        if call.hold <= 0.0 || end.is_unchanged {
+            let elapsed = event_loop.now() - call.requested_at;
+            self.timing.record_response(elapsed, call.hold);
+        }
+        if call.is_watch() {
+            // A watch that is late on demand is not wanted until the decisions ask again.
+            self.is_watch_wanted |= call.is_late();
+            self.close_watch(event_loop);
+        }
         let can_send_next = end.stays_open && !call.is_closed;
-        if !can_send_next || call.query == Query::SingleFull || !self.is_watch_wanted {
+        if !can_send_next || !call.is_watch() || !self.is_watch_wanted {
             call.stream.close(&event_loop.reactor);
             return self.begin_watch(event_loop);
         }
@@ -357,8 +384,8 @@
         Ok(is_applied.then_some(scope))
     }
 
-    /// Waits for the rest of an incomplete response. One that has begun and then stalls is abandoned sooner than a
-    /// watch without changes: the changes in it count as known to this router after a fixed time, received or not.
+    /// Waits for the rest of an incomplete response. One that has begun and then stalls is late sooner than a watch
+    /// without changes: the changes in it count as known to this router after a fixed time, received or not.
     fn await_rest_of_response(&mut self, event_loop: &mut EventLoop, mut call: Call) {
         let id = call.stream.id;
         let now = event_loop.now();
@@ -368,9 +395,9 @@
             .as_ref()
             .is_none_or(|partial| partial.bytes < bytes);
         if bytes > 0 && has_grown {
-            if call.partial.is_none() {
+            if call.partial.is_none() && !call.is_late() {
                 event_loop.schedule(
-                    now + event_loop.limits.message_stall_timeout,
+                    now + self.timing.stall_timeout(&event_loop.limits),
                     TimerEvent::DiscoveryAnswerTimeout(id, call.request_number),
                 );
             }
@@ -382,36 +409,40 @@
         self.calls.insert(id, call);
     }
 
-    /// Abandons the request with this number, if it has no complete response yet.
+    /// The call on this connection, if it waits for the response to the request with this number and is not late.
+    fn call_in_time(&mut self, id: SocketId, number: u64) -> Option<&mut Call> {
+        self.calls
+            .get_mut(&id)
+            .filter(|call| call.request_number == number && !call.is_late())
+    }
+
+    /// Repeats the request with this number, if it has no complete response yet.
     pub(super) fn on_call_timeout(
         &mut self,
         event_loop: &mut EventLoop,
         id: SocketId,
         number: u64,
     ) {
-        let is_same = |call: &Call| call.request_number == number;
-        if self.calls.get(&id).is_some_and(is_same) {
-            self.fail_call(event_loop, id, "no response in time");
+        if self.call_in_time(id, number).is_some() {
+            self.mark_late(event_loop, id, "no response in time");
         }
     }
 
-    /// Abandons the request with this number, if its connection is not established yet.
+    /// Repeats the request with this number, if its connection is not established yet.
     pub(super) fn on_connect_timeout(
         &mut self,
         event_loop: &mut EventLoop,
         id: SocketId,
         number: u64,
     ) {
-        let is_unconnected = |call: &mut Call| {
-            call.request_number == number && !matches!(call.stream.is_connected(), Ok(true))
-        };
-        if self.calls.get_mut(&id).is_some_and(is_unconnected) {
+        let is_unconnected = |call: &mut Call| !matches!(call.stream.is_connected(), Ok(true));
+        if self.call_in_time(id, number).is_some_and(is_unconnected) {
             self.was_unreachable = true;
-            self.fail_call(event_loop, id, "the connection does not come up");
+            self.mark_late(event_loop, id, "the connection does not come up");
         }
     }
 
-    /// Abandons the request with this number, if its response has begun and nothing more was received for the stall
+    /// Repeats the request with this number, if its response has begun and nothing more was received for the stall
     /// timeout.
     pub(super) fn on_response_stall(
         &mut self,
@@ -419,25 +450,66 @@
         id: SocketId,
         number: u64,
     ) {
-        let call = self
-            .calls
-            .get(&id)
-            .filter(|call| call.request_number == number);
+        let stall_timeout = self.timing.stall_timeout(&event_loop.limits);
+        let call = self.call_in_time(id, number);
         let Some(partial) = call.and_then(|call| call.partial.as_ref()) else {
             return;
         };
-        let deadline = partial.last_received + event_loop.limits.message_stall_timeout;
+        let deadline = partial.last_received + stall_timeout;
         if event_loop.now() < deadline {
             return event_loop.schedule(deadline, TimerEvent::DiscoveryAnswerTimeout(id, number));
         }
-        self.fail_call(event_loop, id, "the response stalled");
+        self.mark_late(event_loop, id, "the response stalled");
     }
 
-    /// Closes a call without reporting a failure; returns its query and when it connected.
-    fn close_call(&mut self, event_loop: &mut EventLoop, id: SocketId) -> Option<(Query, f64)> {
-        let call = self.calls.remove(&id)?;
-        call.stream.close(&event_loop.reactor);
-        Some((call.query, call.connected_at))
+    /// Reports a call as failed, so that it is repeated, but keeps it open for a late response.
+    fn mark_late(&mut self, event_loop: &mut EventLoop, id: SocketId, why: &str) {
+        let now = event_loop.now();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.late_since = Some(now);
+        let query = call.query;
+        let connected_at = call.connected_at;
+        self.close_surplus_late_call(event_loop);
+        self.on_call_failed(event_loop, query, connected_at, why);
+    }
+
+    /// Closes a late call if there are too many: the oldest one where it has been late for long, otherwise the next
+    /// one. So a slow discovery has the time to answer the oldest, and the others are replaced by newer ones.
+    fn close_surplus_late_call(&mut self, event_loop: &mut EventLoop) {
+        let now = event_loop.now();
+        let limits = &event_loop.limits.discovery;
+        let mut late: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.is_late())
+            .collect();
+        late.sort_unstable_by_key(|(_, call)| call.request_number);
+        let [(oldest_id, oldest), (second_id, _), ..] = late[..] else {
+            return;
+        };
+        if late.len() <= limits.late_calls {
+            return;
+        }
+        let is_expired = oldest
+            .late_since
+            .is_some_and(|since| now - since >= limits.late_call_age);
+        let surplus_id = if is_expired { *oldest_id } else { *second_id };
+        if let Some(call) = self.calls.remove(&surplus_id) {
+            call.stream.close(&event_loop.reactor);
+        }
+    }
+
+    /// Closes all calls of the watch without reporting a failure.
+    fn close_watch(&mut self, event_loop: &EventLoop) {
+        self.close_calls(event_loop, Call::is_watch);
+    }
+
+    /// Closes all calls that `is_closed` selects, without reporting a failure.
+    fn close_calls(&mut self, event_loop: &EventLoop, is_closed: impl Fn(&Call) -> bool) {
+        let closed = self.calls.extract_if(.., |_, call| is_closed(call));
+        closed.for_each(|(_, call)| call.stream.close(&event_loop.reactor));
     }
 
     /// Abandons the call on this connection.
@@ -451,8 +523,11 @@
     fn abandon_call(&mut self, event_loop: &mut EventLoop, call: Call, why: &str) {
         let query = call.query;
         let connected_at = call.connected_at;
+        let is_reported = call.is_late();
         call.stream.close(&event_loop.reactor);
-        self.on_call_failed(event_loop, query, connected_at, why);
+        if !is_reported {
+            self.on_call_failed(event_loop, query, connected_at, why);
+        }
     }
 
     /// Handles a failed call. On demand the decisions are told, and request the list again. Otherwise the watch is
--- a/router/src/routing/endpoint_list.rs
+++ b/router/src/routing/endpoint_list.rs
@@ -87,6 +87,7 @@
         Ok(Some(ResponseEnd {
             bytes,
             stays_open: response.stays_open,
+            is_unchanged: !list.all && list.targets.is_empty(),
         }))
     }
 
--- a/router/src/routing/mod.rs
+++ b/router/src/routing/mod.rs
@@ -31,6 +31,7 @@
 mod upstream_connection;
 mod upstream_pool;
 mod upstream_responses;
+mod watch_timing;
 
 use std::collections::BTreeMap;
 use std::io;
--- a/testkit/src/discovery.rs
+++ b/testkit/src/discovery.rs
@@ -3,9 +3,9 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::spawn_server;
+use crate::{TEST_TIMEOUT, spawn_server};
 
 /// A version of the endpoint list.
 struct Published {
@@ -13,10 +13,42 @@
     list: String,
 }
 
+/// Where a slow server pauses in each response.
+#[derive(Clone, Copy, Debug)]
+pub enum ResponseDelay {
+    /// Before the whole response.
+    BeforeHead(Duration),
+    /// Between the head, which is sent at once, and the body.
+    BeforeBody(Duration),
+}
+
+/// A watch that the server has received and may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldWatch {
+    /// When it arrived.
+    pub at: Instant,
+    /// How long the server may hold it.
+    pub hold: Duration,
+}
+
+/// The requests that the server has received.
+#[derive(Default)]
+struct Requests {
+    watches: Vec<HeldWatch>,
+    /// Number of requests that are neither answered nor abandoned by the router.
+    open: usize,
+    most_open: usize,
+}
+
 /// The current list, and the watches that wait for a newer one.
 struct Shared {
     current: Mutex<Published>,
     changed: Condvar,
+    delay: ResponseDelay,
+    /// The number of the watch that gets no response.
+    silent_watch: Option<usize>,
+    requests: Mutex<Requests>,
+    arrived: Condvar,
 }
 
 /// The parameters of a watch.
@@ -76,22 +108,102 @@
             if !head_is_complete {
                 return;
             }
-            let body = self.reply_body(parse_watch(&first));
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-            let mut stream = stream;
-            if stream.write_all((head + &body).as_bytes()).is_err() {
+            let watch = parse_watch(&first);
+            let hold = watch.as_ref().map_or(Duration::ZERO, |watch| watch.hold);
+            let watch_number = self.record_request(hold);
+            let is_silent = watch_number.is_some() && watch_number == self.silent_watch;
+            let is_written = if is_silent {
+                stays_open(stream, TEST_TIMEOUT)
+            } else {
+                self.respond(stream, watch)
+            };
+            self.requests.lock().expect("no panic before").open -= 1;
+            if !is_written {
                 return;
             }
         }
     }
+
+    /// Records a request; returns the number of a watch that may be held, counted from 0.
+    fn record_request(&self, hold: Duration) -> Option<usize> {
+        let mut requests = self.requests.lock().expect("no panic before");
+        requests.open += 1;
+        requests.most_open = requests.most_open.max(requests.open);
+        if hold.is_zero() {
+            return None;
+        }
+        requests.watches.push(HeldWatch {
+            at: Instant::now(),
+            hold,
+        });
+        self.arrived.notify_all();
+        Some(requests.watches.len() - 1)
+    }
+
+    /// Sends the response with its delay; false where the router has closed the connection.
+    fn respond(&self, mut stream: &TcpStream, watch: Option<Watch>) -> bool {
+        let body = self.reply_body(watch);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        match self.delay {
+            ResponseDelay::BeforeHead(delay) => {
+                stays_open(stream, delay) && stream.write_all((head + &body).as_bytes()).is_ok()
+            }
+            ResponseDelay::BeforeBody(delay) => {
+                stream.write_all(head.as_bytes()).is_ok()
+                    && stays_open(stream, delay)
+                    && stream.write_all(body.as_bytes()).is_ok()
+            }
+        }
+    }
+}
+
+/// Waits for `delay`, or until the router closes the connection; whether it is still open then.
+fn stays_open(stream: &TcpStream, delay: Duration) -> bool {
+    if delay.is_zero() {
+        return true;
+    }
+    stream
+        .set_read_timeout(Some(delay))
+        .expect("a socket option");
+    let is_open = stream.peek(&mut [0]).is_err();
+    stream.set_read_timeout(None).expect("a socket option");
+    is_open
 }
 
 impl Discovery {
     /// Starts a server with this list, as [`crate::endpoint_list`] writes it, of this version.
     pub fn start(rev: u32, list: String) -> Self {
+        Self::start_slow(rev, list, ResponseDelay::BeforeHead(Duration::ZERO))
+    }
+
+    /// As [`Discovery::start_slow`], but never responds to the watch with this number, counted from 0.
+    pub fn start_with_silent_watch(
+        rev: u32,
+        list: String,
+        delay: ResponseDelay,
+        silent_watch: usize,
+    ) -> Self {
+        Self::start_server(rev, list, delay, Some(silent_watch))
+    }
+
+    /// As [`Discovery::start`], with a delay in each response, which follows the hold of a watch.
+    pub fn start_slow(rev: u32, list: String, delay: ResponseDelay) -> Self {
+        Self::start_server(rev, list, delay, None)
+    }
+
+    fn start_server(
+        rev: u32,
+        list: String,
+        delay: ResponseDelay,
+        silent_watch: Option<usize>,
+    ) -> Self {
         let shared = Arc::new(Shared {
             current: Mutex::new(Published { rev, list }),
             changed: Condvar::new(),
+            delay,
+            silent_watch,
+            requests: Mutex::default(),
+            arrived: Condvar::new(),
         });
         let shared_with_server = shared.clone();
         let at = spawn_server(move |stream| shared_with_server.serve(&stream));
@@ -103,4 +215,26 @@
         *self.shared.current.lock().expect("no panic before") = Published { rev, list };
         self.shared.changed.notify_all();
     }
+
+    /// Waits for the watch with this number, counted from 0.
+    pub fn wait_for_watch(&self, number: usize) -> HeldWatch {
+        let requests = self.shared.requests.lock().expect("no panic before");
+        let (requests, _) = self
+            .shared
+            .arrived
+            .wait_timeout_while(requests, TEST_TIMEOUT, |requests| {
+                requests.watches.len() <= number
+            })
+            .expect("no panic before");
+        requests.watches[number]
+    }
+
+    /// The most requests at once that were neither answered nor abandoned by the router.
+    pub fn most_open_requests(&self) -> usize {
+        self.shared
+            .requests
+            .lock()
+            .expect("no panic before")
+            .most_open
+    }
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -35,7 +35,7 @@
 pub use client::Client;
 pub use config::{endpoint_list, router_config};
 pub use credentials::{ManagementClient, TestCredentials};
-pub use discovery::Discovery;
+pub use discovery::{Discovery, HeldWatch, ResponseDelay};
 pub use fleet::{AttemptLog, Fleet, TestHost};
 pub use gnmi::proto;
 pub use netconf::{NetconfError, NetconfSession};
