--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -40,7 +40,7 @@
 pub use gnmi::proto;
 pub use netconf::{NetconfError, NetconfSession};
 pub use platform::{Platform, RolloutState};
-pub use program::{RouterProcess, resident_memory_kib};
+pub use program::{RouterProcess, private_memory_kib, resident_memory_kib};
 pub use servers::{
     effectless_reply, fake_discovery, fake_host, read_command, read_request, serve_commands,
     spawn_server, spawn_server_on, unused_address, value_reply,
--- a/testkit/src/program.rs
+++ b/testkit/src/program.rs
@@ -19,6 +19,17 @@
         .unwrap_or(0)
 }
 
+/// Returns the resident memory of a process in KiB without the pages of its executable and libraries, which differ
+/// between builds; 0 if it does not run.
+pub fn private_memory_kib(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    status
+        .lines()
+        .filter(|line| line.starts_with("RssAnon:") || line.starts_with("RssShmem:"))
+        .filter_map(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok())
+        .sum()
+}
+
 /// A running router with a configuration file of its own; killed when dropped.
 pub struct RouterProcess {
     /// The process.
