--- a/router/tests/memory.rs
+++ b/router/tests/memory.rs
@@ -14,8 +14,8 @@
 
 /// The limit on the memory of the routers here, in MiB.
 const MEMORY_MB: u64 = 20;
-/// The part of it that the router's budget leaves to the pages of its executable, in MiB. The test build has far more
-/// of them than a release build, and how many are resident depends on the page cache, so they are not measured.
+/// The part of it that the router's budget leaves to the pages of its executable, in MiB. They are not measured, as the
+/// test build has far more of them than a release build.
 const EXECUTABLE_MB: u64 = 7;
 const KIB_PER_MIB: u64 = 1024;
 
